--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Build, check and show buckthornpath; see README.md.
+
+BUILD ?= build
+PACKAGES = g++ cmake ninja-build ccache perl clang-format clang-tidy \
+  libboost1.81-dev libboost-log1.81-dev libboost-thread1.81-dev libnng-dev \
+  libdocopt-dev libcppunit-dev nlohmann-json3-dev libxxhash-dev \
+  librapidcheck-dev libssl-dev
+
+.PHONY: deps build check format lint demo measure slopes sweep clean
+
+# Installs what is missing; asks the package manager for nothing else.
+deps:
+	@missing=; for package in $(PACKAGES); do \
+	  dpkg -s $$package >/dev/null 2>&1 || missing="$$missing $$package"; \
+	done; \
+	if [ -n "$$missing" ]; then \
+	  apt-get update && \
+	  DEBIAN_FRONTEND=noninteractive apt-get install -y $$missing; \
+	fi
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja
+	ninja -C $(BUILD)
+
+check: build
+	BUCKTHORNPATH_KNOWN_RED=$(CURDIR)/KNOWN-RED.txt \
+	  ctest --test-dir $(BUILD) --output-on-failure -j 4
+	@if [ -s KNOWN-RED.txt ]; then echo "Known red:"; cat KNOWN-RED.txt; fi
+
+format:
+	git ls-files -co --exclude-standard | grep -E '\.(cc|h)$$' | \
+	  xargs clang-format --dry-run --Werror
+
+lint:
+	perl tools/check_co_await.pl \
+	  $$(git ls-files -co --exclude-standard | grep -E '\.(cc|h)$$')
+	run-clang-tidy -quiet -p $(BUILD) '(src|test)/.*\.cc$$' \
+	  > $(BUILD)/lint.log 2>&1 || \
+	  { grep -E '(warning|error):' $(BUILD)/lint.log | sort -u; exit 1; }
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,103 @@
+/** @file main.cc The daemon. */
+
+#include <docopt/docopt.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "daemon/drain.h"
+#include "daemon/operator_port.h"
+#include "kernel/log.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr const char* kUsage =
+    R"(buckthornpathd: one process of the router fleet.
+
+Usage:
+  buckthornpathd --role=<name> --settings=<file>
+  buckthornpathd --list-roles
+  buckthornpathd (-h | --help)
+
+Options:
+  --role=<name>      What the process does.
+  --settings=<file>  Settings in JSON with comments.
+  --list-roles       Prints the roles and ends.
+)";
+
+LogLevel ParseLevel(const std::string& name) {
+  if (name == "debug")
+    return LogLevel::kDebug;
+  if (name == "warning")
+    return LogLevel::kWarning;
+  return name == "error" ? LogLevel::kError : LogLevel::kInfo;
+}
+
+/** Asks for a drain at each of the signals that end a process. */
+asio::awaitable<void> WatchSignals(Drain& drain) {
+  asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+  while (true) {
+    co_await signals.async_wait(asio::use_awaitable);
+    drain.Request();
+  }
+}
+
+/**
+ * Runs a role until it is drained, then ends the process. Tasks that are still
+ * suspended hold references to the role, so no destructor runs after the end.
+ */
+[[noreturn]] void RunRole(const RoleFactory& factory,
+                          const Settings& settings) {
+  StartLog(factory.Name() + "/" + settings.vm, ParseLevel(settings.log_level));
+  WorkerPool pool(static_cast<int>(settings.worker_count));
+  const RoleContext context{settings, pool};
+  const std::unique_ptr<Role> role = factory.Make(context);
+  Drain drain(pool, *role, settings.drain_timeout);
+  OperatorPort operators(context, *role, [&drain] { drain.Request(); });
+  pool.Spawn(WatchSignals(drain));
+  role->Start();
+  operators.Start();
+  LogLine(LogLevel::kInfo, "started", {{"role", factory.Name()}});
+  pool.Run();
+  std::quick_exit(static_cast<int>(drain.Result()));
+}
+
+ExitCode Main(const std::vector<std::string>& arguments) {
+  auto options = docopt::docopt(kUsage, arguments);
+  if (options["--list-roles"].asBool()) {
+    for (const RoleFactory* factory : RoleFactory::All()) {
+      std::cout << factory->Name() << "  " << factory->Description() << "\n";
+    }
+    return ExitCode::kDrained;
+  }
+  const std::string name = options["--role"].asString();
+  const RoleFactory* factory = RoleFactory::Find(name);
+  if (factory == nullptr) {
+    std::cerr << "no role '" << name << "'; see --list-roles\n";
+    return ExitCode::kFault;
+  }
+  RunRole(*factory, LoadSettings(options["--settings"].asString()));
+}
+
+}  // namespace
+
+}  // namespace buckthornpath
+
+int main(int argc, char** argv) {
+  try {
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return static_cast<int>(buckthornpath::Main(arguments));
+  } catch (const buckthornpath::DocumentRefused& refused) {
+    for (const auto& fault : refused.Faults()) {
+      std::cerr << fault.path << ": " << fault.reason << "\n";
+    }
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+  }
+  return static_cast<int>(buckthornpath::ExitCode::kFault);
+}
--- /dev/null
+++ b/src/daemon/operator_port.cc
@@ -0,0 +1,38 @@
+/** @file operator_port.cc What operators read from and ask of a process. */
+
+#include "daemon/operator_port.h"
+
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+OperatorPort::OperatorPort(const RoleContext& context,
+                           Role& role,
+                           std::function<void()> drain)
+    : role(role),
+      drain(std::move(drain)),
+      server(context.pool,
+             ParseSocketAddress(context.settings.operator_address),
+             {},
+             [this](HttpExchange& exchange) { return this->Serve(exchange); }) {
+}
+
+asio::awaitable<void> OperatorPort::Serve(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  HttpResponse response;
+  if (request.method == "GET" && request.Path() == "/status") {
+    response.headers.Set("Content-Type", "application/json");
+    response.body = this->role.Status().dump();
+  } else if (request.method == "GET" && request.Path() == "/metrics") {
+    response.headers.Set("Content-Type", "text/plain; version=0.0.4");
+    response.body = ProcessMetrics().Render();
+  } else if (request.method == "POST" && request.Path() == "/drain") {
+    response.status = 202;
+    this->drain();
+  } else {
+    response.status = 404;
+  }
+  co_await exchange.Send(std::move(response));
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/endpoint/dialogue_server.cc
@@ -0,0 +1,262 @@
+/** @file dialogue_server.cc Answers routers at an endpoint process. */
+
+#include "endpoint/dialogue_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+
+/** Silence after which an idle connection from a router is closed. */
+constexpr std::chrono::milliseconds kIdleTimeout{300000};
+
+constexpr std::chrono::milliseconds kBusyRetryAfter{1000};
+
+/** Counts itself among the answers on their way while it lives. */
+class InFlightMark {
+ public:
+  explicit InFlightMark(std::atomic<std::size_t>& count) : count(count) {
+    ++this->count;
+  }
+  ~InFlightMark() { --this->count; }
+  InFlightMark(const InFlightMark&) = delete;
+  InFlightMark& operator=(const InFlightMark&) = delete;
+
+ private:
+  std::atomic<std::size_t>& count;
+};
+
+Incarnation NewIncarnation() {
+  std::random_device device;
+  const std::uint64_t high = device();
+  return Incarnation{(high << 32U) | device()};
+}
+
+OutcomeLimits LimitsOf(const Settings& settings) {
+  return {static_cast<std::size_t>(settings.outcome_entries),
+          static_cast<std::size_t>(settings.outcome_bytes),
+          settings.answer_retention};
+}
+
+}  // namespace
+
+DialogueServer::DialogueServer(const RoleContext& context,
+                               const ConfigurationStore& configuration)
+    : context(context),
+      configuration(configuration),
+      mint(context.settings.ticket_secret),
+      incarnation(NewIncarnation()),
+      outcomes(EndpointId(context.settings.vm),
+               this->incarnation,
+               LimitsOf(context.settings)),
+      acceptor(context.pool.context(),
+               ParseSocketAddress(context.settings.dialogue_address)) {}
+
+void DialogueServer::Start() {
+  this->context.pool.Spawn(this->AcceptAll());
+}
+
+std::chrono::milliseconds DialogueServer::Age() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      BootClock::now() - this->started);
+}
+
+asio::awaitable<void> DialogueServer::AcceptAll() {
+  while (true) {
+    const Strand strand = this->context.pool.NewStrand();
+    auto [error, socket] =
+        co_await this->acceptor.async_accept(strand, kAwaitResult);
+    if (error) {
+      co_await SleepFor(std::chrono::milliseconds(10));
+      continue;
+    }
+    auto connection = std::make_shared<DialogueConnection>(
+        asio::ip::tcp::socket(std::move(socket)));
+    asio::co_spawn(strand, this->Serve(connection, strand), asio::detached);
+  }
+}
+
+asio::awaitable<void> DialogueServer::Serve(
+    std::shared_ptr<DialogueConnection> connection,
+    Strand strand) {
+  try {
+    Hello hello;
+    hello.endpoint = this->context.settings.vm;
+    hello.incarnation = static_cast<std::uint64_t>(this->incarnation);
+    hello.now = this->Age();
+    hello.service = this->context.settings.service;
+    co_await connection->Send(hello);
+    while (true) {
+      Message message = co_await connection->Receive(kIdleTimeout);
+      const InFlightMark mark(this->sending);
+      if (auto* call = std::get_if<CallRequest>(&message)) {
+        co_await this->HandleCall(*connection, strand, std::move(*call));
+      } else if (auto* resume = std::get_if<ResumeRequest>(&message)) {
+        co_await this->HandleResume(*connection, strand, std::move(*resume));
+      } else {
+        ProcessMetrics().Add("unexpected_messages_total");
+      }
+    }
+  } catch (const DialogueLost& lost) {
+    LogLine(LogLevel::kDebug, "dialogue_ended", {{"reason", lost.what()}});
+  }
+}
+
+CallRefused DialogueServer::Refusal(const std::string& outcome,
+                                    const std::string& reason) const {
+  CallRefused refusal;
+  refusal.outcome = outcome;
+  refusal.reason = reason;
+  refusal.running = static_cast<std::int64_t>(this->running.load());
+  return refusal;
+}
+
+asio::awaitable<void> DialogueServer::HandleCall(DialogueConnection& connection,
+                                                 const Strand& strand,
+                                                 CallRequest request) {
+  const auto ticket = this->mint.Decode(request.ticket);
+  CallRefused refusal;
+  if (!ticket || ticket->organisation.str() != request.organisation) {
+    refusal = this->Refusal("not_run", "ticket_refused");
+  } else {
+    const TicketLookup lookup =
+        this->outcomes.Open(request.ticket, *ticket, this->Age());
+    if (lookup.answer == TicketAnswer::kNew) {
+      this->Admit(request, lookup.record);
+    }
+    if (lookup.record) {
+      co_await this->SendAnswer(connection, strand, lookup.record,
+                                request.attempt, request.after);
+      co_return;
+    }
+    refusal = this->Refusal(
+        lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
+        lookup.reason);
+  }
+  refusal.attempt = request.attempt;
+  co_await connection.Send(refusal);
+}
+
+asio::awaitable<void> DialogueServer::HandleResume(
+    DialogueConnection& connection,
+    const Strand& strand,
+    ResumeRequest request) {
+  const auto ticket = this->mint.Decode(request.ticket);
+  CallRefused refusal;
+  if (!ticket || ticket->organisation.str() != request.organisation) {
+    refusal = this->Refusal("unknown", "ticket_refused");
+  } else {
+    const TicketLookup lookup =
+        this->outcomes.Close(request.ticket, *ticket, this->Age());
+    if (lookup.record) {
+      co_await this->SendAnswer(connection, strand, lookup.record,
+                                request.attempt, request.after);
+      co_return;
+    }
+    refusal = this->Refusal(
+        lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
+        lookup.reason);
+  }
+  refusal.attempt = request.attempt;
+  co_await connection.Send(refusal);
+}
+
+void DialogueServer::Admit(const CallRequest& request,
+                           const std::shared_ptr<CallRecord>& record) {
+  const ConfigurationPtr in_force = this->configuration.InForce();
+  const auto profile = in_force->profiles.find(ProfileName(request.profile));
+  const auto service =
+      in_force->services.find(ServiceName(this->context.settings.service));
+  if (profile == in_force->profiles.end() ||
+      service == in_force->services.end()) {
+    record->Refuse(this->Refusal("not_run", "profile_unknown"));
+    return;
+  }
+  CallRefused busy = this->Refusal("not_run", "endpoint_busy");
+  busy.retry_after = kBusyRetryAfter;
+  if (this->draining) {
+    busy.reason = "endpoint_leaving";
+    record->Refuse(std::move(busy));
+    return;
+  }
+  if (this->running >=
+      static_cast<std::size_t>(this->context.settings.max_running)) {
+    record->Refuse(std::move(busy));
+    return;
+  }
+  const EngineDriver* driver = EngineDriver::Find(service->second.kind);
+  ++this->running;
+  LogLine(LogLevel::kInfo, "admitted",
+          {{"request", request.ticket},
+           {"organisation", request.organisation},
+           {"profile", request.profile},
+           {"rank", profile->second.rank},
+           {"running", this->running.load()}});
+  this->context.pool.Spawn(
+      this->RunCall(driver, {request, profile->second.RankValue(), record}));
+}
+
+asio::awaitable<void> DialogueServer::RunCall(const EngineDriver* driver,
+                                              EngineCall call) {
+  if (call.record->TryStart()) {
+    co_await driver->Run(
+        ParseSocketAddress(this->context.settings.engine_address), call);
+  }
+  --this->running;
+}
+
+asio::awaitable<void> DialogueServer::SendAnswer(
+    DialogueConnection& connection,
+    const Strand& strand,
+    std::shared_ptr<CallRecord> record,
+    std::uint32_t attempt,
+    std::uint64_t after) {
+  auto waiter = std::make_shared<CallWaiter>(strand);
+  record->AddWaiter(waiter);
+  bool accepted = false;
+  while (true) {
+    CallView view = record->View(after);
+    if (view.state == CallState::kRefused && view.chunks.empty()) {
+      view.refused.attempt = attempt;
+      co_await connection.Send(view.refused);
+      co_return;
+    }
+    if (!accepted) {
+      CallAccepted message;
+      message.attempt = attempt;
+      message.running = static_cast<std::int64_t>(this->running.load());
+      co_await connection.Send(message);
+      accepted = true;
+    }
+    for (std::string& data : view.chunks) {
+      CallChunk chunk{attempt, ++after, std::move(data)};
+      co_await connection.Send(std::move(chunk));
+    }
+    if (view.state == CallState::kFinished) {
+      view.finished.attempt = attempt;
+      co_await connection.Send(view.finished);
+      co_return;
+    }
+    if (!view.chunks.empty())
+      continue;
+    const auto before_wait = BootClock::now();
+    co_await waiter->Wait(this->context.settings.heartbeat_interval);
+    if (BootClock::now() - before_wait >=
+        this->context.settings.heartbeat_interval) {
+      const Heartbeat heartbeat{attempt};
+      co_await connection.Send(heartbeat);
+    }
+  }
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/kernel/field_table.cc
@@ -0,0 +1,156 @@
+/** @file field_table.cc Documents described by a table of fields. */
+
+#include "kernel/field_table.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace buckthornpath {
+
+namespace {
+
+std::string ListFaults(const std::vector<DocumentFault>& faults) {
+  std::ostringstream text;
+  for (const DocumentFault& fault : faults) {
+    text << (text.tellp() > 0 ? "; " : "") << fault.path << ": "
+         << fault.reason;
+  }
+  return text.str();
+}
+
+bool IsOneOf(const std::string& value, const std::string& choices) {
+  std::istringstream list(choices);
+  for (std::string choice; std::getline(list, choice, '|');) {
+    if (choice == value)
+      return true;
+  }
+  return false;
+}
+
+bool HasType(const nlohmann::json& value, const std::string& type) {
+  if (type == "text")
+    return value.is_string();
+  if (type == "flag")
+    return value.is_boolean();
+  return value.is_number_integer();
+}
+
+std::string RangeText(const FieldRule& rule) {
+  std::ostringstream text;
+  text << "must be from " << rule.minimum << " to " << rule.maximum;
+  if (rule.type == "text")
+    text << " characters";
+  if (!rule.unit.empty())
+    text << " " << rule.unit;
+  return text.str();
+}
+
+bool IsInRange(const nlohmann::json& value, const FieldRule& rule) {
+  if (value.is_boolean())
+    return true;
+  if (value.is_number_unsigned() &&
+      value.get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX)) {
+    return false;
+  }
+  const std::int64_t size =
+      value.is_string() ? static_cast<std::int64_t>(
+                              value.get_ref<const std::string&>().size())
+                        : value.get<std::int64_t>();
+  return size >= rule.minimum && size <= rule.maximum;
+}
+
+/** Notes names that stand twice in one object while JSON is parsed. */
+class DuplicateNameFinder {
+ public:
+  bool operator()(int /*depth*/,
+                  nlohmann::json::parse_event_t event,
+                  nlohmann::json& parsed) {
+    using Event = nlohmann::json::parse_event_t;
+    if (event == Event::object_start)
+      this->open_objects.emplace_back();
+    if (event == Event::object_end)
+      this->open_objects.pop_back();
+    if (event == Event::key) {
+      const auto& name = parsed.get_ref<const std::string&>();
+      if (!this->open_objects.back().insert(name).second) {
+        this->faults.push_back({"/" + name, "stands twice in one object"});
+      }
+    }
+    return true;
+  }
+
+  std::vector<DocumentFault> faults;
+
+ private:
+  std::vector<std::set<std::string>> open_objects;
+};
+
+}  // namespace
+
+DocumentRefused::DocumentRefused(std::vector<DocumentFault> faults)
+    : std::runtime_error(ListFaults(faults)), faults(std::move(faults)) {}
+
+DocumentRefused::DocumentRefused(std::string path, std::string reason)
+    : DocumentRefused(
+          std::vector<DocumentFault>{{std::move(path), std::move(reason)}}) {}
+
+bool CheckField(const nlohmann::json& value,
+                const FieldRule& rule,
+                const std::string& path,
+                std::vector<DocumentFault>& faults) {
+  if (!HasType(value, rule.type)) {
+    faults.push_back({path, "must be a " + rule.type});
+    return false;
+  }
+  if (!IsInRange(value, rule)) {
+    faults.push_back({path, RangeText(rule)});
+    return false;
+  }
+  if (!rule.choices.empty() &&
+      !IsOneOf(value.get<std::string>(), rule.choices)) {
+    faults.push_back({path, "must be one of " + rule.choices});
+    return false;
+  }
+  return true;
+}
+
+nlohmann::json ParseJsonWithComments(const std::string& text) {
+  DuplicateNameFinder finder;
+  nlohmann::json parsed;
+  try {
+    parsed = nlohmann::json::parse(text, std::ref(finder), true, true);
+  } catch (const nlohmann::json::parse_error& error) {
+    throw DocumentRefused("", error.what());
+  }
+  if (!finder.faults.empty())
+    throw DocumentRefused(finder.faults);
+  return parsed;
+}
+
+void CheckUnknownFields(const nlohmann::json& object,
+                        const std::vector<FieldRule>& rules,
+                        const std::string& path,
+                        std::vector<DocumentFault>& faults) {
+  for (const auto& [name, value] : object.items()) {
+    const bool known =
+        std::any_of(rules.begin(), rules.end(),
+                    [&](const FieldRule& rule) { return rule.name == name; });
+    if (!known)
+      faults.push_back({path + "/" + name, "is not a known name"});
+  }
+}
+
+nlohmann::json DefaultValue(const FieldDefault& value) {
+  return std::visit(
+      [](auto alternative) -> nlohmann::json {
+        if constexpr (std::is_same_v<decltype(alternative), Required>) {
+          return nullptr;
+        } else {
+          return alternative;
+        }
+      },
+      value);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/kernel/http_client.cc
@@ -0,0 +1,131 @@
+/** @file http_client.cc HTTP/1.1 client by Boost.Beast. */
+
+#include "kernel/http_client.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace buckthornpath {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kPieceBytes = 16 * 1024;
+
+/** Largest body that HttpFetch() reads. */
+constexpr std::size_t kFetchLimitBytes = 64 * 1024 * 1024;
+
+http::request<http::string_body> ToBeast(const HttpRequest& request,
+                                         const SocketAddress& address) {
+  http::request<http::string_body> result;
+  result.method_string(request.method);
+  result.target(request.target);
+  result.version(11);
+  result.set(http::field::host, FormatSocketAddress(address));
+  for (const auto& [name, value] : request.headers.Fields()) {
+    result.set(name, value);
+  }
+  result.body() = request.body;
+  result.prepare_payload();
+  return result;
+}
+
+void ThrowIf(beast::error_code error, const char* step) {
+  if (error)
+    throw HttpError(std::string(step) + ": " + error.message());
+}
+
+}  // namespace
+
+struct HttpResponseStream::State {
+  explicit State(asio::any_io_executor executor) : stream(executor) {
+    this->parser.body_limit(boost::none);
+  }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  http::response_parser<http::buffer_body> parser;
+  HttpResponse head;
+};
+
+HttpResponseStream::HttpResponseStream(std::unique_ptr<State> state)
+    : state(std::move(state)) {}
+
+HttpResponseStream::~HttpResponseStream() = default;
+
+const HttpResponse& HttpResponseStream::head() const {
+  return this->state->head;
+}
+
+asio::awaitable<std::unique_ptr<HttpResponseStream>> HttpResponseStream::Open(
+    SocketAddress address,
+    HttpRequest request,
+    std::chrono::milliseconds timeout) {
+  auto state = std::make_unique<State>(co_await asio::this_coro::executor);
+  beast::tcp_stream& stream = state->stream;
+  stream.expires_after(timeout);
+  auto [connect_error] = co_await stream.async_connect(address, kAwaitResult);
+  ThrowIf(connect_error, "connect");
+  beast::error_code ignored;
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  const auto message = ToBeast(request, address);
+  stream.expires_after(timeout);
+  auto [write_error, written] =
+      co_await http::async_write(stream, message, kAwaitResult);
+  ThrowIf(write_error, "write");
+  stream.expires_after(timeout);
+  auto [read_error, read] = co_await http::async_read_header(
+      stream, state->buffer, state->parser, kAwaitResult);
+  ThrowIf(read_error, "read head");
+  state->head.status = state->parser.get().result_int();
+  for (const auto& field : state->parser.get()) {
+    state->head.headers.Set(std::string(field.name_string()),
+                            std::string(field.value()));
+  }
+  co_return std::unique_ptr<HttpResponseStream>(
+      new HttpResponseStream(std::move(state)));
+}
+
+asio::awaitable<std::optional<std::string>> HttpResponseStream::ReadSome(
+    std::chrono::milliseconds timeout) {
+  auto& parser = this->state->parser;
+  if (parser.is_done())
+    co_return std::nullopt;
+  std::array<char, kPieceBytes> piece{};
+  parser.get().body().data = piece.data();
+  parser.get().body().size = piece.size();
+  parser.get().body().more = true;
+  this->state->stream.expires_after(timeout);
+  auto [error, size] = co_await http::async_read_some(
+      this->state->stream, this->state->buffer, parser, kAwaitResult);
+  if (error && error != http::error::need_buffer)
+    ThrowIf(error, "read body");
+  const std::size_t filled = piece.size() - parser.get().body().size;
+  if (filled == 0 && parser.is_done())
+    co_return std::nullopt;
+  co_return std::string(piece.data(), filled);
+}
+
+asio::awaitable<HttpResponse> HttpFetch(SocketAddress address,
+                                        HttpRequest request,
+                                        std::chrono::milliseconds timeout) {
+  auto stream =
+      co_await HttpResponseStream::Open(address, std::move(request), timeout);
+  HttpResponse response = stream->head();
+  while (auto piece = co_await stream->ReadSome(timeout)) {
+    response.body += *piece;
+    if (response.body.size() > kFetchLimitBytes) {
+      throw HttpError("body too large");
+    }
+  }
+  co_return response;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/kernel/http_server.cc
@@ -0,0 +1,279 @@
+/** @file http_server.cc HTTP/1.1 server by Boost.Beast. */
+
+#include "kernel/http_server.h"
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include "kernel/log.h"
+
+namespace buckthornpath {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+
+/** Longest time that one write to a peer may take. */
+constexpr std::chrono::seconds kWriteTimeout{30};
+
+http::response<http::string_body> ToBeast(const HttpResponse& response) {
+  http::response<http::string_body> result(http::int_to_status(response.status),
+                                           11);
+  for (const auto& [name, value] : response.headers.Fields()) {
+    result.set(name, value);
+  }
+  result.body() = response.body;
+  return result;
+}
+
+HttpRequest FromBeast(http::request<http::string_body>&& request) {
+  HttpRequest result;
+  result.method = std::string(request.method_string());
+  result.target = std::string(request.target());
+  for (const auto& field : request) {
+    result.headers.Set(std::string(field.name_string()),
+                       std::string(field.value()));
+  }
+  result.body = std::move(request.body());
+  return result;
+}
+
+class BeastExchange final : public HttpExchange {
+ public:
+  BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive)
+      : stream(stream), received(std::move(request)), keep_alive(keep_alive) {}
+
+  const HttpRequest& request() const override { return this->received; }
+
+  asio::awaitable<void> Send(HttpResponse response) override {
+    auto message = ToBeast(response);
+    message.keep_alive(this->keep_alive);
+    message.prepare_payload();
+    this->answered = true;
+    this->complete = true;
+    co_await this->Write(message);
+  }
+
+  asio::awaitable<void> BeginStream(HttpResponse head) override {
+    http::response<http::empty_body> message(http::int_to_status(head.status),
+                                             11);
+    for (const auto& [name, value] : head.headers.Fields()) {
+      message.set(name, value);
+    }
+    message.chunked(true);
+    message.keep_alive(this->keep_alive);
+    this->answered = true;
+    http::response_serializer<http::empty_body> serializer(message);
+    this->stream.expires_after(kWriteTimeout);
+    auto [error, size] = co_await http::async_write_header(
+        this->stream, serializer, kAwaitResult);
+    if (error)
+      throw HttpError("write failed: " + error.message());
+  }
+
+  asio::awaitable<void> WriteChunk(std::string_view data) override {
+    this->stream.expires_after(kWriteTimeout);
+    auto [error, size] = co_await asio::async_write(
+        this->stream, http::make_chunk(asio::buffer(data)), kAwaitResult);
+    if (error)
+      throw HttpError("write failed: " + error.message());
+  }
+
+  asio::awaitable<void> EndStream() override {
+    this->stream.expires_after(kWriteTimeout);
+    auto [error, size] = co_await asio::async_write(
+        this->stream, http::make_chunk_last(), kAwaitResult);
+    if (error)
+      throw HttpError("write failed: " + error.message());
+    this->complete = true;
+  }
+
+  bool Answered() const override { return this->answered; }
+
+  /** @return True if the connection can carry another request. */
+  bool CanContinue() const { return this->complete && this->keep_alive; }
+
+ private:
+  template <class Message>
+  asio::awaitable<void> Write(Message& message) {
+    this->stream.expires_after(kWriteTimeout);
+    auto [error, size] =
+        co_await http::async_write(this->stream, message, kAwaitResult);
+    if (error)
+      throw HttpError("write failed: " + error.message());
+  }
+
+  beast::tcp_stream& stream;
+  HttpRequest received;
+  bool keep_alive;
+  bool answered = false;
+  bool complete = false;
+};
+
+/** @return A problem document for a fault that no handler answered. */
+HttpResponse PlainProblem(unsigned status,
+                          const char* title,
+                          const char* outcome) {
+  const nlohmann::json body = {
+      {"status", status}, {"title", title}, {"outcome", outcome}};
+  return {status, {{"Content-Type", "application/problem+json"}}, body.dump()};
+}
+
+/** @return The status that answers a request which could not be read. */
+unsigned StatusOfReadError(beast::error_code error) {
+  if (error == http::error::header_limit)
+    return 431;
+  if (error == http::error::body_limit)
+    return 413;
+  if (error == beast::error::timeout)
+    return 408;
+  return 400;
+}
+
+/** @return True if the peer is gone, so that no answer can reach it. */
+bool IsPeerGone(beast::error_code error) {
+  return error == http::error::end_of_stream ||
+         error == asio::error::connection_reset ||
+         error == asio::error::operation_aborted ||
+         error == asio::error::broken_pipe;
+}
+
+}  // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  State(WorkerPool& pool,
+        const SocketAddress& address,
+        HttpLimits limits,
+        HttpHandler handler)
+      : pool(pool),
+        acceptor(pool.context(), address),
+        limits(limits),
+        handler(std::move(handler)) {}
+
+  asio::awaitable<void> AcceptAll() {
+    auto self = this->shared_from_this();
+    while (!this->closed) {
+      auto [error, socket] = co_await this->acceptor.async_accept(
+          this->pool.NewStrand(), kAwaitResult);
+      if (this->closed)
+        break;
+      if (error) {
+        co_await SleepFor(std::chrono::milliseconds(10));
+        continue;
+      }
+      socket.set_option(asio::ip::tcp::no_delay(true), error);
+      this->pool.Spawn(this->Serve(
+          beast::tcp_stream(asio::ip::tcp::socket(std::move(socket))), self));
+    }
+  }
+
+  /** Serves the requests of one connection, one after another. */
+  asio::awaitable<void> Serve(beast::tcp_stream stream,
+                              std::shared_ptr<State> self) {
+    beast::flat_buffer buffer;
+    for (bool first = true;; first = false) {
+      http::request_parser<http::string_body> parser;
+      parser.header_limit(
+          static_cast<std::uint32_t>(self->limits.header_bytes));
+      parser.body_limit(self->limits.body_bytes);
+      if (!co_await self->ReadRequest(stream, buffer, parser, first))
+        break;
+      const bool keep_alive = parser.get().keep_alive();
+      BeastExchange exchange(stream, FromBeast(parser.release()), keep_alive);
+      co_await self->Handle(exchange);
+      if (!exchange.CanContinue())
+        break;
+    }
+    beast::error_code ignored;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+
+  /** @return False if the connection is to be closed. */
+  asio::awaitable<bool> ReadRequest(
+      beast::tcp_stream& stream,
+      beast::flat_buffer& buffer,
+      http::request_parser<http::string_body>& parser,
+      bool first) {
+    if (!first && buffer.size() == 0) {
+      stream.expires_after(this->limits.idle_timeout);
+      auto [error, size] = co_await stream.async_read_some(
+          buffer.prepare(this->limits.header_bytes), kAwaitResult);
+      if (error)
+        co_return false;
+      buffer.commit(size);
+    }
+    stream.expires_after(this->limits.read_timeout);
+    auto [error, size] =
+        co_await http::async_read(stream, buffer, parser, kAwaitResult);
+    if (!error)
+      co_return true;
+    if (IsPeerGone(error))
+      co_return false;
+    BeastExchange exchange(stream, {}, false);
+    HttpResponse problem = PlainProblem(StatusOfReadError(error),
+                                        "request cannot be read", "not_run");
+    co_await exchange.Send(std::move(problem));
+    co_return false;
+  }
+
+  asio::awaitable<void> Handle(BeastExchange& exchange) {
+    std::string fault;
+    try {
+      co_await this->handler(exchange);
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    if (fault.empty())
+      co_return;
+    LogLine(LogLevel::kInfo, "exchange_failed",
+            {{"target", exchange.request().target}, {"reason", fault}});
+    if (exchange.Answered())
+      co_return;
+    HttpResponse problem = PlainProblem(500, "internal error", "unknown");
+    co_await exchange.Send(std::move(problem));
+  }
+
+  WorkerPool& pool;
+  asio::ip::tcp::acceptor acceptor;
+  HttpLimits limits;
+  HttpHandler handler;
+  std::atomic<bool> closed = false;
+};
+
+HttpServer::HttpServer(WorkerPool& pool,
+                       const SocketAddress& address,
+                       HttpLimits limits,
+                       HttpHandler handler)
+    : state(
+          std::make_shared<State>(pool, address, limits, std::move(handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::Start() {
+  this->state->pool.Spawn(this->state->AcceptAll());
+}
+
+void HttpServer::Close() {
+  auto self = this->state;
+  self->closed = true;
+  asio::post(self->acceptor.get_executor(), [self] {
+    boost::system::error_code ignored;
+    self->acceptor.close(ignored);
+  });
+}
+
+SocketAddress HttpServer::Address() const {
+  return this->state->acceptor.local_endpoint();
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/kernel/http_type.cc
@@ -0,0 +1,43 @@
+/** @file http_type.cc HTTP requests and responses without the library. */
+
+#include "kernel/http_type.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace buckthornpath {
+
+void HttpHeaders::Set(std::string name, std::string value) {
+  this->fields.emplace_back(std::move(name), std::move(value));
+}
+
+std::optional<std::string> HttpHeaders::Find(std::string_view name) const {
+  for (const auto& [field, value] : this->fields) {
+    if (boost::algorithm::iequals(field, name))
+      return value;
+  }
+  return std::nullopt;
+}
+
+std::string_view HttpRequest::Path() const {
+  return std::string_view(this->target).substr(0, this->target.find('?'));
+}
+
+std::optional<std::string> HttpRequest::Query(std::string_view name) const {
+  const auto mark = this->target.find('?');
+  if (mark == std::string::npos)
+    return std::nullopt;
+  std::string_view rest = std::string_view(this->target).substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const auto equals = pair.find('=');
+    if (pair.substr(0, equals) != name)
+      continue;
+    if (equals == std::string_view::npos)
+      return std::string();
+    return std::string(pair.substr(equals + 1));
+  }
+  return std::nullopt;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/kernel/settings.h
@@ -0,0 +1,64 @@
+/** @file settings.h Settings of one daemon. */
+
+#ifndef SRC_KERNEL_SETTINGS_H_
+#define SRC_KERNEL_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <string>
+
+#include "kernel/field_table.h"
+
+namespace buckthornpath {
+
+/** Settings of one daemon; table/settings_table.h describes each. */
+struct Settings {
+  std::string vm;
+  std::string failure_domain;
+  std::string region;
+  std::string operator_address;
+  std::string configuration_address;
+  std::string vm_list_address;
+  std::string caller_address;
+  std::string dialogue_address;
+  std::string engine_address;
+  std::string service;
+  std::string ticket_secret;
+  std::string log_level;
+  std::int64_t worker_count = 0;
+  std::int64_t max_body_bytes = 0;
+  std::int64_t max_running = 0;
+  std::int64_t max_queued = 0;
+  std::int64_t outcome_entries = 0;
+  std::int64_t outcome_bytes = 0;
+  std::int64_t max_attempts = 0;
+  std::chrono::milliseconds vm_list_interval{};
+  std::chrono::milliseconds configuration_wait{};
+  std::chrono::milliseconds connect_timeout{};
+  std::chrono::milliseconds heartbeat_interval{};
+  std::chrono::milliseconds silence_timeout{};
+  std::chrono::milliseconds recovery_timeout{};
+  std::chrono::milliseconds ticket_lifetime{};
+  std::chrono::milliseconds answer_retention{};
+  std::chrono::milliseconds drain_timeout{};
+};
+
+/** @return The table of settings. */
+std::span<const FieldRow<Settings>> SettingRows();
+
+/**
+ * Reads settings from JSON with comments.
+ * @throws DocumentRefused With every fault, if there is any.
+ */
+Settings ParseSettings(const std::string& text);
+
+/**
+ * Reads a settings file.
+ * @throws DocumentRefused With every fault, or if the file cannot be read.
+ */
+Settings LoadSettings(const std::string& path);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_KERNEL_SETTINGS_H_
--- /dev/null
+++ b/src/kernel/socket_address.cc
@@ -0,0 +1,41 @@
+/** @file socket_address.cc IP number and port. */
+
+#include "kernel/socket_address.h"
+
+#include <charconv>
+#include <sstream>
+#include <stdexcept>
+
+namespace buckthornpath {
+
+SocketAddress ParseSocketAddress(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    throw std::invalid_argument("no port in address '" + text + "'");
+  }
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  const char* first = text.data() + colon + 1;
+  const char* last = text.data() + text.size();
+  std::uint16_t port = 0;
+  const auto [end, error] = std::from_chars(first, last, port);
+  if (error != std::errc() || end != last) {
+    throw std::invalid_argument("bad port in address '" + text + "'");
+  }
+  boost::system::error_code code;
+  const auto ip = boost::asio::ip::make_address(host, code);
+  if (code) {
+    throw std::invalid_argument("bad IP number in address '" + text + "'");
+  }
+  return {ip, port};
+}
+
+std::string FormatSocketAddress(const SocketAddress& address) {
+  std::ostringstream text;
+  text << address;
+  return text.str();
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/kernel/socket_address.h
@@ -0,0 +1,24 @@
+/** @file socket_address.h IP number and port. */
+
+#ifndef SRC_KERNEL_SOCKET_ADDRESS_H_
+#define SRC_KERNEL_SOCKET_ADDRESS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace buckthornpath {
+
+using SocketAddress = boost::asio::ip::tcp::endpoint;
+
+/**
+ * Reads "127.0.0.1:8000" or "[::1]:8000".
+ * @throws std::invalid_argument If the text is no IP number and port.
+ */
+SocketAddress ParseSocketAddress(const std::string& text);
+
+/** @return "127.0.0.1:8000" or "[::1]:8000". */
+std::string FormatSocketAddress(const SocketAddress& address);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_KERNEL_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/src/kernel/worker_pool.cc
@@ -0,0 +1,49 @@
+/** @file worker_pool.cc Threads that run all work of a process. */
+
+#include "kernel/worker_pool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <thread>
+#include <vector>
+
+#include "kernel/log.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Runs a task and logs the exception that ends it. */
+asio::awaitable<void> RunLogged(asio::awaitable<void> task) {
+  try {
+    co_await std::move(task);
+  } catch (const std::exception& fault) {
+    LogLine(LogLevel::kWarning, "task_failed", {{"reason", fault.what()}});
+  }
+}
+
+}  // namespace
+
+void WorkerPool::Spawn(asio::awaitable<void> task) {
+  asio::co_spawn(this->NewStrand(), RunLogged(std::move(task)), asio::detached);
+}
+
+void WorkerPool::Run() {
+  auto guard = asio::make_work_guard(this->io);
+  std::vector<std::jthread> threads;
+  for (int i = 1; i < this->thread_count; ++i) {
+    threads.emplace_back([this] { this->io.run(); });
+  }
+  this->io.run();
+}
+
+asio::awaitable<void> SleepFor(std::chrono::milliseconds time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, time);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/kernel/worker_pool.h
@@ -0,0 +1,44 @@
+/** @file worker_pool.h Threads that run all work of a process. */
+
+#ifndef SRC_KERNEL_WORKER_POOL_H_
+#define SRC_KERNEL_WORKER_POOL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+#include <chrono>
+
+namespace buckthornpath {
+
+namespace asio = boost::asio;
+using Strand = asio::strand<asio::io_context::executor_type>;
+
+/** A fixed number of threads over one I/O context. */
+class WorkerPool {
+ public:
+  explicit WorkerPool(int thread_count) : thread_count(thread_count) {}
+
+  asio::io_context& context() { return this->io; }
+
+  /** @return A new strand; work on it never runs on two threads at once. */
+  Strand NewStrand() { return asio::make_strand(this->io); }
+
+  /** Starts a task on a strand of its own; its exception is logged. */
+  void Spawn(asio::awaitable<void> task);
+
+  /** Runs until Stop() or until no work is left. */
+  void Run();
+
+  void Stop() { this->io.stop(); }
+
+ private:
+  int thread_count;
+  asio::io_context io;
+};
+
+/** Suspends the calling coroutine for a time. */
+asio::awaitable<void> SleepFor(std::chrono::milliseconds time);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_KERNEL_WORKER_POOL_H_
--- /dev/null
+++ b/src/router/caller_request.cc
@@ -0,0 +1,153 @@
+/** @file caller_request.cc What a caller asks for, checked and classified. */
+
+#include "router/caller_request.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kTicketsPath = "/v1/tickets";
+constexpr std::string_view kRequestsPrefix = "/v1/requests/";
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr std::string_view kBearer = "Bearer ";
+
+[[noreturn]] void Refuse(const char* type, std::string detail) {
+  throw RequestRefused({type, std::move(detail), Outcome::kNotRun, {}, {}});
+}
+
+OrganisationId Authenticate(const HttpRequest& http,
+                            const Configuration& configuration) {
+  const std::string header = http.headers.Find("Authorization").value_or("");
+  if (header.compare(0, kBearer.size(), kBearer) != 0) {
+    Refuse("credential_missing", "no bearer credential");
+  }
+  const std::string digest = Sha256Hex(header.substr(kBearer.size()));
+  for (const auto& [id, organisation] : configuration.organisations) {
+    if (organisation.credential_sha256 == digest)
+      return id;
+  }
+  Refuse("credential_missing", "the credential is not known");
+}
+
+/** Fills in profile and service. */
+void ReadProfile(const HttpRequest& http,
+                 const Configuration& configuration,
+                 CallerRequest& request) {
+  const ProfileName name(http.headers.Find("X-Profile").value_or(""));
+  const auto profile = configuration.profiles.find(name);
+  if (profile == configuration.profiles.end()) {
+    Refuse("profile_unknown", "no profile '" + name.str() + "'");
+  }
+  request.profile = profile->second;
+  const auto service =
+      configuration.services.find(ServiceName(request.profile.service));
+  if (service == configuration.services.end()) {
+    Refuse("profile_unknown", "the profile's service is not published");
+  }
+  request.service = service->second;
+}
+
+/** Fills in the ticket that a caller presents. */
+void ReadTicket(const std::string& text,
+                const TicketMint& mint,
+                CallerRequest& request) {
+  request.ticket = mint.Decode(text);
+  request.ticket_text = text;
+  if (!request.ticket || request.ticket->organisation != request.organisation) {
+    Refuse("ticket_refused", "the ticket is not this organisation's");
+  }
+}
+
+std::uint64_t ReadSequence(const std::string& text) {
+  std::uint64_t sequence = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, sequence);
+  if (error != std::errc() || end != last) {
+    Refuse("request_malformed", "Last-Event-ID must be a number");
+  }
+  return sequence;
+}
+
+void ReadChatCall(const HttpRequest& http, CallerRequest& request) {
+  if (!request.service.IsModel()) {
+    Refuse("request_malformed", "the profile's service is no model");
+  }
+  const auto body = nlohmann::json::parse(http.body, nullptr, false);
+  const bool has_messages = body.is_object() && body.contains("messages") &&
+                            body["messages"].is_array();
+  if (!has_messages) {
+    Refuse("request_malformed", "the body must be JSON with 'messages'");
+  }
+  request.path = kChatPath;
+}
+
+void ReadServiceCall(const HttpRequest& http, CallerRequest& request) {
+  const std::string rest = http.target.substr(kServicesPrefix.size());
+  const auto slash = rest.find('/');
+  if (rest.substr(0, slash) != request.service.name) {
+    Refuse("not_found", "the profile is not of this service");
+  }
+  if (request.service.IsModel()) {
+    Refuse("request_malformed", "the profile's service is a model");
+  }
+  request.path = slash == std::string::npos ? "/" : rest.substr(slash);
+}
+
+bool StartsWith(std::string_view text, std::string_view prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
+CallerRequest ReadKnownRequest(const HttpRequest& http,
+                               const TicketMint& mint,
+                               CallerRequest request) {
+  if (http.method != "GET" && http.method != "DELETE") {
+    Refuse("request_malformed", "a request is read by GET, ended by DELETE");
+  }
+  request.action =
+      http.method == "GET" ? CallerAction::kResume : CallerAction::kCancel;
+  ReadTicket(std::string(http.Path().substr(kRequestsPrefix.size())), mint,
+             request);
+  request.after =
+      ReadSequence(http.headers.Find("Last-Event-ID").value_or("0"));
+  return request;
+}
+
+}  // namespace
+
+CallerRequest ReadCallerRequest(const HttpRequest& http,
+                                const Configuration& configuration,
+                                const TicketMint& mint) {
+  CallerRequest request;
+  request.organisation = Authenticate(http, configuration);
+  const std::string_view path = http.Path();
+  if (StartsWith(path, kRequestsPrefix)) {
+    return ReadKnownRequest(http, mint, std::move(request));
+  }
+  const bool is_call = path == kChatPath || path == kTicketsPath ||
+                       StartsWith(path, kServicesPrefix);
+  if (!is_call)
+    Refuse("not_found", "no such path");
+  ReadProfile(http, configuration, request);
+  request.chat = ChatId(http.headers.Find("X-Chat").value_or(""));
+  request.method = http.method;
+  request.body = http.body;
+  if (path == kTicketsPath) {
+    request.action = CallerAction::kMintTicket;
+    return request;
+  }
+  if (path == kChatPath) {
+    ReadChatCall(http, request);
+  } else {
+    ReadServiceCall(http, request);
+  }
+  const auto key = http.headers.Find("Idempotency-Key");
+  if (key)
+    ReadTicket(*key, mint, request);
+  return request;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/router/caller_request.h
@@ -0,0 +1,58 @@
+/** @file caller_request.h What a caller asks for, checked and classified. */
+
+#ifndef SRC_ROUTER_CALLER_REQUEST_H_
+#define SRC_ROUTER_CALLER_REQUEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+#include "fleet/published_type.h"
+#include "kernel/http_type.h"
+#include "router/problem.h"
+#include "wire/ticket.h"
+
+namespace buckthornpath {
+
+/** What is to be done for a caller. */
+enum class CallerAction { kRun, kResume, kCancel, kMintTicket };
+
+/** A caller's request, authenticated. */
+struct CallerRequest {
+  CallerAction action = CallerAction::kRun;
+  OrganisationId organisation;
+  Profile profile;          ///< Empty for kResume and kCancel.
+  Service service;          ///< Empty for kResume and kCancel.
+  ChatId chat;              ///< Empty if the caller named none.
+  std::string ticket_text;  ///< Empty unless the caller holds a ticket.
+  std::optional<Ticket> ticket;
+  std::string method;
+  std::string path;
+  std::string body;
+  std::uint64_t after = 0;  ///< Last chunk that the caller has.
+};
+
+/** A request is refused; the problem says why. */
+class RequestRefused : public std::runtime_error {
+ public:
+  explicit RequestRefused(Problem problem)
+      : std::runtime_error(problem.type), reason(std::move(problem)) {}
+
+  const Problem& Reason() const { return this->reason; }
+
+ private:
+  Problem reason;
+};
+
+/**
+ * Classifies a request.
+ * @throws RequestRefused If it is malformed or not allowed.
+ */
+CallerRequest ReadCallerRequest(const HttpRequest& http,
+                                const Configuration& configuration,
+                                const TicketMint& mint);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_ROUTER_CALLER_REQUEST_H_
--- /dev/null
+++ b/src/router/endpoint_dialogue.h
@@ -0,0 +1,37 @@
+/** @file endpoint_dialogue.h A router's dialogue with an endpoint process. */
+
+#ifndef SRC_ROUTER_ENDPOINT_DIALOGUE_H_
+#define SRC_ROUTER_ENDPOINT_DIALOGUE_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "kernel/lock_order.h"
+#include "kernel/socket_address.h"
+#include "wire/dialogue_connection.h"
+
+namespace buckthornpath {
+
+/** A connection to an endpoint process that has said who it is. */
+struct EndpointDialogue {
+  std::unique_ptr<DialogueConnection> connection;
+  Hello hello;
+  std::chrono::steady_clock::time_point hello_at;
+
+  /** @return Age of the incarnation now, by the router's clock. */
+  std::chrono::milliseconds IncarnationAge() const;
+};
+
+/**
+ * Connects to an endpoint process and waits for its Hello.
+ * @throws DialogueLost If that fails.
+ */
+asio::awaitable<EndpointDialogue> OpenDialogue(
+    SocketAddress address,
+    std::chrono::milliseconds timeout);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_ROUTER_ENDPOINT_DIALOGUE_H_
--- /dev/null
+++ b/src/table/problem_table.h
@@ -0,0 +1,34 @@
+/** @file problem_table.h Every kind of refusal that callers see. */
+
+#ifndef SRC_TABLE_PROBLEM_TABLE_H_
+#define SRC_TABLE_PROBLEM_TABLE_H_
+
+#include "router/problem.h"
+
+namespace buckthornpath {
+
+inline constexpr ProblemRow kProblemRows[] = {
+    {"credential_missing", 401, "A valid credential is required"},
+    {"profile_unknown", 400, "The profile is not published"},
+    {"request_malformed", 400, "The request cannot be understood"},
+    {"not_found", 404, "There is no such resource"},
+    {"ticket_refused", 403, "The ticket is not valid for this caller"},
+    {"ticket_expired", 409, "The ticket expired before the call started"},
+    {"ticket_closed", 409, "The ticket can no longer start a call"},
+    {"ticket_forgotten", 410, "The ticket's outcome is no longer remembered"},
+    {"never_arrived", 409, "The call never reached its endpoint"},
+    {"outcome_table_full", 503, "The endpoint cannot take more calls"},
+    {"endpoint_busy", 503, "The endpoints are busy"},
+    {"endpoint_leaving", 503, "The endpoint is leaving"},
+    {"endpoint_restarted", 503, "The endpoint process restarted"},
+    {"endpoint_unreachable", 503, "The endpoint cannot be reached"},
+    {"no_endpoint", 503, "No endpoint of the service is known"},
+    {"router_draining", 503, "The router is shutting down"},
+    {"engine_failed", 502, "The engine failed during the call"},
+    {"service_failed", 502, "The service failed during the call"},
+    {"internal_error", 500, "Internal error"},
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_TABLE_PROBLEM_TABLE_H_
--- /dev/null
+++ b/test/fakes/fake_platform.cc
@@ -0,0 +1,189 @@
+/** @file fake_platform.cc Stands in for the configuration service and the VM
+ * list. */
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <map>
+
+#include "fakes/fake_program.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr const char* kUsage =
+    R"(fake_platform: configuration service and VM list for tests.
+
+Usage:
+  fake_platform --configuration=<address> --vm-list=<address>
+                [--documents=<dir>] [--vms=<file>]
+
+Options:
+  --documents=<dir>  Values to hold at first; a file's path is its name.
+  --vms=<file>       VM list to hold at first.
+)";
+
+constexpr std::chrono::milliseconds kWatchPoll{5};
+
+/** One value and the number of times it was written. */
+struct StoredValue {
+  std::string text;
+  std::uint64_t version = 0;
+};
+
+/** Faults that a control request sets. */
+struct PlatformFaults {
+  bool configuration_outage = false;
+  bool vm_list_outage = false;
+};
+
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+class FakePlatform {
+ public:
+  void LoadDocuments(const std::filesystem::path& directory) {
+    for (const auto& item :
+         std::filesystem::recursive_directory_iterator(directory)) {
+      if (!item.is_regular_file())
+        continue;
+      const auto name = std::filesystem::relative(item.path(), directory);
+      this->Put(name.string(), ReadFile(item.path()));
+    }
+  }
+
+  void LoadVms(const std::filesystem::path& path) {
+    const std::lock_guard lock(this->mutex);
+    this->vms = ReadFile(path);
+  }
+
+  asio::awaitable<void> ServeConfiguration(HttpExchange& exchange) {
+    const HttpRequest& request = exchange.request();
+    const std::string path(request.Path());
+    if (path == "/control") {
+      co_await exchange.Send(this->Control(request));
+    } else if (request.method == "PUT" && path.rfind("/v1/values/", 0) == 0) {
+      this->Put(path.substr(11), request.body);
+      co_await exchange.Send(StatusResponse(204));
+    } else if (this->IsOut()) {
+      co_await exchange.Send(StatusResponse(503));
+    } else if (path.rfind("/v1/values/", 0) == 0) {
+      co_await exchange.Send(this->Get(path.substr(11)));
+    } else if (path.rfind("/v1/watch/", 0) == 0) {
+      co_await this->Watch(exchange, path.substr(10));
+    } else {
+      co_await exchange.Send(StatusResponse(404));
+    }
+  }
+
+  asio::awaitable<void> ServeVmList(HttpExchange& exchange) {
+    const HttpRequest& request = exchange.request();
+    HttpResponse response{200, {}, ""};
+    {
+      const std::lock_guard lock(this->mutex);
+      if (request.method == "PUT") {
+        this->vms = request.body;
+      } else if (this->faults.vm_list_outage) {
+        response.status = 503;
+      } else {
+        ++this->vm_list_reads;
+        response.body = this->vms;
+      }
+    }
+    co_await exchange.Send(std::move(response));
+  }
+
+ private:
+  void Put(const std::string& name, std::string text) {
+    const std::lock_guard lock(this->mutex);
+    StoredValue& value = this->values[name];
+    value.text = std::move(text);
+    ++value.version;
+  }
+
+  bool IsOut() {
+    const std::lock_guard lock(this->mutex);
+    ++this->reads;
+    return this->faults.configuration_outage;
+  }
+
+  HttpResponse Get(const std::string& name) {
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->values.find(name);
+    if (found == this->values.end())
+      return {404, {}, ""};
+    return {200,
+            {{"X-Version", std::to_string(found->second.version)}},
+            found->second.text};
+  }
+
+  asio::awaitable<void> Watch(HttpExchange& exchange, std::string name) {
+    const std::string known = exchange.request().Query("known").value_or("");
+    const std::chrono::milliseconds wait(
+        std::strtoll(exchange.request().Query("wait_ms").value_or("0").c_str(),
+                     nullptr, 10));
+    const auto deadline = std::chrono::steady_clock::now() + wait;
+    HttpResponse response = this->Get(name);
+    while (response.headers.Find("X-Version").value_or("") == known &&
+           std::chrono::steady_clock::now() < deadline) {
+      co_await SleepFor(kWatchPoll);
+      response = this->Get(name);
+    }
+    co_await exchange.Send(std::move(response));
+  }
+
+  HttpResponse Control(const HttpRequest& request) {
+    const std::lock_guard lock(this->mutex);
+    if (request.method == "POST") {
+      const auto body = nlohmann::json::parse(request.body);
+      this->faults.configuration_outage =
+          body.value("configuration_outage", false);
+      this->faults.vm_list_outage = body.value("vm_list_outage", false);
+    }
+    return JsonResponse({{"configuration_reads", this->reads},
+                         {"vm_list_reads", this->vm_list_reads}});
+  }
+
+  std::mutex mutex;
+  std::map<std::string, StoredValue> values;
+  std::string vms = R"({"vms":[]})";
+  PlatformFaults faults;
+  std::uint64_t reads = 0;
+  std::uint64_t vm_list_reads = 0;
+};
+
+int Main(int argc, char** argv) {
+  auto options = docopt::docopt(kUsage, {argv + 1, argv + argc});
+  FakePlatform platform;
+  if (options["--documents"]) {
+    platform.LoadDocuments(options["--documents"].asString());
+  }
+  if (options["--vms"])
+    platform.LoadVms(options["--vms"].asString());
+  WorkerPool pool(2);
+  HttpServer configuration(
+      pool, ParseSocketAddress(options["--configuration"].asString()), {},
+      [&](HttpExchange& exchange) {
+        return platform.ServeConfiguration(exchange);
+      });
+  HttpServer vm_list(
+      pool, ParseSocketAddress(options["--vm-list"].asString()), {},
+      [&](HttpExchange& exchange) { return platform.ServeVmList(exchange); });
+  configuration.Start();
+  vm_list.Start();
+  RunUntilSignal(pool);
+  std::quick_exit(0);
+}
+
+}  // namespace
+
+}  // namespace buckthornpath
+
+int main(int argc, char** argv) {
+  return buckthornpath::Main(argc, argv);
+}
--- /dev/null
+++ b/test/fakes/generation.cc
@@ -0,0 +1,51 @@
+/** @file generation.cc What a fake model engine answers to a prompt. */
+
+#include "fakes/generation.h"
+
+#include <xxhash.h>
+
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::size_t kDefaultTokens = 16;
+
+}  // namespace
+
+std::vector<std::string> PromptTokens(const std::string& body) {
+  std::vector<std::string> tokens;
+  const auto request = nlohmann::json::parse(body);
+  for (const auto& message : request.at("messages")) {
+    std::istringstream words(message.at("content").get<std::string>());
+    for (std::string word; words >> word;)
+      tokens.push_back(word);
+  }
+  return tokens;
+}
+
+std::size_t TokensWanted(const std::string& body) {
+  return nlohmann::json::parse(body).value("max_tokens", kDefaultTokens);
+}
+
+std::string GeneratedToken(const std::vector<std::string>& prompt,
+                           std::size_t index) {
+  XXH64_hash_t hash = index;
+  for (const std::string& token : prompt) {
+    hash = XXH3_64bits_withSeed(token.data(), token.size(), hash);
+  }
+  std::ostringstream text;
+  text << "w" << std::hex << (hash & 0xffffU) << " ";
+  return text.str();
+}
+
+std::string TokenEvent(const std::string& token) {
+  const nlohmann::ordered_json event = {
+      {"object", "chat.completion.chunk"},
+      {"choices", {{{"index", 0}, {"delta", {{"content", token}}}}}}};
+  return event.dump();
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/harness/caller.cc
@@ -0,0 +1,103 @@
+/** @file caller.cc Callers of a router, for tests. */
+
+#include "harness/caller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "kernel/http_client.h"
+#include "wire/event_stream.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{5};
+
+/** Runs a task to its end on this thread. */
+void RunTask(asio::awaitable<void> task) {
+  asio::io_context io;
+  std::exception_ptr fault;
+  asio::co_spawn(io, std::move(task),
+                 [&](std::exception_ptr thrown) { fault = thrown; });
+  io.run();
+  if (fault)
+    std::rethrow_exception(fault);
+}
+
+void ReadEndOrError(const ServerSentEvent& event, StreamedAnswer& answer) {
+  const auto end = nlohmann::json::parse(event.data);
+  answer.outcome = end.value("outcome", "");
+  answer.type = end.value("type", "");
+  answer.complete = event.event == "end" && end.value("complete", false);
+}
+
+asio::awaitable<void> ReadAnswer(SocketAddress address,
+                                 HttpRequest request,
+                                 std::function<bool(std::size_t)> on_chunk,
+                                 std::chrono::milliseconds timeout,
+                                 StreamedAnswer& answer) {
+  auto response = co_await HttpResponseStream::Open(address, request, timeout);
+  answer.status = response->head().status;
+  answer.request_id =
+      response->head().headers.Find("X-Request-Id").value_or("");
+  EventStreamReader reader;
+  std::string body;
+  while (auto piece = co_await response->ReadSome(timeout)) {
+    body += *piece;
+    reader.Feed(*piece);
+    while (auto event = reader.Next()) {
+      if (!event->event.empty())
+        ReadEndOrError(*event, answer);
+      if (event->id.empty())
+        continue;
+      answer.chunks.push_back(event->data);
+      if (on_chunk && !on_chunk(answer.chunks.size()))
+        co_return;
+    }
+  }
+  if (answer.status == 200)
+    co_return;
+  ReadEndOrError({"error", "", body}, answer);
+}
+
+}  // namespace
+
+HttpResponse CallHttp(const SocketAddress& address,
+                      const HttpRequest& request,
+                      std::chrono::milliseconds timeout) {
+  HttpResponse response;
+  RunTask([&]() -> asio::awaitable<void> {
+    response = co_await HttpFetch(address, request, timeout);
+  }());
+  return response;
+}
+
+StreamedAnswer CallStream(const SocketAddress& address,
+                          const HttpRequest& request,
+                          const std::function<bool(std::size_t)>& on_chunk,
+                          std::chrono::milliseconds timeout) {
+  StreamedAnswer answer;
+  try {
+    RunTask(ReadAnswer(address, request, on_chunk, timeout, answer));
+  } catch (const HttpError& error) {
+    answer.fault = error.what();
+    answer.complete = false;
+  }
+  return answer;
+}
+
+bool WaitUntil(const std::function<bool()>& condition,
+               std::chrono::milliseconds timeout) {
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= deadline)
+      return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/harness/child_process.cc
@@ -0,0 +1,113 @@
+/** @file child_process.cc Processes that a test starts. */
+
+#include "harness/child_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <stdexcept>
+#include <thread>
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollInterval{5};
+
+[[noreturn]] void ExecChild(const std::string& path,
+                            const std::vector<std::string>& arguments,
+                            const std::string& log) {
+  // The child ends with the test, also if the test is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(file, STDOUT_FILENO);
+  dup2(file, STDERR_FILENO);
+  std::vector<char*> argv{const_cast<char*>(path.c_str())};
+  for (const std::string& argument : arguments) {
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  }
+  argv.push_back(nullptr);
+  execv(path.c_str(), argv.data());
+  _exit(127);
+}
+
+}  // namespace
+
+std::string BuiltProgram(const std::string& name) {
+  const char* directory = std::getenv("BUCKTHORNPATH_BIN");
+  const std::filesystem::path build = directory ? directory : "build";
+  const auto path = build / name;
+  return (std::filesystem::exists(path) ? path : build / "test" / name)
+      .string();
+}
+
+ChildProcess::ChildProcess(const std::string& program,
+                           std::vector<std::string> arguments,
+                           const std::string& log) {
+  const std::string path = BuiltProgram(program);
+  this->pid = fork();
+  if (this->pid < 0)
+    throw std::runtime_error("fork failed");
+  if (this->pid == 0)
+    ExecChild(path, arguments, log);
+}
+
+ChildProcess::~ChildProcess() {
+  this->Kill();
+}
+
+ChildProcess::ChildProcess(ChildProcess&& other) noexcept
+    : pid(other.pid), exit_code(other.exit_code) {
+  other.pid = -1;
+}
+
+ChildProcess& ChildProcess::operator=(ChildProcess&& other) noexcept {
+  if (this == &other)
+    return *this;
+  this->Kill();
+  this->pid = other.pid;
+  this->exit_code = other.exit_code;
+  other.pid = -1;
+  return *this;
+}
+
+void ChildProcess::Signal(int number) const {
+  if (this->pid > 0)
+    kill(this->pid, number);
+}
+
+void ChildProcess::Kill() {
+  if (this->pid <= 0)
+    return;
+  kill(this->pid, SIGKILL);
+  waitpid(this->pid, nullptr, 0);
+  this->pid = -1;
+}
+
+bool ChildProcess::IsRunning() {
+  if (this->pid <= 0)
+    return false;
+  int status = 0;
+  if (waitpid(this->pid, &status, WNOHANG) == 0)
+    return true;
+  this->exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  this->pid = -1;
+  return false;
+}
+
+int ChildProcess::WaitForExit(std::chrono::milliseconds timeout) {
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  while (this->IsRunning()) {
+    if (std::chrono::steady_clock::now() >= deadline)
+      return -1;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return this->exit_code;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/harness/local_fleet.cc
@@ -0,0 +1,371 @@
+/** @file local_fleet.cc A small fleet of real processes on loopback. */
+
+#include "harness/local_fleet.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <stdexcept>
+
+#include "fakes/generation.h"
+#include "fleet/published_type.h"
+#include "harness/caller.h"
+#include "wire/ticket.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr int kPort = 7000;
+constexpr int kPlatformHost = 1;
+constexpr int kFirstRouterHost = 10;
+constexpr int kFirstEndpointHost = 100;
+
+/** Kinds of port of one host. */
+enum PortOffset { kOperatorPort, kCallerPort, kDialoguePort, kEnginePort };
+
+/** A network of loopback for each process, so that tests run side by side. */
+std::string LoopbackNetwork() {
+  static int count = 0;
+  const int number = (getpid() * 8 + count++) % 60000;
+  return "127." + std::to_string(1 + number / 250) + "." +
+         std::to_string(number % 250) + ".";
+}
+
+nlohmann::json OrganisationDocument(const std::string& name,
+                                    const std::string& credential) {
+  return {{"name", name}, {"credential_sha256", Sha256Hex(credential)}};
+}
+
+nlohmann::json ProfileDocument(const std::string& name,
+                               const std::string& service,
+                               const std::string& rank,
+                               bool repeatable) {
+  return {{"name", name},
+          {"service", service},
+          {"rank", rank},
+          {"repeatable", repeatable}};
+}
+
+void Put(const SocketAddress& address,
+         const std::string& target,
+         const std::string& body) {
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = target;
+  request.body = body;
+  CallHttp(address, request);
+}
+
+HttpRequest CallerRequestOf(const std::string& credential,
+                            const std::string& profile) {
+  HttpRequest request;
+  request.method = "POST";
+  request.headers.Set("Authorization", "Bearer " + credential);
+  request.headers.Set("X-Profile", profile);
+  request.headers.Set("Content-Type", "application/json");
+  return request;
+}
+
+}  // namespace
+
+std::map<std::string, nlohmann::json> StandardDocuments() {
+  return {
+      {"services/drafting",
+       {{"name", "drafting"}, {"kind", "model"}, {"model", "draft-1"}}},
+      {"services/ledger", {{"name", "ledger"}, {"kind", "plain"}}},
+      {"profiles/counter",
+       ProfileDocument("counter", "drafting", "urgent", true)},
+      {"profiles/chat", ProfileDocument("chat", "drafting", "standard", true)},
+      {"profiles/statement",
+       ProfileDocument("statement", "drafting", "bulk", false)},
+      {"profiles/receipt",
+       ProfileDocument("receipt", "ledger", "standard", false)},
+      {"organisations/parish",
+       OrganisationDocument("parish", kParishCredential)},
+      {"organisations/hospital",
+       OrganisationDocument("hospital", kHospitalCredential)},
+  };
+}
+
+LocalFleet::LocalFleet(FleetPlan plan)
+    : plan(std::move(plan)),
+      network(LoopbackNetwork()),
+      published(StandardDocuments()) {
+  std::string name =
+      (std::filesystem::temp_directory_path() / "buckthornpath-XXXXXX")
+          .string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("no temporary directory");
+  }
+  this->directory = name;
+  this->platform = std::make_unique<ChildProcess>(
+      "fake_platform",
+      std::vector<std::string>{
+          "--configuration=" + this->Address(kPlatformHost, 0),
+          "--vm-list=" + this->Address(kPlatformHost, 1)},
+      (this->directory / "platform.log").string());
+  const bool platform_up = WaitUntil([&] {
+    try {
+      this->PublishVms();
+      this->Publish(this->plan.documents);
+      return true;
+    } catch (const HttpError&) {
+      return false;
+    }
+  });
+  if (!platform_up)
+    throw std::runtime_error("the platform did not start");
+  this->engines.resize(this->plan.endpoints.size());
+  this->endpoints.resize(this->plan.endpoints.size());
+  this->routers.resize(this->plan.routers);
+  for (std::size_t i = 0; i < this->plan.endpoints.size(); ++i) {
+    this->StartEngine(i);
+    this->StartEndpoint(i);
+  }
+  for (std::size_t i = 0; i < this->plan.routers; ++i)
+    this->StartRouter(i);
+  const auto is_ready = [&](const SocketAddress& address) {
+    return WaitUntil([&] {
+      const nlohmann::json status = StatusOf(address);
+      return status.is_object() &&
+             status.value("configuration_revision", 0U) >= this->revision &&
+             status.value("members", 0U) >= this->plan.endpoints.size();
+    });
+  };
+  for (std::size_t i = 0; i < this->plan.endpoints.size(); ++i) {
+    if (!is_ready(this->EndpointOperator(i))) {
+      throw std::runtime_error("an endpoint process did not start; see " +
+                               this->directory.string());
+    }
+  }
+  for (std::size_t i = 0; i < this->plan.routers; ++i) {
+    if (!is_ready(this->RouterOperator(i))) {
+      throw std::runtime_error("a router did not start; see " +
+                               this->directory.string());
+    }
+  }
+}
+
+LocalFleet::~LocalFleet() {
+  this->routers.clear();
+  this->endpoints.clear();
+  this->engines.clear();
+  this->platform.reset();
+  if (std::getenv("BUCKTHORNPATH_KEEP") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(this->directory, ignored);
+  }
+}
+
+std::string LocalFleet::Address(int host, int port) const {
+  return this->network + std::to_string(host) + ":" +
+         std::to_string(kPort + port);
+}
+
+SocketAddress LocalFleet::Router(std::size_t index) const {
+  return ParseSocketAddress(
+      this->Address(kFirstRouterHost + static_cast<int>(index), kCallerPort));
+}
+
+SocketAddress LocalFleet::RouterOperator(std::size_t index) const {
+  return ParseSocketAddress(
+      this->Address(kFirstRouterHost + static_cast<int>(index), kOperatorPort));
+}
+
+SocketAddress LocalFleet::EndpointOperator(std::size_t index) const {
+  return ParseSocketAddress(this->Address(
+      kFirstEndpointHost + static_cast<int>(index), kOperatorPort));
+}
+
+SocketAddress LocalFleet::Engine(std::size_t index) const {
+  return ParseSocketAddress(
+      this->Address(kFirstEndpointHost + static_cast<int>(index), kEnginePort));
+}
+
+SocketAddress LocalFleet::ConfigurationService() const {
+  return ParseSocketAddress(this->Address(kPlatformHost, 0));
+}
+
+SocketAddress LocalFleet::VmListService() const {
+  return ParseSocketAddress(this->Address(kPlatformHost, 1));
+}
+
+ChildProcess& LocalFleet::RouterProcess(std::size_t index) {
+  return *this->routers.at(index);
+}
+
+ChildProcess& LocalFleet::EndpointProcess(std::size_t index) {
+  return *this->endpoints.at(index);
+}
+
+ChildProcess& LocalFleet::EngineProcess(std::size_t index) {
+  return *this->engines.at(index);
+}
+
+void LocalFleet::RestartRouter(std::size_t index) {
+  this->StartRouter(index);
+}
+
+void LocalFleet::RestartEndpoint(std::size_t index) {
+  this->StartEndpoint(index);
+}
+
+std::string LocalFleet::WriteSettings(const std::string& name,
+                                      const nlohmann::json& specific) {
+  nlohmann::json settings = {
+      {"vm", name},
+      {"failure_domain", "a"},
+      {"configuration_address", this->Address(kPlatformHost, 0)},
+      {"vm_list_address", this->Address(kPlatformHost, 1)},
+      {"ticket_secret", "a-secret-for-tests-only"},
+      {"vm_list_interval", 100}};
+  settings.update(this->plan.settings);
+  settings.update(specific);
+  const auto path = this->directory / (name + ".json");
+  std::ofstream(path) << settings.dump(2);
+  return path.string();
+}
+
+ChildProcess LocalFleet::StartDaemon(const std::string& role,
+                                     const std::string& name) {
+  return {"buckthornpathd",
+          {"--role=" + role,
+           "--settings=" + (this->directory / (name + ".json")).string()},
+          (this->directory / (name + ".log")).string()};
+}
+
+void LocalFleet::StartEngine(std::size_t index) {
+  const LocalEndpoint& endpoint = this->plan.endpoints.at(index);
+  std::vector<std::string> arguments = {
+      "--address=" + FormatSocketAddress(this->Engine(index)),
+      "--history=" + (this->directory / "engines.history").string()};
+  arguments.insert(arguments.end(), this->plan.engine_arguments.begin(),
+                   this->plan.engine_arguments.end());
+  this->engines[index] = std::make_unique<ChildProcess>(
+      endpoint.is_model ? "fake_engine" : "fake_service", arguments,
+      (this->directory / (endpoint.vm + "-engine.log")).string());
+}
+
+void LocalFleet::StartEndpoint(std::size_t index) {
+  const LocalEndpoint& endpoint = this->plan.endpoints.at(index);
+  const int host = kFirstEndpointHost + static_cast<int>(index);
+  this->WriteSettings(endpoint.vm,
+                      {{"operator_address", this->Address(host, kOperatorPort)},
+                       {"dialogue_address", this->Address(host, kDialoguePort)},
+                       {"engine_address", this->Address(host, kEnginePort)},
+                       {"service", endpoint.service}});
+  this->endpoints[index] = std::make_unique<ChildProcess>(
+      this->StartDaemon("endpoint", endpoint.vm));
+}
+
+void LocalFleet::StartRouter(std::size_t index) {
+  const std::string name = "router-" + std::to_string(index);
+  const int host = kFirstRouterHost + static_cast<int>(index);
+  this->WriteSettings(name,
+                      {{"operator_address", this->Address(host, kOperatorPort)},
+                       {"caller_address", this->Address(host, kCallerPort)}});
+  this->routers[index] =
+      std::make_unique<ChildProcess>(this->StartDaemon("router", name));
+}
+
+void LocalFleet::Publish(const std::map<std::string, nlohmann::json>& changed) {
+  const SocketAddress service = this->ConfigurationService();
+  for (const auto& [name, document] : changed) {
+    this->published[name] = document;
+  }
+  ++this->revision;
+  nlohmann::json documents = nlohmann::json::array();
+  for (const auto& [name, document] : this->published) {
+    const std::string text = document.dump();
+    Put(service, "/v1/values/" + name, text);
+    documents.push_back({{"name", name},
+                         {"revision", this->revision},
+                         {"digest", DocumentDigest(text)}});
+  }
+  const nlohmann::json index = {{"revision", this->revision},
+                                {"documents", documents}};
+  Put(service, "/v1/values/index", index.dump());
+}
+
+void LocalFleet::PublishVms(const std::map<std::string, std::string>& states) {
+  nlohmann::json vms = nlohmann::json::array();
+  for (std::size_t i = 0; i < this->plan.endpoints.size(); ++i) {
+    const LocalEndpoint& endpoint = this->plan.endpoints[i];
+    const auto state = states.find(endpoint.vm);
+    vms.push_back(
+        {{"vm", endpoint.vm},
+         {"service", endpoint.service},
+         {"failure_domain", "a"},
+         {"address", this->Address(kFirstEndpointHost + static_cast<int>(i),
+                                   kDialoguePort)},
+         {"state", state == states.end() ? "live" : state->second}});
+  }
+  Put(this->VmListService(), "/v1/vms", nlohmann::json{{"vms", vms}}.dump());
+}
+
+std::vector<nlohmann::json> LocalFleet::EngineHistory() const {
+  std::vector<nlohmann::json> lines;
+  std::ifstream file(this->directory / "engines.history");
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back(nlohmann::json::parse(line));
+  }
+  return lines;
+}
+
+std::size_t LocalFleet::RunsOf(const std::string& request_id) const {
+  std::size_t runs = 0;
+  for (const nlohmann::json& line : this->EngineHistory()) {
+    if (line.value("request", "") == request_id)
+      ++runs;
+  }
+  return runs;
+}
+
+nlohmann::json LocalFleet::StatusOf(const SocketAddress& address) {
+  try {
+    HttpRequest request;
+    request.target = "/status";
+    return nlohmann::json::parse(
+        CallHttp(address, request, std::chrono::milliseconds(1000)).body);
+  } catch (const HttpError&) {
+    return nullptr;
+  }
+}
+
+HttpRequest ChatRequest(const std::string& credential,
+                        const std::string& profile,
+                        const std::string& chat,
+                        const std::string& prompt,
+                        int max_tokens) {
+  HttpRequest request = CallerRequestOf(credential, profile);
+  request.target = "/v1/chat/completions";
+  request.headers.Set("X-Chat", chat);
+  request.body = nlohmann::json{
+      {"messages", {{{"role", "user"}, {"content", prompt}}}},
+      {"max_tokens", max_tokens},
+      {"stream",
+       true}}.dump();
+  return request;
+}
+
+HttpRequest ServiceRequest(const std::string& credential,
+                           const std::string& profile,
+                           const std::string& target,
+                           const std::string& body) {
+  HttpRequest request = CallerRequestOf(credential, profile);
+  request.target = target;
+  request.body = body;
+  return request;
+}
+
+std::vector<std::string> ExpectedChunks(const HttpRequest& request) {
+  const auto prompt = PromptTokens(request.body);
+  std::vector<std::string> chunks;
+  for (std::size_t i = 0; i < TokensWanted(request.body); ++i) {
+    chunks.push_back(TokenEvent(GeneratedToken(prompt, i)));
+  }
+  return chunks;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/tools/check_co_await.pl
@@ -0,0 +1,23 @@
+#!/usr/bin/env perl
+# Finds braced temporaries inside a co_await expression: g++ 12 destroys them
+# twice. Build the object in a named variable and move it in instead.
+use strict;
+use warnings;
+
+my $found = 0;
+for my $path (@ARGV) {
+  open(my $file, '<', $path) or die "$path: $!";
+  my $text = do { local $/; <$file> };
+  close($file);
+  while ($text =~ /co_await\b([^;]*?);/gs) {
+    my $expression = $1;
+    my $start = $-[0];
+    next if $expression =~ /^[^{]*\)\s*\)?\s*\{/s;  # The head of a block.
+    next unless $expression =~ /\{/;
+    next if $expression =~ /\[[^\]]*\]\s*(\([^)]*\))?[^{]*\{/s;  # A lambda.
+    my $line = 1 + (substr($text, 0, $start) =~ tr/\n//);
+    print "$path:$line: braced temporary inside co_await\n";
+    $found = 1;
+  }
+}
+exit $found;
