--- a/src/endpoint/call_record.h
+++ b/src/endpoint/call_record.h
@@ -36,7 +36,7 @@
 /** Wakes a dialogue that waits for news of a call. */
 class CallWaiter {
  public:
-  explicit CallWaiter(Strand strand) : strand(strand), timer(strand) {}
+  explicit CallWaiter(const Strand& strand) : strand(strand), timer(strand) {}
 
   /** Wakes the waiting coroutine; from any thread. */
   static void Wake(const std::shared_ptr<CallWaiter>& waiter);
--- a/src/fleet/configuration_client.h
+++ b/src/fleet/configuration_client.h
@@ -17,7 +17,7 @@
   ConfigurationClient(ConfigurationStore& store,
                       SocketAddress service,
                       std::chrono::milliseconds watch_wait)
-      : store(store), service(service), watch_wait(watch_wait) {}
+      : store(store), service(std::move(service)), watch_wait(watch_wait) {}
 
   /** Follows the service for ever; faults are logged and retried. */
   asio::awaitable<void> Follow();
--- a/src/kernel/field_table.cc
+++ b/src/kernel/field_table.cc
@@ -132,12 +132,16 @@
                         const std::vector<FieldRule>& rules,
                         const std::string& path,
                         std::vector<DocumentFault>& faults) {
-  for (const auto& [name, value] : object.items()) {
+  for (const auto& item : object.items()) {
+    const std::string& name = item.key();
     const bool known =
         std::any_of(rules.begin(), rules.end(),
                     [&](const FieldRule& rule) { return rule.name == name; });
-    if (!known)
-      faults.push_back({path + "/" + name, "is not a known name"});
+    if (known)
+      continue;
+    std::string place = path;
+    place.append("/").append(name);
+    faults.push_back({std::move(place), "is not a known name"});
   }
 }
 
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -17,10 +17,10 @@
 namespace http = beast::http;
 
 constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 
 /** Largest body that HttpFetch() reads. */
-constexpr std::size_t kFetchLimitBytes = 64 * 1024 * 1024;
+constexpr std::size_t kFetchLimitBytes = std::size_t{64} * 1024 * 1024;
 
 http::request<http::string_body> ToBeast(const HttpRequest& request,
                                          const SocketAddress& address) {
--- a/src/kernel/http_server.h
+++ b/src/kernel/http_server.h
@@ -41,8 +41,8 @@
 
 /** Bounds on what a peer may send and how slowly. */
 struct HttpLimits {
-  std::size_t header_bytes = 16 * 1024;
-  std::size_t body_bytes = 4 * 1024 * 1024;
+  std::size_t header_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
   std::chrono::milliseconds read_timeout = std::chrono::seconds(10);
   std::chrono::milliseconds idle_timeout = std::chrono::seconds(120);
 };
--- a/src/kernel/metrics.cc
+++ b/src/kernel/metrics.cc
@@ -8,7 +8,9 @@
 #include <utility>
 
 // g++ 12 warns of members that the quantile's constructor does set.
+#ifndef __clang__
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/src/router/placement.cc
+++ b/src/router/placement.cc
@@ -30,6 +30,7 @@
   const std::vector<Member> live =
       members.LiveMembers(ServiceName(request.service.name));
   std::vector<RendezvousSite> sites;
+  sites.reserve(live.size());
   for (const Member& member : live)
     sites.push_back({member.id.str(), 1.0});
   const std::string key = request.chat.empty() ? TicketMint::NewNonce()
