--- a/test/harness/story.cc
+++ b/test/harness/story.cc
@@ -92,6 +92,20 @@
   return names;
 }
 
+}  // namespace
+
+CppUnit::Test* Section(const std::string& name,
+                       std::initializer_list<CppUnit::Test*> parts) {
+  auto* suite = new CppUnit::TestSuite(name);
+  for (CppUnit::Test* part : parts)
+    suite->addTest(part);
+  return suite;
+}
+
+CppUnit::Test* Then(const std::string& name, std::function<void()> body) {
+  return new StoryCase(name, std::move(body));
+}
+
 int RunStory(const std::string& name) {
   const auto found = Stories().find(name);
   if (found == Stories().end()) {
@@ -117,30 +131,8 @@
   return unexpected == 0 && listener.Count() > 0 ? 0 : 1;
 }
 
-}  // namespace
-
-CppUnit::Test* Section(const std::string& name,
-                       std::initializer_list<CppUnit::Test*> parts) {
-  auto* suite = new CppUnit::TestSuite(name);
-  for (CppUnit::Test* part : parts)
-    suite->addTest(part);
-  return suite;
-}
-
-CppUnit::Test* Then(const std::string& name, std::function<void()> body) {
-  return new StoryCase(name, std::move(body));
-}
-
 Story::Story(std::string name, std::function<CppUnit::Test*()> make) {
   Stories()[std::move(name)] = std::move(make);
 }
 
 }  // namespace buckthornpath
-
-int main(int argc, char** argv) {
-  if (argc != 2) {
-    std::cerr << "usage: stories NAME\n";
-    return 2;
-  }
-  return buckthornpath::RunStory(argv[1]);
-}
--- a/test/harness/story.h
+++ b/test/harness/story.h
@@ -18,6 +18,12 @@
 /** @return A case; its body fails by a CppUnit assertion or an exception. */
 CppUnit::Test* Then(const std::string& name, std::function<void()> body);
 
+/**
+ * Runs one story and prints its sections and cases.
+ * @return 0 if it passed but for what KNOWN-RED.txt lists.
+ */
+int RunStory(const std::string& name);
+
 /** Registers the story of one file under the file's name. */
 class Story {
  public:
