Placement: ways of choosing side by side, location hints, believed loads

Cause: a chat was placed by a plain hash; one that was served elsewhere for a while lost its cache on return, and no load was considered. Change: five policies in the library (hint, bounded_hash, hash, least_load, random), chosen by the setting placement_policy; answers carry X-Location, sealed to one chat of one organisation; a bounded memory of recent chats; loads believed from reports and the router's own calls. Seen failing first: with the hint ignored, 'the hinted endpoint goes first' and 'its hint finds its cache through another router' fail. Also: the harness waits for engines to answer; a ledger call met one that was still starting ('the ledger runs it once', 502 instead of 200, under load).

--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -25,6 +25,7 @@
   std::string engine_address;
   std::string service;
   std::string ticket_secret;
+  std::string placement_policy;
   std::string log_level;
   std::int64_t worker_count = 0;
   std::int64_t max_body_bytes = 0;
@@ -33,6 +34,7 @@
   std::int64_t outcome_entries = 0;
   std::int64_t outcome_bytes = 0;
   std::int64_t max_attempts = 0;
+  std::int64_t chat_memory_entries = 0;
   std::chrono::milliseconds vm_list_interval{};
   std::chrono::milliseconds configuration_wait{};
   std::chrono::milliseconds connect_timeout{};
@@ -41,6 +43,7 @@
   std::chrono::milliseconds recovery_timeout{};
   std::chrono::milliseconds ticket_lifetime{};
   std::chrono::milliseconds answer_retention{};
+  std::chrono::milliseconds load_report_age{};
   std::chrono::milliseconds drain_timeout{};
 };
 
--- a/src/router/answer_writer.cc
+++ b/src/router/answer_writer.cc
@@ -19,6 +19,8 @@
   head.headers.Set("Content-Type", "text/event-stream");
   head.headers.Set("Cache-Control", "no-store");
   head.headers.Set("X-Request-Id", this->request_id);
+  if (!this->location.empty())
+    head.headers.Set("X-Location", this->location);
   co_await this->exchange.BeginStream(std::move(head));
 }
 
@@ -49,6 +51,8 @@
     response.status = finished.status;
     response.headers.Set("Content-Type", finished.content_type);
     response.headers.Set("X-Request-Id", this->request_id);
+    if (!this->location.empty())
+      response.headers.Set("X-Location", this->location);
     response.headers.Set("X-Outcome", "ran");
     response.body = std::move(this->body);
     co_await this->exchange.Send(std::move(response));
--- a/src/router/answer_writer.h
+++ b/src/router/answer_writer.h
@@ -27,6 +27,9 @@
     this->request_id = std::move(request_id);
   }
 
+  /** @param hint Location hint that the answer carries. */
+  void SetLocation(std::string hint) { this->location = std::move(hint); }
+
   /** Sends the next piece; one that the caller has already is dropped. */
   asio::awaitable<void> WriteChunk(const CallChunk& chunk);
 
@@ -52,6 +55,7 @@
   std::uint64_t sent;
   bool begun = false;
   std::string request_id;
+  std::string location;
   std::string body;
 };
 
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -64,13 +64,14 @@
            {"chat", this->request.chat.str()},
            {"attempt", this->attempt},
            {"candidates", candidates},
+           {"believed_loads", decision.believed_loads},
            {"choice", choice.id.str()},
            {"reason", decision.reason}});
 }
 
 asio::awaitable<void> CallSession::Run() {
   const PlacementDecision decision =
-      PlaceCall(this->request, this->context.members);
+      this->context.placement.Place(this->request);
   this->problem = {"no_endpoint", "", Outcome::kNotRun, std::chrono::seconds(1),
                    ""};
   const auto max_attempts =
@@ -80,6 +81,10 @@
       break;
     ++this->attempt;
     this->LogRoute(decision, member);
+    this->context.placement.Loads().NoteStart(member.id);
+    const std::shared_ptr<void> leave(nullptr, [&](void*) {
+      this->context.placement.Loads().NoteEnd(member.id);
+    });
     AttemptEnd end = co_await this->Attempt(member);
     if (end == AttemptEnd::kLost)
       end = co_await this->Recover(member);
@@ -161,6 +166,7 @@
 
 asio::awaitable<CallSession::AttemptEnd> CallSession::Relay(
     EndpointDialogue& dialogue) {
+  const EndpointId endpoint(dialogue.hello.endpoint);
   while (true) {
     const Message message = co_await dialogue.connection->Receive(
         this->context.settings.silence_timeout);
@@ -171,7 +177,13 @@
     } else if (const auto* end = std::get_if<CallFinished>(&message)) {
       co_await this->writer.Finish(*end);
       co_return AttemptEnd::kAnswered;
+    } else if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
+      this->writer.SetLocation(this->context.placement.NoteAdmitted(
+          this->request, endpoint, accepted->running + accepted->queued));
     } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
+      this->context.placement.Loads().NoteReport(
+          endpoint, refused->running + refused->queued,
+          std::chrono::steady_clock::now());
       const Outcome outcome = ParseOutcome(refused->outcome);
       this->problem = {refused->reason, refused->detail, outcome,
                        refused->retry_after, ""};
@@ -183,7 +195,8 @@
 
 asio::awaitable<std::string> MintTicketFor(const SessionContext& context,
                                            const CallerRequest& request) {
-  for (const Member& member : PlaceCall(request, context.members).candidates) {
+  const PlacementDecision decision = context.placement.Place(request);
+  for (const Member& member : decision.candidates) {
     try {
       const EndpointDialogue dialogue = co_await OpenDialogue(
           member.address, context.settings.connect_timeout);
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -16,7 +16,7 @@
 /** What a session needs of its router. */
 struct SessionContext {
   const Settings& settings;
-  const MemberList& members;
+  Placement& placement;
   const TicketMint& mint;
 };
 
--- a/src/router/caller_request.cc
+++ b/src/router/caller_request.cc
@@ -133,6 +133,7 @@
     Refuse("not_found", "no such path");
   ReadProfile(http, configuration, request);
   request.chat = ChatId(http.headers.Find("X-Chat").value_or(""));
+  request.hint = http.headers.Find("X-Location").value_or("");
   request.method = http.method;
   request.body = http.body;
   if (path == kTicketsPath) {
--- a/src/router/caller_request.h
+++ b/src/router/caller_request.h
@@ -25,6 +25,7 @@
   Profile profile;          ///< Empty for kResume and kCancel.
   Service service;          ///< Empty for kResume and kCancel.
   ChatId chat;              ///< Empty if the caller named none.
+  std::string hint;         ///< Location hint that the caller returned.
   std::string ticket_text;  ///< Empty unless the caller holds a ticket.
   std::optional<Ticket> ticket;
   std::string method;
--- a/src/router/placement.cc
+++ b/src/router/placement.cc
@@ -2,7 +2,7 @@
 
 #include "router/placement.h"
 
-#include "buckthornpath/rendezvous.h"
+#include <stdexcept>
 
 namespace buckthornpath {
 
@@ -20,28 +20,100 @@
   return member;
 }
 
+std::string ChatKey(const CallerRequest& request) {
+  if (request.chat.empty())
+    return "";
+  return request.organisation.str() + "/" + request.chat.str();
+}
+
+PlacementRandom& ThreadRandom() {
+  thread_local PlacementRandom random{std::random_device()()};
+  return random;
+}
+
 }  // namespace
 
-PlacementDecision PlaceCall(const CallerRequest& request,
-                            const MemberList& members) {
+Placement::Placement(const Settings& settings,
+                     const MemberList& members,
+                     const TicketMint& mint)
+    : members(members),
+      policy(FindPlacementPolicy(settings.placement_policy)),
+      hints(mint),
+      memory(static_cast<std::size_t>(settings.chat_memory_entries)),
+      loads(settings.load_report_age) {
+  if (this->policy == nullptr) {
+    throw std::invalid_argument("no placement policy '" +
+                                settings.placement_policy + "'");
+  }
+}
+
+EndpointId Placement::LastEndpoint(const CallerRequest& request) const {
+  if (request.chat.empty())
+    return {};
+  const auto hinted =
+      this->hints.Open(request.organisation, request.chat, request.hint);
+  if (hinted)
+    return *hinted;
+  return this->memory.Find(ChatKey(request)).value_or(EndpointId());
+}
+
+std::vector<PlacementSite> Placement::Sites(
+    const std::vector<Member>& live) const {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<PlacementSite> sites;
+  std::vector<bool> known;
+  double known_load = 0.0;
+  std::size_t known_count = 0;
+  for (const Member& member : live) {
+    const auto believed = this->loads.Believed(member.id, now);
+    sites.push_back({member.id.str(), 1.0, believed.value_or(0.0)});
+    known.push_back(believed.has_value());
+    known_load += believed.value_or(0.0);
+    known_count += believed.has_value() ? 1 : 0;
+  }
+  if (known_count == 0)
+    return sites;
+  // An endpoint without a young report is believed to carry the mean.
+  const double mean = known_load / static_cast<double>(known_count);
+  for (std::size_t i = 0; i < sites.size(); ++i) {
+    if (!known[i])
+      sites[i].believed_load = mean;
+  }
+  return sites;
+}
+
+PlacementDecision Placement::Place(const CallerRequest& request) const {
   if (request.ticket) {
-    return {{TicketMember(*request.ticket, members)}, "ticket"};
+    return {{TicketMember(*request.ticket, this->members)}, {0.0}, "ticket"};
   }
   const std::vector<Member> live =
-      members.LiveMembers(ServiceName(request.service.name));
-  std::vector<RendezvousSite> sites;
-  sites.reserve(live.size());
-  for (const Member& member : live)
-    sites.push_back({member.id.str(), 1.0});
-  const std::string key = request.chat.empty() ? TicketMint::NewNonce()
-                                               : request.organisation.str() +
-                                                     "/" + request.chat.str();
+      this->members.LiveMembers(ServiceName(request.service.name));
+  const std::vector<PlacementSite> sites = this->Sites(live);
+  const std::string key = ChatKey(request);
+  const EndpointId last = this->LastEndpoint(request);
+  constexpr double kPercent = 100.0;
+  const PlacementQuery query{
+      key, last.str(),
+      static_cast<double>(request.profile.load_multiple_percent) / kPercent};
+  const PlacementOrder order =
+      this->policy->place(query, sites, ThreadRandom());
   PlacementDecision decision;
-  decision.reason = request.chat.empty() ? "random" : "chat_hash";
-  for (const std::size_t index : RendezvousOrder(key, sites)) {
+  decision.reason = PlacementReasonName(order.reason);
+  for (const std::size_t index : order.sites) {
     decision.candidates.push_back(live[index]);
+    decision.believed_loads.push_back(sites[index].believed_load);
   }
   return decision;
 }
 
+std::string Placement::NoteAdmitted(const CallerRequest& request,
+                                    const EndpointId& endpoint,
+                                    std::int64_t load) {
+  this->loads.NoteReport(endpoint, load, std::chrono::steady_clock::now());
+  if (request.chat.empty())
+    return "";
+  this->memory.Note(ChatKey(request), endpoint);
+  return this->hints.Seal(request.organisation, request.chat, endpoint);
+}
+
 }  // namespace buckthornpath
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -19,6 +19,7 @@
   explicit RouterRole(const RoleContext& context)
       : context(context),
         mint(context.settings.ticket_secret),
+        placement(context.settings, this->members, this->mint),
         configuration_client(
             this->configuration,
             ParseSocketAddress(context.settings.configuration_address),
@@ -85,7 +86,7 @@
     const auto begun = std::chrono::steady_clock::now();
     CallerRequest request = ReadCallerRequest(
         exchange.request(), *this->configuration.InForce(), this->mint);
-    const SessionContext session{this->context.settings, this->members,
+    const SessionContext session{this->context.settings, this->placement,
                                  this->mint};
     if (request.action == CallerAction::kMintTicket) {
       HttpResponse response;
@@ -109,6 +110,7 @@
   ConfigurationStore configuration;
   MemberList members;
   TicketMint mint;
+  Placement placement;
   ConfigurationClient configuration_client;
   std::atomic<std::size_t> in_flight = 0;
   std::atomic<bool> draining = false;
--- a/src/wire/ticket.h
+++ b/src/wire/ticket.h
@@ -38,12 +38,13 @@
   /** @return The ticket, or nothing if the text was not minted here. */
   std::optional<Ticket> Decode(std::string_view text) const;
 
+  /** @return HMAC-SHA-256 of a text, cut to 128 bits, in base64url. */
+  std::string Sign(std::string_view text) const;
+
   /** @return A nonce that is not used twice. */
   static std::string NewNonce();
 
  private:
-  std::string Sign(std::string_view text) const;
-
   std::string secret;
 };
 
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -57,6 +57,18 @@
   CallHttp(address, request);
 }
 
+/** @return True if a process answers HTTP at an address. */
+bool Answers(const SocketAddress& address) {
+  try {
+    HttpRequest request;
+    request.target = "/control";
+    CallHttp(address, request, std::chrono::milliseconds(1000));
+    return true;
+  } catch (const HttpError&) {
+    return false;
+  }
+}
+
 HttpRequest CallerRequestOf(const std::string& credential,
                             const std::string& profile) {
   HttpRequest request;
@@ -134,6 +146,8 @@
     });
   };
   for (std::size_t i = 0; i < this->plan.endpoints.size(); ++i) {
+    if (!WaitUntil([&] { return Answers(this->Engine(i)); }))
+      throw std::runtime_error("an engine did not start");
     if (!is_ready(this->EndpointOperator(i))) {
       throw std::runtime_error("an endpoint process did not start; see " +
                                this->directory.string());
--- /dev/null
+++ b/test/stories/placement.cc
@@ -0,0 +1,202 @@
+/** @file placement.cc Where chats go. */
+
+#include "router/placement.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <map>
+
+#include "buckthornpath/rendezvous.h"
+#include "harness/caller.h"
+#include "harness/local_fleet.h"
+#include "harness/property.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+std::vector<PlacementSite> Sites(std::size_t count) {
+  std::vector<PlacementSite> sites;
+  for (std::size_t i = 0; i < count; ++i)
+    sites.push_back({"site-" + std::to_string(i), 1.0, 0.0});
+  return sites;
+}
+
+PlacementOrder PlaceBy(const char* policy,
+                       const PlacementQuery& query,
+                       const std::vector<PlacementSite>& sites) {
+  PlacementRandom random(1);
+  return FindPlacementPolicy(policy)->place(query, sites, random);
+}
+
+void FullHomeSpills() {
+  std::vector<PlacementSite> sites = Sites(4);
+  const PlacementQuery query{"chat", "", 1.5};
+  const std::size_t home = PlaceBy("hint", query, sites).sites.front();
+  sites[home].believed_load = 10.0;
+  const PlacementOrder order = PlaceBy("hint", query, sites);
+  CPPUNIT_ASSERT(order.sites.front() != home);
+  CPPUNIT_ASSERT(order.reason == PlacementReason::kSpill);
+  CPPUNIT_ASSERT_EQUAL(home, order.sites.back());
+}
+
+void HintGoesFirst() {
+  std::vector<PlacementSite> sites = Sites(4);
+  const std::size_t home =
+      PlaceBy("hint", {"chat", "", 1.5}, sites).sites.front();
+  const std::size_t other = (home + 1) % sites.size();
+  const PlacementQuery query{"chat", sites[other].name, 1.5};
+  CPPUNIT_ASSERT_EQUAL(other, PlaceBy("hint", query, sites).sites.front());
+  sites[other].believed_load = 10.0;
+  CPPUNIT_ASSERT_EQUAL(home, PlaceBy("hint", query, sites).sites.front());
+}
+
+void HintIsOneChats() {
+  const TicketMint mint("a-secret-for-tests");
+  const LocationHint hints(mint);
+  const OrganisationId parish("parish");
+  const std::string hint =
+      hints.Seal(parish, ChatId("a"), EndpointId("draft-1"));
+  CPPUNIT_ASSERT(hints.Open(parish, ChatId("a"), hint).has_value());
+  CPPUNIT_ASSERT(!hints.Open(parish, ChatId("b"), hint).has_value());
+  CPPUNIT_ASSERT(
+      !hints.Open(OrganisationId("hospital"), ChatId("a"), hint).has_value());
+  CPPUNIT_ASSERT(
+      !hints.Open(parish, ChatId("a"), "draft-2" + hint.substr(7)).has_value());
+}
+
+void MemoryIsBounded() {
+  ChatMemory memory(2);
+  memory.Note("a", EndpointId("1"));
+  memory.Note("b", EndpointId("2"));
+  memory.Note("a", EndpointId("3"));
+  memory.Note("c", EndpointId("4"));
+  CPPUNIT_ASSERT(memory.Find("a") == EndpointId("3"));
+  CPPUNIT_ASSERT(!memory.Find("b").has_value());
+  CPPUNIT_ASSERT(memory.Find("c") == EndpointId("4"));
+}
+
+void OldReportsDoNotCount() {
+  using std::chrono::seconds;
+  EndpointLoads loads(seconds(2));
+  const EndpointId endpoint("draft-1");
+  const EndpointLoads::TimePoint start{};
+  loads.NoteReport(endpoint, 5, start);
+  loads.NoteStart(endpoint);
+  CPPUNIT_ASSERT(loads.Believed(endpoint, start + seconds(1)) == 6.0);
+  CPPUNIT_ASSERT(!loads.Believed(endpoint, start + seconds(3)).has_value());
+}
+
+/** A site that leaves moves only the chats that were its own. */
+void OnlyItsOwnChatsMove(const std::string& key) {
+  const auto count = *rc::gen::inRange<std::size_t>(2, 40);
+  const auto gone = *rc::gen::inRange<std::size_t>(0, count);
+  std::vector<RendezvousSite> sites;
+  for (std::size_t i = 0; i < count; ++i)
+    sites.push_back({"site-" + std::to_string(i), 1.0});
+  std::vector<std::string> before;
+  for (const std::size_t index : RendezvousOrder(key, sites)) {
+    if (index != gone)
+      before.push_back(sites[index].name);
+  }
+  sites.erase(sites.begin() + static_cast<std::ptrdiff_t>(gone));
+  std::vector<std::string> after;
+  for (const std::size_t index : RendezvousOrder(key, sites))
+    after.push_back(sites[index].name);
+  RC_ASSERT(before == after);
+}
+
+/** Every policy names every site exactly once. */
+void EverySiteIsNamedOnce(const std::string& key, const std::string& hint) {
+  std::vector<PlacementSite> sites = Sites(*rc::gen::inRange(0, 20));
+  for (PlacementSite& site : sites)
+    site.believed_load = *rc::gen::inRange(0, 9);
+  for (const PlacementPolicy& policy : PlacementPolicies()) {
+    PlacementRandom random(7);
+    std::vector<std::size_t> order =
+        policy.place({key, hint, 1.2}, sites, random).sites;
+    std::sort(order.begin(), order.end());
+    RC_ASSERT(order.size() == sites.size());
+    RC_ASSERT(std::adjacent_find(order.begin(), order.end()) == order.end());
+  }
+}
+
+void WeightsShareChats() {
+  const std::vector<RendezvousSite> sites = {{"one", 1.0}, {"three", 3.0}};
+  constexpr int kChats = 8000;
+  int heavy = 0;
+  for (int i = 0; i < kChats; ++i) {
+    heavy += RendezvousOrder(std::to_string(i), sites).front() == 1 ? 1 : 0;
+  }
+  CPPUNIT_ASSERT_DOUBLES_EQUAL(0.75, static_cast<double>(heavy) / kChats, 0.02);
+}
+
+FleetPlan ThreeEngines() {
+  FleetPlan plan;
+  plan.routers = 2;
+  plan.endpoints = {{"draft-1", "drafting", true},
+                    {"draft-2", "drafting", true},
+                    {"draft-3", "drafting", true}};
+  return plan;
+}
+
+std::string LocationOf(const HttpResponse& response) {
+  const std::string hint = response.headers.Find("X-Location").value_or("");
+  return hint.substr(0, hint.rfind('.'));
+}
+
+void SpilledChatIsFoundThroughAnyRouter() {
+  LocalFleet fleet(ThreeEngines());
+  const HttpRequest request =
+      ChatRequest(kParishCredential, "chat", "returning", "hello");
+  const std::string home = LocationOf(CallHttp(fleet.Router(0), request));
+  fleet.PublishVms({{home, "leaving"}});
+  std::string hint;
+  const bool moved = WaitUntil([&] {
+    const HttpResponse response = CallHttp(fleet.Router(0), request);
+    hint = response.headers.Find("X-Location").value_or("");
+    return response.status == 200 && LocationOf(response) != home;
+  });
+  CPPUNIT_ASSERT(moved);
+  const std::string second = hint.substr(0, hint.rfind('.'));
+  fleet.PublishVms();
+  // The other router places chats at the home again once its list is new.
+  int probe = 0;
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const std::string chat = "probe-" + std::to_string(probe++);
+    return LocationOf(CallHttp(
+               fleet.Router(1),
+               ChatRequest(kParishCredential, "chat", chat, "hello"))) == home;
+  }));
+  HttpRequest returning = request;
+  returning.headers.Set("X-Location", hint);
+  CPPUNIT_ASSERT_EQUAL(second,
+                       LocationOf(CallHttp(fleet.Router(1), returning)));
+}
+
+const Story kStory("placement", [] {
+  return Section(
+      "given a chat and the endpoints of its service",
+      {Section(
+           "when the chat is placed",
+           {Then("a home believed full spills to the next", FullHomeSpills),
+            Then("the hinted endpoint goes first unless full", HintGoesFirst),
+            Then("a hint holds for its own chat only", HintIsOneChats),
+            Then("weights share the chats", WeightsShareChats),
+            Always("an endpoint that leaves moves only its own chats",
+                   OnlyItsOwnChatsMove),
+            Always("every way names every endpoint once",
+                   EverySiteIsNamedOnce)}),
+       Section(
+           "when a router remembers",
+           {Then("its memory is bounded", MemoryIsBounded),
+            Then("old load reports count no longer", OldReportsDoNotCount)}),
+       Section("when the chat's home was gone for a while",
+               {Then("its hint finds its cache through another router",
+                     SpilledChatIsFoundThroughAnyRouter)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
