--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -20,8 +20,6 @@
 /** Silence after which an idle connection from a router is closed. */
 constexpr std::chrono::milliseconds kIdleTimeout{300000};
 
-constexpr std::chrono::milliseconds kBusyRetryAfter{1000};
-
 /** Counts itself among the answers on their way while it lives. */
 class InFlightMark {
  public:
@@ -53,7 +51,7 @@
 DialogueServer::DialogueServer(const RoleContext& context,
                                const ConfigurationStore& configuration)
     : context(context),
-      configuration(configuration),
+      admission(context, configuration),
       mint(context.settings.ticket_secret),
       incarnation(NewIncarnation()),
       outcomes(EndpointId(context.settings.vm),
@@ -112,34 +110,25 @@
   }
 }
 
-CallRefused DialogueServer::Refusal(const std::string& outcome,
-                                    const std::string& reason) const {
-  CallRefused refusal;
-  refusal.outcome = outcome;
-  refusal.reason = reason;
-  refusal.running = static_cast<std::int64_t>(this->running.load());
-  return refusal;
-}
-
 asio::awaitable<void> DialogueServer::HandleCall(DialogueConnection& connection,
                                                  const Strand& strand,
                                                  CallRequest request) {
   const auto ticket = this->mint.Decode(request.ticket);
   CallRefused refusal;
   if (!ticket || ticket->organisation.str() != request.organisation) {
-    refusal = this->Refusal("not_run", "ticket_refused");
+    refusal = this->admission.Refusal("not_run", "ticket_refused");
   } else {
     const TicketLookup lookup =
         this->outcomes.Open(request.ticket, *ticket, this->Age());
     if (lookup.answer == TicketAnswer::kNew) {
-      this->Admit(request, lookup.record);
+      this->admission.Submit(request, lookup.record);
     }
     if (lookup.record) {
       co_await this->SendAnswer(connection, strand, lookup.record,
                                 request.attempt, request.after);
       co_return;
     }
-    refusal = this->Refusal(
+    refusal = this->admission.Refusal(
         lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
         lookup.reason);
   }
@@ -154,7 +143,7 @@
   const auto ticket = this->mint.Decode(request.ticket);
   CallRefused refusal;
   if (!ticket || ticket->organisation.str() != request.organisation) {
-    refusal = this->Refusal("unknown", "ticket_refused");
+    refusal = this->admission.Refusal("unknown", "ticket_refused");
   } else {
     const TicketLookup lookup =
         this->outcomes.Close(request.ticket, *ticket, this->Age());
@@ -163,7 +152,7 @@
                                 request.attempt, request.after);
       co_return;
     }
-    refusal = this->Refusal(
+    refusal = this->admission.Refusal(
         lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
         lookup.reason);
   }
@@ -171,50 +160,6 @@
   co_await connection.Send(refusal);
 }
 
-void DialogueServer::Admit(const CallRequest& request,
-                           const std::shared_ptr<CallRecord>& record) {
-  const ConfigurationPtr in_force = this->configuration.InForce();
-  const auto profile = in_force->profiles.find(ProfileName(request.profile));
-  const auto service =
-      in_force->services.find(ServiceName(this->context.settings.service));
-  if (profile == in_force->profiles.end() ||
-      service == in_force->services.end()) {
-    record->Refuse(this->Refusal("not_run", "profile_unknown"));
-    return;
-  }
-  CallRefused busy = this->Refusal("not_run", "endpoint_busy");
-  busy.retry_after = kBusyRetryAfter;
-  if (this->draining) {
-    busy.reason = "endpoint_leaving";
-    record->Refuse(std::move(busy));
-    return;
-  }
-  if (this->running >=
-      static_cast<std::size_t>(this->context.settings.max_running)) {
-    record->Refuse(std::move(busy));
-    return;
-  }
-  const EngineDriver* driver = EngineDriver::Find(service->second.kind);
-  ++this->running;
-  LogLine(LogLevel::kInfo, "admitted",
-          {{"request", request.ticket},
-           {"organisation", request.organisation},
-           {"profile", request.profile},
-           {"rank", profile->second.rank},
-           {"running", this->running.load()}});
-  this->context.pool.Spawn(
-      this->RunCall(driver, {request, profile->second.RankValue(), record}));
-}
-
-asio::awaitable<void> DialogueServer::RunCall(const EngineDriver* driver,
-                                              EngineCall call) {
-  if (call.record->TryStart()) {
-    co_await driver->Run(
-        ParseSocketAddress(this->context.settings.engine_address), call);
-  }
-  --this->running;
-}
-
 asio::awaitable<void> DialogueServer::SendAnswer(
     DialogueConnection& connection,
     const Strand& strand,
@@ -232,9 +177,7 @@
       co_return;
     }
     if (!accepted) {
-      CallAccepted message;
-      message.attempt = attempt;
-      message.running = static_cast<std::int64_t>(this->running.load());
+      const CallAccepted message = this->admission.Accepted(attempt);
       co_await connection.Send(message);
       accepted = true;
     }
--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -7,9 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 
-#include "endpoint/engine_driver.h"
+#include "endpoint/admission.h"
 #include "endpoint/outcome_table.h"
-#include "fleet/configuration_store.h"
 #include "kernel/boot_clock.h"
 #include "kernel/role.h"
 #include "wire/dialogue_connection.h"
@@ -27,11 +26,13 @@
   void Start();
 
   /** Refuses new calls from now on. */
-  void BeginDrain() { this->draining = true; }
+  void BeginDrain() { this->admission.BeginDrain(); }
 
-  /** @return Calls at the engine and answers on their way to routers. */
-  std::size_t InFlight() const { return this->running + this->sending; }
-  std::size_t Running() const { return this->running; }
+  /** @return Calls admitted and answers on their way to routers. */
+  std::size_t InFlight() const {
+    return this->admission.Running() + this->admission.Queued() + this->sending;
+  }
+  const Admission& Calls() const { return this->admission; }
   std::size_t Outcomes() const { return this->outcomes.Size(); }
   Incarnation ThisIncarnation() const { return this->incarnation; }
 
@@ -54,28 +55,17 @@
                                    std::uint32_t attempt,
                                    std::uint64_t after);
 
-  /** Starts a new call or refuses it in its record. */
-  void Admit(const CallRequest& request,
-             const std::shared_ptr<CallRecord>& record);
-
-  asio::awaitable<void> RunCall(const EngineDriver* driver, EngineCall call);
-
-  CallRefused Refusal(const std::string& outcome,
-                      const std::string& reason) const;
-
   /** @return Age of this incarnation, suspended time included. */
   std::chrono::milliseconds Age() const;
 
   RoleContext context;
-  const ConfigurationStore& configuration;
+  Admission admission;
   TicketMint mint;
   Incarnation incarnation;
   BootClock::time_point started = BootClock::now();
   OutcomeTable outcomes;
   asio::ip::tcp::acceptor acceptor;
-  std::atomic<std::size_t> running = 0;  ///< Calls at the engine.
   std::atomic<std::size_t> sending = 0;  ///< Answers on their way to routers.
-  std::atomic<bool> draining = false;
 };
 
 }  // namespace buckthornpath
--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -42,7 +42,8 @@
         {"members", this->members.All().size()},
         {"incarnation",
          static_cast<std::uint64_t>(this->server.ThisIncarnation())},
-        {"running", this->server.Running()},
+        {"running", this->server.Calls().Running()},
+        {"queued", this->server.Calls().Queued()},
         {"outcomes", this->server.Outcomes()}};
   }
 
