Measurement program: ways of placing on the same arrivals

Cause: no figure of reuse, balance or fairness could be given. Change: bench/measure runs each deployment with real processes, open-loop Poisson arrivals of returning chats from one seed, six phases (small organisations alone, quiet, surge of the large, floods of either end, flapping engines) and writes a table and build/measure.json.

--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,14 @@
 lint:
 	perl tools/check_co_await.pl \
 	  $$(git ls-files -co --exclude-standard | grep -E '\.(cc|h)$$')
-	run-clang-tidy -quiet -p $(BUILD) '(src|test)/.*\.cc$$' \
+	run-clang-tidy -quiet -p $(BUILD) '(src|test|bench)/.*\.cc$$' \
 	  > $(BUILD)/lint.log 2>&1 || \
 	  { grep -E '(warning|error):' $(BUILD)/lint.log | sort -u; exit 1; }
 
+# Ways of deciding side by side, on the same arrivals; takes some minutes.
+measure: build
+	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) $(BUILD)/bench/measure \
+	  --out=$(BUILD)/measure.json $(MEASURE)
+
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/bench/chat_book.h
@@ -0,0 +1,60 @@
+/** @file chat_book.h What was said in each chat, and what a cache could reuse.
+ */
+
+#ifndef BENCH_CHAT_BOOK_H_
+#define BENCH_CHAT_BOOK_H_
+
+#include <cstdint>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "workload.h"
+
+namespace buckthornpath {
+
+/** A turn as it is sent. */
+struct PreparedTurn {
+  std::string chat;                   ///< Name of the chat.
+  std::string location;               ///< Location hint of the last answer.
+  std::string body;                   ///< The chat completion request.
+  std::size_t ideal_tokens = 0;       ///< Prompt tokens of an infinite cache.
+  std::vector<std::uint64_t> blocks;  ///< Of the prompt, chained by hash.
+};
+
+/** All chats of a run, and the infinite cache they are compared with. */
+class ChatBook {
+ public:
+  explicit ChatBook(std::size_t chats_per_organisation);
+
+  /** @return The next turn of a chat, or nothing while one is being asked. */
+  std::optional<PreparedTurn> Begin(const Turn& turn);
+
+  /** Notes how a turn ended; an unfinished one leaves the chat as it was. */
+  void End(const Turn& turn,
+           const PreparedTurn& prepared,
+           const std::string& answer,
+           const std::string& location,
+           bool finished);
+
+ private:
+  struct Chat {
+    std::size_t generation = 0;  ///< Chats that stood in this place before.
+    std::size_t turns = 0;
+    bool busy = false;
+    std::string location;
+    nlohmann::json messages = nlohmann::json::array();
+  };
+
+  Chat& Find(const Turn& turn);
+
+  std::mutex mutex;
+  std::vector<std::vector<Chat>> chats;  ///< By organisation.
+  std::unordered_set<std::uint64_t> cached_blocks;
+};
+
+}  // namespace buckthornpath
+
+#endif  // BENCH_CHAT_BOOK_H_
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -254,8 +254,10 @@
   std::vector<std::string> arguments = {
       "--address=" + FormatSocketAddress(this->Engine(index)),
       "--history=" + (this->directory / "engines.history").string()};
-  arguments.insert(arguments.end(), this->plan.engine_arguments.begin(),
-                   this->plan.engine_arguments.end());
+  if (endpoint.is_model) {
+    arguments.insert(arguments.end(), this->plan.engine_arguments.begin(),
+                     this->plan.engine_arguments.end());
+  }
   this->engines[index] = std::make_unique<ChildProcess>(
       endpoint.is_model ? "fake_engine" : "fake_service", arguments,
       (this->directory / (endpoint.vm + "-engine.log")).string());
--- a/test/harness/local_fleet.h
+++ b/test/harness/local_fleet.h
@@ -29,7 +29,7 @@
   std::vector<LocalEndpoint> endpoints;
   /** Settings of every daemon that differ from the defaults. */
   nlohmann::json settings = nlohmann::json::object();
-  /** Further arguments of every fake engine or service. */
+  /** Further arguments of every fake model engine. */
   std::vector<std::string> engine_arguments;
   /** Documents by name, besides those of StandardDocuments(). */
   std::map<std::string, nlohmann::json> documents;
