Fault proxy, history checker and generated fault schedules

A proxy between routers and an endpoint process cuts, silences, delays, doubles and reorders whole messages.

--- a/Makefile
+++ b/Makefile
@@ -38,5 +38,10 @@
 	  > $(BUILD)/lint.log 2>&1 || \
 	  { grep -E '(warning|error):' $(BUILD)/lint.log | sort -u; exit 1; }
 
+# Generated fault schedules, judged by the checker.
+sweep: build
+	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
+	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200)
+
 clean:
 	rm -rf $(BUILD)
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -49,6 +49,7 @@
     const std::size_t wanted = TokensWanted(request.body);
     this->history.Write(
         {{"event", "engine_run"},
+         {"body", request.body},
          {"request", request.headers.Find("X-Request-Id").value_or("")}});
     ++this->running;
     HttpResponse head;
--- a/test/fakes/fake_service.cc
+++ b/test/fakes/fake_service.cc
@@ -36,7 +36,8 @@
     }
     const std::string key =
         request.headers.Find("Idempotency-Key").value_or("");
-    this->history.Write({{"event", "service_run"}, {"request", key}});
+    this->history.Write(
+        {{"event", "service_run"}, {"request", key}, {"body", request.body}});
     const int run = this->CountRun();
     co_await SleepFor(this->work_time);
     HttpResponse answer = JsonResponse(
--- /dev/null
+++ b/test/harness/fault_proxy.cc
@@ -0,0 +1,236 @@
+/** @file fault_proxy.cc Faults on the connections to an endpoint process. */
+
+#include "harness/fault_proxy.h"
+
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/endian/conversion.hpp>
+#include <cerrno>
+#include <optional>
+#include <stdexcept>
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::size_t kHeaderBytes = 4;
+
+/** Longest time that a blocked call keeps a thread from its end. */
+constexpr timeval kPollTime{0, 20000};
+
+std::size_t IndexOf(Direction direction) {
+  return direction == Direction::kToEndpoint ? 0 : 1;
+}
+
+void SetPollTime(int socket) {
+  setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &kPollTime, sizeof(kPollTime));
+}
+
+/** @return False if the connection ended or the thread is to end. */
+bool ReadAll(int socket,
+             char* bytes,
+             std::size_t size,
+             const std::stop_token& stop) {
+  std::size_t done = 0;
+  while (done < size) {
+    const ssize_t got = recv(socket, bytes + done, size - done, 0);
+    if (got > 0) {
+      done += static_cast<std::size_t>(got);
+      continue;
+    }
+    const bool waiting = got < 0 && (errno == EAGAIN || errno == EINTR);
+    if (!waiting || stop.stop_requested())
+      return false;
+  }
+  return true;
+}
+
+std::optional<std::string> ReadFrame(int socket, const std::stop_token& stop) {
+  std::string frame(kHeaderBytes, '\0');
+  if (!ReadAll(socket, frame.data(), kHeaderBytes, stop))
+    return std::nullopt;
+  const std::uint32_t length = boost::endian::load_big_u32(
+      reinterpret_cast<const unsigned char*>(frame.data()));
+  frame.resize(kHeaderBytes + length);
+  if (!ReadAll(socket, frame.data() + kHeaderBytes, length, stop))
+    return std::nullopt;
+  return frame;
+}
+
+void SendAll(int socket, const std::string& bytes) {
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    const ssize_t sent =
+        send(socket, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+    if (sent <= 0)
+      return;
+    done += static_cast<std::size_t>(sent);
+  }
+}
+
+int ConnectTo(const SocketAddress& address) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  if (connect(socket, address.data(), static_cast<socklen_t>(address.size())) !=
+      0) {
+    close(socket);
+    return -1;
+  }
+  return socket;
+}
+
+}  // namespace
+
+/** One connection from a router and the one to the endpoint process. */
+struct FaultProxy::Link {
+  explicit Link(int router, int endpoint) : sockets{router, endpoint} {}
+  ~Link() {
+    for (const int socket : this->sockets)
+      close(socket);
+  }
+  Link(const Link&) = delete;
+  Link& operator=(const Link&) = delete;
+
+  int Source(Direction direction) const {
+    return this->sockets.at(IndexOf(direction));
+  }
+  int Sink(Direction direction) const {
+    return this->sockets.at(1 - IndexOf(direction));
+  }
+  void Cut() const {
+    for (const int socket : this->sockets)
+      shutdown(socket, SHUT_RDWR);
+  }
+
+  std::array<int, 2> sockets;  ///< Router's, endpoint's.
+  std::array<std::atomic<bool>, 2> silent{};
+  std::array<unsigned, 2> passed{};
+  std::array<std::string, 2> held;  ///< Sent after the next message.
+};
+
+FaultProxy::FaultProxy(const SocketAddress& listen, SocketAddress target)
+    : target(std::move(target)), listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+  const int on = 1;
+  setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (bind(this->listener, listen.data(),
+           static_cast<socklen_t>(listen.size())) != 0 ||
+      ::listen(this->listener, SOMAXCONN) != 0) {
+    throw std::runtime_error("the proxy's address cannot be bound");
+  }
+  SetPollTime(this->listener);
+  this->acceptor = std::jthread(
+      [this](const std::stop_token& stop) { this->AcceptAll(stop); });
+}
+
+FaultProxy::~FaultProxy() {
+  this->acceptor.request_stop();
+  this->acceptor.join();
+  this->CutAll();
+  this->relays.clear();
+  close(this->listener);
+}
+
+void FaultProxy::AcceptAll(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    const int router = accept(this->listener, nullptr, nullptr);
+    if (router < 0)
+      continue;
+    const int endpoint = this->refusing ? -1 : ConnectTo(this->target);
+    if (endpoint < 0) {
+      close(router);
+      continue;
+    }
+    ++this->accepted;
+    SetPollTime(router);
+    SetPollTime(endpoint);
+    auto link = std::make_shared<Link>(router, endpoint);
+    {
+      const std::lock_guard lock(this->mutex);
+      std::erase_if(this->links, [](const auto& old) { return old.expired(); });
+      this->links.push_back(link);
+    }
+    for (const Direction direction :
+         {Direction::kToEndpoint, Direction::kToRouter}) {
+      this->relays.emplace_back(
+          [this, link, direction](const std::stop_token& stop_relay) {
+            this->Relay(stop_relay, link, direction);
+          });
+    }
+  }
+}
+
+void FaultProxy::Relay(const std::stop_token& stop,
+                       const std::shared_ptr<Link>& link,
+                       Direction direction) {
+  while (auto frame = ReadFrame(link->Source(direction), stop)) {
+    const auto delay = this->Faults().delay;
+    if (delay.count() > 0)
+      std::this_thread::sleep_for(delay);
+    if (!link->silent.at(IndexOf(direction)))
+      this->PassFrame(*link, direction, std::move(*frame));
+  }
+  if (!link->silent.at(IndexOf(direction)))
+    shutdown(link->Sink(direction), SHUT_WR);
+}
+
+void FaultProxy::PassFrame(Link& link, Direction direction, std::string frame) {
+  const FrameFaults now = this->Faults();
+  const unsigned count = ++link.passed.at(IndexOf(direction));
+  std::string& held = link.held.at(IndexOf(direction));
+  if (now.swap_every > 0 && count % now.swap_every == 0 && held.empty()) {
+    held = std::move(frame);
+    return;
+  }
+  const int sink = link.Sink(direction);
+  SendAll(sink, frame);
+  if (now.double_every > 0 && count % now.double_every == 0)
+    SendAll(sink, frame);
+  SendAll(sink, held);
+  held.clear();
+}
+
+FrameFaults FaultProxy::Faults() {
+  const std::lock_guard lock(this->mutex);
+  return this->faults;
+}
+
+void FaultProxy::SetFrameFaults(FrameFaults next) {
+  const std::lock_guard lock(this->mutex);
+  this->faults = next;
+}
+
+std::vector<std::shared_ptr<FaultProxy::Link>> FaultProxy::OpenLinks() {
+  const std::lock_guard lock(this->mutex);
+  std::vector<std::shared_ptr<Link>> open;
+  for (const auto& weak : this->links) {
+    if (auto link = weak.lock())
+      open.push_back(std::move(link));
+  }
+  return open;
+}
+
+void FaultProxy::CutAll() {
+  for (const auto& link : this->OpenLinks())
+    link->Cut();
+}
+
+void FaultProxy::CutDirection(Direction direction) {
+  for (const auto& link : this->OpenLinks()) {
+    link->silent.at(IndexOf(direction)) = true;
+    shutdown(link->Sink(direction), SHUT_WR);
+  }
+}
+
+void FaultProxy::SilenceOpen(Direction direction) {
+  for (const auto& link : this->OpenLinks())
+    link->silent.at(IndexOf(direction)) = true;
+}
+
+void FaultProxy::SilenceOpen() {
+  this->SilenceOpen(Direction::kToEndpoint);
+  this->SilenceOpen(Direction::kToRouter);
+}
+
+}  // namespace buckthornpath
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -22,7 +22,13 @@
 constexpr int kFirstEndpointHost = 100;
 
 /** Kinds of port of one host. */
-enum PortOffset { kOperatorPort, kCallerPort, kDialoguePort, kEnginePort };
+enum PortOffset {
+  kOperatorPort,
+  kCallerPort,
+  kDialoguePort,
+  kEnginePort,
+  kProxyPort
+};
 
 /** A network of loopback for each process, so that tests run side by side. */
 std::string LoopbackNetwork() {
@@ -128,6 +134,8 @@
   });
   if (!platform_up)
     throw std::runtime_error("the platform did not start");
+  if (this->plan.proxied)
+    this->StartProxies();
   this->engines.resize(this->plan.endpoints.size());
   this->endpoints.resize(this->plan.endpoints.size());
   this->routers.resize(this->plan.routers);
@@ -162,6 +170,7 @@
 }
 
 LocalFleet::~LocalFleet() {
+  this->proxies.clear();
   this->routers.clear();
   this->endpoints.clear();
   this->engines.clear();
@@ -273,6 +282,15 @@
       this->StartDaemon("endpoint", endpoint.vm));
 }
 
+void LocalFleet::StartProxies() {
+  for (std::size_t i = 0; i < this->plan.endpoints.size(); ++i) {
+    const int host = kFirstEndpointHost + static_cast<int>(i);
+    this->proxies.push_back(std::make_unique<FaultProxy>(
+        ParseSocketAddress(this->Address(host, kProxyPort)),
+        ParseSocketAddress(this->Address(host, kDialoguePort))));
+  }
+}
+
 void LocalFleet::StartRouter(std::size_t index) {
   const std::string name = "router-" + std::to_string(index);
   const int host = kFirstRouterHost + static_cast<int>(index);
@@ -311,8 +329,9 @@
         {{"vm", endpoint.vm},
          {"service", endpoint.service},
          {"failure_domain", "a"},
-         {"address", this->Address(kFirstEndpointHost + static_cast<int>(i),
-                                   kDialoguePort)},
+         {"address",
+          this->Address(kFirstEndpointHost + static_cast<int>(i),
+                        this->plan.proxied ? kProxyPort : kDialoguePort)},
          {"state", state == states.end() ? "live" : state->second}});
   }
   Put(this->VmListService(), "/v1/vms", nlohmann::json{{"vms", vms}}.dump());
--- a/test/harness/local_fleet.h
+++ b/test/harness/local_fleet.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "harness/child_process.h"
+#include "harness/fault_proxy.h"
 #include "kernel/http_type.h"
 #include "kernel/socket_address.h"
 
@@ -27,6 +28,7 @@
 struct FleetPlan {
   std::size_t routers = 1;
   std::vector<LocalEndpoint> endpoints;
+  bool proxied = false;  ///< Routers reach endpoints through a FaultProxy.
   /** Settings of every daemon that differ from the defaults. */
   nlohmann::json settings = nlohmann::json::object();
   /** Further arguments of every fake engine or service. */
@@ -76,6 +78,9 @@
   ChildProcess& EndpointProcess(std::size_t index);
   ChildProcess& EngineProcess(std::size_t index);
 
+  /** @return The proxy before an endpoint. @pre The plan asks for proxies. */
+  FaultProxy& Proxy(std::size_t index) { return *this->proxies.at(index); }
+
   /** Starts a process again after it has ended. */
   void RestartRouter(std::size_t index);
   void RestartEndpoint(std::size_t index);
@@ -105,6 +110,7 @@
   ChildProcess StartDaemon(const std::string& role, const std::string& name);
   void StartEngine(std::size_t index);
   void StartEndpoint(std::size_t index);
+  void StartProxies();
   void StartRouter(std::size_t index);
 
   FleetPlan plan;
@@ -116,6 +122,7 @@
   std::vector<std::unique_ptr<ChildProcess>> engines;
   std::vector<std::unique_ptr<ChildProcess>> endpoints;
   std::vector<std::unique_ptr<ChildProcess>> routers;
+  std::vector<std::unique_ptr<FaultProxy>> proxies;
 };
 
 /** @return A chat completion request. */
