--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,10 @@
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) $(BUILD)/bench/measure \
 	  --out=$(BUILD)/measure.json $(MEASURE)
 
+# Generated fault schedules, judged by the checker.
+sweep: build
+	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
+	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200)
+
 clean:
 	rm -rf $(BUILD)
