--- a/bench/chat_book.cc
+++ b/bench/chat_book.cc
@@ -37,8 +37,9 @@
 
 }  // namespace
 
-ChatBook::ChatBook(std::size_t chats_per_organisation)
-    : chats(BenchOrganisations().size(),
+ChatBook::ChatBook(std::size_t chats_per_organisation, bool callers_echo)
+    : callers_echo(callers_echo),
+      chats(BenchOrganisations().size(),
             std::vector<Chat>(chats_per_organisation)) {}
 
 ChatBook::Chat& ChatBook::Find(const Turn& turn) {
@@ -93,7 +94,8 @@
   this->cached_blocks.insert(prepared.blocks.begin(), prepared.blocks.end());
   chat.messages = nlohmann::json::parse(prepared.body).at("messages");
   chat.messages.push_back({{"role", "assistant"}, {"content", answer}});
-  chat.location = location;
+  if (this->callers_echo)
+    chat.location = location;
   if (++chat.turns < kTurnsPerChat)
     return;
   const std::size_t generation = chat.generation + 1;
--- a/bench/chat_book.h
+++ b/bench/chat_book.h
@@ -27,7 +27,8 @@
 /** All chats of a run, and the infinite cache they are compared with. */
 class ChatBook {
  public:
-  explicit ChatBook(std::size_t chats_per_organisation);
+  /** @param callers_echo Whether callers return the location hint. */
+  ChatBook(std::size_t chats_per_organisation, bool callers_echo);
 
   /** @return The next turn of a chat, or nothing while one is being asked. */
   std::optional<PreparedTurn> Begin(const Turn& turn);
@@ -50,6 +51,7 @@
 
   Chat& Find(const Turn& turn);
 
+  bool callers_echo;
   std::mutex mutex;
   std::vector<std::vector<Chat>> chats;  ///< By organisation.
   std::unordered_set<std::uint64_t> cached_blocks;
--- a/bench/load_run.cc
+++ b/bench/load_run.cc
@@ -223,12 +223,13 @@
 LoadRun::LoadRun(const Deployment& deployment,
                  const std::string& policy,
                  std::size_t routers,
+                 bool callers_echo,
                  std::uint64_t seed)
     : deployment(deployment),
       routers(routers),
       seed(seed),
       fleet(PlanOf(deployment, policy, routers)),
-      book(kChatsPerOrganisation) {}
+      book(kChatsPerOrganisation, callers_echo) {}
 
 PhaseResult LoadRun::Run(const Phase& phase, std::chrono::seconds length) {
   PhaseResult result;
--- a/bench/load_run.h
+++ b/bench/load_run.h
@@ -48,9 +48,11 @@
 /** Fleet under measurement. */
 class LoadRun {
  public:
+  /** @param callers_echo Whether callers return the location hint. */
   LoadRun(const Deployment& deployment,
           const std::string& policy,
           std::size_t routers,
+          bool callers_echo,
           std::uint64_t seed);
 
   /** Runs one phase to the end of its last call. */
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -18,6 +18,7 @@
 Usage:
   measure [--seed=<n>] [--seconds=<n>] [--out=<file>] [--deployments=<list>]
           [--policies=<list>] [--routers=<list>] [--phases=<list>]
+          [--no-echo]
 
 Options:
   --seed=<n>            Seed of the arrivals [default: 1].
@@ -28,6 +29,7 @@
   --routers=<list>      Router counts; all but the first are run with the
                         first policy only [default: 3,30].
   --phases=<list>       Phases, or all [default: all].
+  --no-echo             Callers do not return the location hint.
 )";
 
 std::vector<std::string> SplitList(const std::string& text) {
@@ -50,6 +52,7 @@
   std::vector<std::string> policies;
   std::vector<std::string> routers;
   std::vector<std::string> phases;
+  bool callers_echo = true;
 };
 
 RunFigures MeasureOne(const MeasurePlan& plan,
@@ -62,7 +65,7 @@
   figures.deployment = deployment.name;
   figures.policy = policy;
   figures.routers = routers;
-  LoadRun run(deployment, policy, routers, plan.seed);
+  LoadRun run(deployment, policy, routers, plan.callers_echo, plan.seed);
   for (const Phase& phase : Phases()) {
     if (!Holds(plan.phases, "all") && !Holds(plan.phases, phase.name))
       continue;
@@ -98,9 +101,11 @@
   plan.policies = SplitList(options["--policies"].asString());
   plan.routers = SplitList(options["--routers"].asString());
   plan.phases = SplitList(options["--phases"].asString());
+  plan.callers_echo = !options["--no-echo"].asBool();
   const std::vector<RunFigures> runs = MeasureAll(plan);
   nlohmann::ordered_json document = {{"seed", plan.seed},
                                      {"phase_seconds", plan.length.count()},
+                                     {"callers_echo", plan.callers_echo},
                                      {"runs", nlohmann::json::array()}};
   for (const RunFigures& figures : runs)
     document["runs"].push_back(ToJson(figures));
