--- a/bench/chat_book.cc
+++ b/bench/chat_book.cc
@@ -13,8 +13,8 @@
 
 constexpr std::size_t kBlockTokens = 16;
 constexpr std::size_t kTurnsPerChat = 8;
-constexpr int kSystemWords = 64;
-constexpr int kQuestionWords = 24;
+constexpr int kSystemWords = 128;
+constexpr int kQuestionWords = 48;
 
 std::string Words(const std::string& prefix, int count) {
   std::string text;
@@ -37,24 +37,24 @@
 
 }  // namespace
 
-ChatBook::ChatBook(std::size_t chats_per_organisation, bool callers_echo)
-    : callers_echo(callers_echo),
-      chats(BenchOrganisations().size(),
-            std::vector<Chat>(chats_per_organisation)) {}
-
-ChatBook::Chat& ChatBook::Find(const Turn& turn) {
-  return this->chats.at(turn.organisation).at(turn.chat);
+ChatBook::ChatBook(bool callers_echo) : callers_echo(callers_echo) {
+  for (const BenchOrganisation& organisation : BenchOrganisations())
+    this->chats.emplace_back(organisation.chats);
 }
 
-std::optional<PreparedTurn> ChatBook::Begin(const Turn& turn) {
+PreparedTurn ChatBook::Begin(const Turn& turn) {
   const std::lock_guard lock(this->mutex);
-  Chat& chat = this->Find(turn);
-  if (chat.busy)
-    return std::nullopt;
+  std::vector<Chat>& known = this->chats.at(turn.organisation);
+  std::size_t index = turn.chat;
+  if (known.at(index).busy) {
+    index = known.size();
+    known.emplace_back();
+  }
+  Chat& chat = known.at(index);
   const std::string& organisation =
       BenchOrganisations().at(turn.organisation).name;
-  const std::string name = organisation + "-" + std::to_string(turn.chat) +
-                           "-" + std::to_string(chat.generation);
+  const std::string name = organisation + "-" + std::to_string(index) + "-" +
+                           std::to_string(chat.generation);
   if (chat.turns == 0) {
     chat.messages = {{{"role", "system"},
                       {"content", Words(organisation + "-s", kSystemWords)}}};
@@ -64,6 +64,7 @@
   nlohmann::json messages = chat.messages;
   messages.push_back({{"role", "user"}, {"content", question}});
   PreparedTurn prepared;
+  prepared.index = index;
   prepared.chat = name;
   prepared.location = chat.location;
   prepared.body = nlohmann::json{{"messages", messages},
@@ -87,7 +88,7 @@
                    const std::string& location,
                    bool finished) {
   const std::lock_guard lock(this->mutex);
-  Chat& chat = this->Find(turn);
+  Chat& chat = this->chats.at(turn.organisation).at(prepared.index);
   chat.busy = false;
   if (!finished)
     return;
--- a/bench/chat_book.h
+++ b/bench/chat_book.h
@@ -17,6 +17,7 @@
 
 /** A turn as it is sent. */
 struct PreparedTurn {
+  std::size_t index = 0;              ///< Of the chat within its organisation.
   std::string chat;                   ///< Name of the chat.
   std::string location;               ///< Location hint of the last answer.
   std::string body;                   ///< The chat completion request.
@@ -28,10 +29,10 @@
 class ChatBook {
  public:
   /** @param callers_echo Whether callers return the location hint. */
-  ChatBook(std::size_t chats_per_organisation, bool callers_echo);
+  explicit ChatBook(bool callers_echo);
 
-  /** @return The next turn of a chat, or nothing while one is being asked. */
-  std::optional<PreparedTurn> Begin(const Turn& turn);
+  /** @return The next turn of a chat; of a new one if it is being asked. */
+  PreparedTurn Begin(const Turn& turn);
 
   /** Notes how a turn ended; an unfinished one leaves the chat as it was. */
   void End(const Turn& turn,
@@ -49,8 +50,6 @@
     nlohmann::json messages = nlohmann::json::array();
   };
 
-  Chat& Find(const Turn& turn);
-
   bool callers_echo;
   std::mutex mutex;
   std::vector<std::vector<Chat>> chats;  ///< By organisation.
--- a/bench/load_run.cc
+++ b/bench/load_run.cc
@@ -19,7 +19,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr std::size_t kChatsPerOrganisation = 400;
 constexpr int kWorkers = 3;
 constexpr std::chrono::milliseconds kCallTimeout{40000};
 constexpr std::chrono::milliseconds kLoadSampleInterval{250};
@@ -130,7 +129,6 @@
     runner.join();
     const std::lock_guard lock(this->mutex);
     result.calls = this->samples;
-    result.skipped = this->skipped;
   }
 
  private:
@@ -145,21 +143,16 @@
   }
 
   asio::awaitable<void> Send(const Turn& turn, std::size_t router) {
-    const auto prepared = this->book.Begin(turn);
-    if (!prepared) {
-      const std::lock_guard lock(this->mutex);
-      ++this->skipped;
-      co_return;
-    }
+    const PreparedTurn prepared = this->book.Begin(turn);
     AnswerText answer;
     const Clock::time_point begun = Clock::now();
-    HttpRequest request = RequestOf(turn, *prepared);
+    HttpRequest request = RequestOf(turn, prepared);
     try {
       co_await Ask(this->fleet.Router(router), std::move(request), answer);
     } catch (const HttpError&) {
       answer.complete = false;
     }
-    this->book.End(turn, *prepared, answer.text, answer.location,
+    this->book.End(turn, prepared, answer.text, answer.location,
                    answer.complete);
     CallSample sample;
     sample.organisation = turn.organisation;
@@ -171,7 +164,7 @@
     sample.total = Clock::now() - begun;
     sample.tokens = answer.tokens;
     sample.cached_tokens = answer.cached_tokens;
-    sample.ideal_tokens = prepared->ideal_tokens;
+    sample.ideal_tokens = prepared.ideal_tokens;
     const std::lock_guard lock(this->mutex);
     this->samples.push_back(sample);
   }
@@ -183,7 +176,6 @@
   std::atomic<std::size_t> outstanding = 0;
   std::mutex mutex;
   std::vector<CallSample> samples;
-  std::size_t skipped = 0;
 };
 
 /** Runs a step again and again on a thread of its own until destroyed. */
@@ -229,13 +221,13 @@
       routers(routers),
       seed(seed),
       fleet(PlanOf(deployment, policy, routers)),
-      book(kChatsPerOrganisation, callers_echo) {}
+      book(callers_echo) {}
 
 PhaseResult LoadRun::Run(const Phase& phase, std::chrono::seconds length) {
   PhaseResult result;
   result.name = phase.name;
   const std::vector<Turn> turns =
-      DrawArrivals(this->deployment, phase, length, kChatsPerOrganisation,
+      DrawArrivals(this->deployment, phase, length,
                    this->seed + std::hash<std::string>()(phase.name));
   const ControlBytes before =
       ScrapeControlBytes(this->fleet, this->routers, this->deployment);
--- a/bench/load_run.h
+++ b/bench/load_run.h
@@ -42,7 +42,6 @@
   std::vector<CallSample> calls;
   std::vector<LoadSample> loads;
   double control_bytes_per_s_max = 0.0;  ///< Of the node that spent most.
-  std::size_t skipped = 0;               ///< Arrivals that met a busy chat.
 };
 
 /** Fleet under measurement. */
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -141,7 +141,6 @@
           {"control_bytes_per_s_max", figures.control_bytes_per_s_max},
           {"small_first_token_p95_s", figures.small_first_token_p95_s},
           {"jain_index", figures.jain_index},
-          {"skipped", figures.skipped},
           {"finished_by_organisation", figures.finished_by_organisation},
           {"refused_by_organisation", figures.refused_by_organisation}};
 }
@@ -179,7 +178,6 @@
   figures.control_bytes_per_s_max = result.control_bytes_per_s_max;
   figures.small_first_token_p95_s = Quantile(std::move(small), kTailQuantile);
   figures.jain_index = JainIndex(result.calls);
-  figures.skipped = result.skipped;
   return figures;
 }
 
--- a/bench/report.h
+++ b/bench/report.h
@@ -34,7 +34,6 @@
   double control_bytes_per_s_max = 0.0;
   double small_first_token_p95_s = 0.0;
   double jain_index = 0.0;
-  std::size_t skipped = 0;
   std::map<std::string, std::size_t> finished_by_organisation;
   std::map<std::string, std::size_t> refused_by_organisation;
 };
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -10,7 +10,7 @@
 
 constexpr int kMaxBatch = 8;
 constexpr std::chrono::milliseconds kStepTime{20};
-constexpr int kPrefillTokensPerSecond = 8000;
+constexpr int kPrefillTokensPerSecond = 4000;
 constexpr int kCacheTokens = 60000;
 
 /** Share of the capacity that is asked for when nothing floods. */
@@ -78,16 +78,11 @@
 
 const std::vector<BenchOrganisation>& BenchOrganisations() {
   static const std::vector<BenchOrganisation> organisations = {
-      {"hospital", 50.0, true},
-      {"chain", 20.0, true},
-      {"parish-1"},
-      {"parish-2"},
-      {"parish-3"},
-      {"parish-4"},
-      {"parish-5"},
-      {"parish-6"},
-      {"parish-7"},
-      {"parish-8"}};
+      {"hospital", 50.0, true, 80}, {"chain", 20.0, true, 40},
+      {"parish-1", 1.0, false, 4},  {"parish-2", 1.0, false, 4},
+      {"parish-3", 1.0, false, 4},  {"parish-4", 1.0, false, 4},
+      {"parish-5", 1.0, false, 4},  {"parish-6", 1.0, false, 4},
+      {"parish-7", 1.0, false, 4},  {"parish-8", 1.0, false, 4}};
   return organisations;
 }
 
@@ -148,7 +143,6 @@
 std::vector<Turn> DrawArrivals(const Deployment& deployment,
                                const Phase& phase,
                                std::chrono::seconds length,
-                               std::size_t chats,
                                std::uint64_t seed) {
   std::mt19937_64 random(seed);
   const std::vector<double> rates = OrganisationRates(phase);
@@ -163,8 +157,10 @@
       Turn turn;
       turn.at = at;
       turn.organisation = DrawIndex(rates, random);
+      const std::size_t last_chat =
+          BenchOrganisations().at(turn.organisation).chats - 1;
       turn.chat =
-          std::uniform_int_distribution<std::size_t>(0, chats - 1)(random);
+          std::uniform_int_distribution<std::size_t>(0, last_chat)(random);
       turn.rank = BenchRanks().at(rank ? static_cast<std::size_t>(*rank)
                                        : DrawIndex(shares, random));
       turns.push_back(turn);
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -29,6 +29,7 @@
   std::string name;
   double rate = 1.0;  ///< Calls, relative to a small organisation.
   bool large = false;
+  std::size_t chats = 1;  ///< Chats that return by turns.
 
   std::string Credential() const { return this->name + "-credential"; }
 };
@@ -81,14 +82,10 @@
 /** @return Calls a second that the model replicas can finish, estimated. */
 double CapacityPerSecond(const Deployment& deployment);
 
-/**
- * Draws the arrivals of a phase: a Poisson process.
- * @param chats Chats of each organisation.
- */
+/** Draws the arrivals of a phase: a Poisson process. */
 std::vector<Turn> DrawArrivals(const Deployment& deployment,
                                const Phase& phase,
                                std::chrono::seconds length,
-                               std::size_t chats,
                                std::uint64_t seed);
 
 }  // namespace buckthornpath
