--- /dev/null
+++ b/src/decision/load_view.cc
@@ -0,0 +1,106 @@
+/** @file load_view.cc What a process believes of the load of endpoints. */
+
+#include "buckthornpath/load_view.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr double kPercent = 100.0;
+
+/** Absorbs rounding of a mean, so that 1.5 x 2 has the bound 3. */
+constexpr double kRounding = 1e-9;
+
+}  // namespace
+
+void LoadView::Update(const LoadReport& report, std::chrono::milliseconds now) {
+  if (report.age < std::chrono::milliseconds(0) || report.age > this->max_age)
+    return;
+  const Entry next{report.load, now - report.age};
+  const auto [found, added] = this->entries.try_emplace(report.endpoint, next);
+  if (!added && found->second.counted_at <= next.counted_at)
+    found->second = next;
+}
+
+void LoadView::Forget(const EndpointId& endpoint) {
+  this->entries.erase(endpoint);
+}
+
+std::optional<LoadReport> LoadView::Find(const EndpointId& endpoint,
+                                         std::chrono::milliseconds now) const {
+  const auto found = this->entries.find(endpoint);
+  if (found == this->entries.end())
+    return std::nullopt;
+  const auto age = now - found->second.counted_at;
+  if (age > this->max_age)
+    return std::nullopt;
+  return LoadReport{endpoint, found->second.load, age};
+}
+
+LoadMean LoadView::MeanWith(const EndpointId& own,
+                            std::int64_t own_load,
+                            std::chrono::milliseconds now) const {
+  LoadMean result;
+  result.known = 1;
+  std::int64_t total = own_load;
+  for (const LoadReport& report : this->Reports(now)) {
+    if (report.endpoint == own)
+      continue;
+    total += report.load;
+    ++result.known;
+    result.oldest = std::max(result.oldest, report.age);
+  }
+  result.mean = static_cast<double>(total) / static_cast<double>(result.known);
+  return result;
+}
+
+std::vector<LoadReport> LoadView::Sample(std::size_t count,
+                                         std::chrono::milliseconds now,
+                                         std::mt19937_64& random) const {
+  const std::vector<LoadReport> reports = this->Reports(now);
+  std::vector<LoadReport> chosen;
+  std::sample(reports.begin(), reports.end(), std::back_inserter(chosen), count,
+              random);
+  return chosen;
+}
+
+std::vector<LoadReport> LoadView::LeastLoaded(
+    std::size_t count,
+    std::chrono::milliseconds now) const {
+  std::vector<LoadReport> reports = this->Reports(now);
+  std::stable_sort(reports.begin(), reports.end(),
+                   [](const LoadReport& left, const LoadReport& right) {
+                     return left.load < right.load;
+                   });
+  if (reports.size() > count)
+    reports.resize(count);
+  return reports;
+}
+
+void LoadView::Sweep(std::chrono::milliseconds now) {
+  std::erase_if(this->entries, [&](const auto& entry) {
+    return now - entry.second.counted_at > this->max_age;
+  });
+}
+
+std::vector<LoadReport> LoadView::Reports(std::chrono::milliseconds now) const {
+  std::vector<LoadReport> reports;
+  for (const auto& [endpoint, entry] : this->entries) {
+    const auto age = now - entry.counted_at;
+    if (age <= this->max_age)
+      reports.push_back({endpoint, entry.load, age});
+  }
+  return reports;
+}
+
+std::int64_t LoadBound(double mean, std::int64_t multiple_percent) {
+  const double bound = mean * static_cast<double>(multiple_percent) / kPercent;
+  return std::max<std::int64_t>(
+      1, static_cast<std::int64_t>(std::ceil(bound - kRounding)));
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/decision/organisation_queue.cc
@@ -0,0 +1,119 @@
+/** @file organisation_queue.cc Start-time fair queueing of organisations. */
+
+#include "decision/organisation_queue.h"
+
+#include <algorithm>
+
+namespace buckthornpath {
+
+void OrganisationQueue::Add(const WaitingCall& call) {
+  Flow& flow = this->flows[call.organisation];
+  flow.weight = static_cast<double>(std::max<std::int64_t>(1, call.weight));
+  if (flow.calls.empty()) {
+    flow.start_tag = std::max(this->virtual_time, flow.finish_tag);
+  }
+  flow.calls.push_back(call);
+  flow.cost += static_cast<double>(call.cost);
+  this->cost += static_cast<double>(call.cost);
+  ++this->size;
+}
+
+void OrganisationQueue::Remove(const WaitingCall& call) {
+  const auto found = this->flows.find(call.organisation);
+  if (found == this->flows.end())
+    return;
+  Flow& flow = found->second;
+  const auto removed = std::erase_if(flow.calls, [&](const WaitingCall& other) {
+    return other.handle == call.handle;
+  });
+  if (removed == 0)
+    return;
+  flow.cost -= static_cast<double>(call.cost);
+  this->cost -= static_cast<double>(call.cost);
+  --this->size;
+  this->DropIdleFlows();
+}
+
+OrganisationQueue::FlowMap::const_iterator OrganisationQueue::FrontFlow()
+    const {
+  auto best = this->flows.end();
+  for (auto flow = this->flows.begin(); flow != this->flows.end(); ++flow) {
+    if (flow->second.calls.empty())
+      continue;
+    if (best == this->flows.end() ||
+        flow->second.start_tag < best->second.start_tag) {
+      best = flow;
+    }
+  }
+  return best;
+}
+
+const WaitingCall& OrganisationQueue::Front() const {
+  return this->FrontFlow()->second.calls.front();
+}
+
+WaitingCall OrganisationQueue::Take() {
+  Flow& flow = this->flows.at(this->FrontFlow()->first);
+  WaitingCall taken = flow.calls.front();
+  flow.calls.pop_front();
+  const auto work = static_cast<double>(taken.cost);
+  this->virtual_time = flow.start_tag;
+  flow.finish_tag = flow.start_tag + work / flow.weight;
+  flow.start_tag = flow.finish_tag;
+  flow.cost -= work;
+  this->cost -= work;
+  --this->size;
+  this->DropIdleFlows();
+  return taken;
+}
+
+std::optional<CallHandle> OrganisationQueue::Victim(
+    const WaitingCall* arrival) const {
+  const auto places = [&](const FlowMap::value_type& entry) {
+    const bool is_own =
+        arrival != nullptr && entry.first == arrival->organisation;
+    return static_cast<double>(entry.second.calls.size() + (is_own ? 1 : 0)) /
+           entry.second.weight;
+  };
+  const Flow* victim = nullptr;
+  double most = arrival == nullptr
+                    ? 0.0
+                    : 1.0 / static_cast<double>(
+                                std::max<std::int64_t>(1, arrival->weight));
+  for (const auto& entry : this->flows) {
+    if (entry.second.calls.empty() || places(entry) <= most)
+      continue;
+    most = places(entry);
+    victim = &entry.second;
+  }
+  if (victim == nullptr)
+    return std::nullopt;
+  if (arrival != nullptr &&
+      victim->calls.back().organisation == arrival->organisation) {
+    return std::nullopt;
+  }
+  return victim->calls.back().handle;
+}
+
+double OrganisationQueue::WorkAhead(const WaitingCall& arrival) const {
+  const auto own = this->flows.find(arrival.organisation);
+  const double before = own == this->flows.end() ? 0.0 : own->second.cost;
+  const auto weight =
+      static_cast<double>(std::max<std::int64_t>(1, arrival.weight));
+  const double fair = (before + static_cast<double>(arrival.cost)) / weight;
+  double total = before;
+  for (const auto& [organisation, flow] : this->flows) {
+    if (organisation != arrival.organisation)
+      total += std::min(flow.cost, fair * flow.weight);
+  }
+  return total;
+}
+
+void OrganisationQueue::DropIdleFlows() {
+  std::erase_if(this->flows, [&](const auto& entry) {
+    return entry.second.calls.empty() &&
+           entry.second.finish_tag <= this->virtual_time;
+  });
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/decision/start_order.cc
@@ -0,0 +1,131 @@
+/** @file start_order.cc Orders without shares: arrival and priority. */
+
+#include "buckthornpath/start_order.h"
+
+#include <algorithm>
+#include <deque>
+#include <iterator>
+
+namespace buckthornpath {
+
+namespace {
+
+using CallQueue = std::deque<WaitingCall>;
+
+void EraseCall(CallQueue& queue, CallHandle handle) {
+  std::erase_if(queue, [handle](const WaitingCall& call) {
+    return call.handle == handle;
+  });
+}
+
+double TotalCost(const CallQueue& queue) {
+  double total = 0;
+  for (const WaitingCall& call : queue)
+    total += static_cast<double>(call.cost);
+  return total;
+}
+
+/** Calls start as they came; a full queue refuses the arrival. */
+class ArrivalOrder final : public StartOrder {
+ public:
+  void SetShares(const PerRank<double>& /*shares*/) override {}
+  void Add(const WaitingCall& call) override { this->queue.push_back(call); }
+  void Remove(const WaitingCall& call) override {
+    EraseCall(this->queue, call.handle);
+  }
+
+  std::optional<WaitingCall> Take(const PerRank<bool>& allowed) override {
+    const auto first = std::find_if(
+        this->queue.begin(), this->queue.end(),
+        [&](const WaitingCall& call) { return allowed[IndexOf(call.rank)]; });
+    if (first == this->queue.end())
+      return std::nullopt;
+    WaitingCall taken = *first;
+    this->queue.erase(first);
+    return taken;
+  }
+
+  std::optional<CallHandle> Victim(const WaitingCall& /*arrival*/,
+                                   std::size_t /*limit*/) const override {
+    return std::nullopt;
+  }
+
+  double WorkAhead(const WaitingCall& /*arrival*/) const override {
+    return TotalCost(this->queue);
+  }
+
+  PerRank<std::size_t> ReservedSlots(std::size_t /*limit*/) const override {
+    return {};
+  }
+
+ private:
+  CallQueue queue;
+};
+
+/** The most urgent waiting call starts first. */
+class PriorityOrder final : public StartOrder {
+ public:
+  void SetShares(const PerRank<double>& /*shares*/) override {}
+  void Add(const WaitingCall& call) override {
+    this->queues[IndexOf(call.rank)].push_back(call);
+  }
+  void Remove(const WaitingCall& call) override {
+    EraseCall(this->queues[IndexOf(call.rank)], call.handle);
+  }
+
+  std::optional<WaitingCall> Take(const PerRank<bool>& allowed) override {
+    for (std::size_t rank = 0; rank < kRankCount; ++rank) {
+      CallQueue& queue = this->queues[rank];
+      if (!allowed[rank] || queue.empty())
+        continue;
+      WaitingCall taken = queue.front();
+      queue.pop_front();
+      return taken;
+    }
+    return std::nullopt;
+  }
+
+  std::optional<CallHandle> Victim(const WaitingCall& arrival,
+                                   std::size_t /*limit*/) const override {
+    for (std::size_t rank = kRankCount - 1; rank > IndexOf(arrival.rank);
+         --rank) {
+      if (!this->queues[rank].empty())
+        return this->queues[rank].back().handle;
+    }
+    return std::nullopt;
+  }
+
+  double WorkAhead(const WaitingCall& arrival) const override {
+    double total = 0;
+    for (std::size_t rank = 0; rank <= IndexOf(arrival.rank); ++rank) {
+      total += TotalCost(this->queues[rank]);
+    }
+    return total;
+  }
+
+  PerRank<std::size_t> ReservedSlots(std::size_t /*limit*/) const override {
+    return {};
+  }
+
+ private:
+  PerRank<CallQueue> queues;
+};
+
+}  // namespace
+
+std::unique_ptr<StartOrder> MakeArrivalOrder() {
+  return std::make_unique<ArrivalOrder>();
+}
+
+std::unique_ptr<StartOrder> MakePriorityOrder() {
+  return std::make_unique<PriorityOrder>();
+}
+
+std::unique_ptr<StartOrder> MakeStartOrder(std::string_view name) {
+  const auto* row = std::find_if(
+      std::begin(kStartOrders), std::end(kStartOrders),
+      [&](const StartOrderRow& order) { return order.name == name; });
+  return row == std::end(kStartOrders) ? nullptr : row->make();
+}
+
+}  // namespace buckthornpath
