Endpoint processes queue by rank and hold the load bound; routers move on

Cause: no engine may carry more than the published multiple of its service's mean, and only the endpoint process knows its count exactly. A refusal by the bound is a move and draws on no budget; other failures draw on the retry budget. Every admission is logged with sequence, count, mean, age and bound.

--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -1,9 +1,14 @@
-/** @file admission.cc Admits, starts or refuses calls at an endpoint process.
+/** @file admission.cc Admits, queues, starts or refuses calls at an endpoint.
  */
 
 #include "endpoint/admission.h"
 
+#include <algorithm>
+
+#include "endpoint/call_cost.h"
 #include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "wire/load_report_json.h"
 
 namespace buckthornpath {
 
@@ -11,11 +16,68 @@
 
 constexpr std::chrono::milliseconds kBusyRetryAfter{1000};
 
+/** Time between two looks for waiting calls past their deadline. */
+constexpr std::chrono::milliseconds kExpiryInterval{20};
+
+/** Reports of other endpoints in a refusal. */
+constexpr std::size_t kReportsPerRefusal = 4;
+
+constexpr double kPercent = 100.0;
+
+AdmissionLimits LimitsOf(const Settings& settings) {
+  return {static_cast<std::size_t>(settings.max_running),
+          static_cast<std::size_t>(settings.max_queued)};
+}
+
+/** @return The largest minimum share of each rank among a service's profiles.
+ */
+PerRank<double> SharesOf(const Configuration& in_force,
+                         const std::string& service) {
+  PerRank<double> shares{};
+  for (const auto& [name, profile] : in_force.profiles) {
+    if (profile.service != service)
+      continue;
+    double& share = shares[IndexOf(profile.RankValue())];
+    share = std::max(
+        share, static_cast<double>(profile.minimum_share_percent) / kPercent);
+  }
+  return shares;
+}
+
+std::string RankLabel(Rank rank) {
+  return "rank=\"" + std::string(RankName(rank)) + "\"";
+}
+
+std::int64_t WeightOf(const Configuration& in_force,
+                      const std::string& organisation) {
+  const auto found = in_force.organisations.find(OrganisationId(organisation));
+  return found == in_force.organisations.end() ? 1 : found->second.weight;
+}
+
 }  // namespace
 
 Admission::Admission(const RoleContext& context,
-                     const ConfigurationStore& configuration)
-    : context(context), configuration(configuration) {}
+                     const ConfigurationStore& configuration,
+                     const MemberList& members)
+    : context(context),
+      configuration(configuration),
+      exchange(context,
+               members,
+               [this] {
+                 return static_cast<std::int64_t>(this->running + this->queued);
+               }),
+      queue(LimitsOf(context.settings),
+            MakeStartOrder(context.settings.start_order)) {}
+
+void Admission::Start() {
+  this->exchange.Start();
+  this->context.pool.Spawn(this->ExpireWaiting());
+}
+
+std::chrono::milliseconds Admission::Age() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      BootClock::now() - this->started);
+}
 
 CallRefused Admission::Refusal(const std::string& outcome,
                                const std::string& reason) const {
@@ -46,37 +108,248 @@
     record->Refuse(this->Refusal("not_run", "profile_unknown"));
     return;
   }
-  CallRefused busy = this->Refusal("not_run", "endpoint_busy");
-  busy.retry_after = kBusyRetryAfter;
   if (this->draining) {
-    busy.reason = "endpoint_leaving";
-    record->Refuse(std::move(busy));
+    CallRefused leaving = this->Refusal("not_run", "endpoint_leaving");
+    leaving.retry_after = kBusyRetryAfter;
+    record->Refuse(std::move(leaving));
     return;
   }
-  if (this->running >=
-      static_cast<std::size_t>(this->context.settings.max_running)) {
-    record->Refuse(std::move(busy));
-    return;
+  CountControlBytes("in", EncodedSize(request.loads));
+  this->exchange.Note(request.loads);
+  const EngineCall call{request, profile->second.RankValue(), record};
+  WaitingCall waiting;
+  waiting.rank = call.rank;
+  waiting.organisation = OrganisationId(request.organisation);
+  waiting.weight = WeightOf(*in_force, request.organisation);
+  waiting.cost = EstimateCost(request.body);
+  waiting.deadline = this->Age() + profile->second.deadline;
+  Decision decision;
+  {
+    const OrderedLock lock(this->mutex);
+    this->AdoptShares(*in_force);
+    decision = this->Decide(waiting, profile->second.load_multiple_percent,
+                            {call, EngineDriver::Find(service->second.kind)});
+  }
+  if (decision.record) {
+    CallRefused evicted = this->Refusal("not_run", "queue_full");
+    evicted.retry_after = kBusyRetryAfter;
+    decision.record->Refuse(std::move(evicted));
+  }
+  if (!decision.check.IsWithin()) {
+    this->RefuseCall(decision, call, "endpoint_over_bound");
+  } else if (decision.result.verdict == AdmissionVerdict::kQueueFull) {
+    this->RefuseCall(decision, call, "queue_full");
+  } else if (decision.result.verdict == AdmissionVerdict::kDeadlineUnmet) {
+    this->RefuseCall(decision, call, "deadline_unmet");
+  } else {
+    this->LogAdmitted(decision, call);
+    this->StartReady();
   }
-  const EngineDriver* driver = EngineDriver::Find(service->second.kind);
-  ++this->running;
+}
+
+Admission::LoadCheck Admission::CheckLoad(std::int64_t multiple_percent) const {
+  LoadCheck check;
+  check.count = static_cast<std::int64_t>(this->held.size()) + 1;
+  check.mean = this->exchange.MeanWith(check.count);
+  check.multiple_percent = multiple_percent;
+  check.bound = LoadBound(check.mean.mean, multiple_percent);
+  return check;
+}
+
+Admission::Decision Admission::Decide(const WaitingCall& waiting,
+                                      std::int64_t multiple_percent,
+                                      HeldCall call) {
+  Decision decision;
+  decision.check = this->CheckLoad(multiple_percent);
+  decision.sequence = ++this->last_sequence;
+  if (!decision.check.IsWithin())
+    return decision;
+  decision.result = this->queue.Offer(waiting, this->Age());
+  if (decision.result.verdict != AdmissionVerdict::kQueued)
+    return decision;
+  this->held.emplace(decision.result.handle, std::move(call));
+  if (decision.result.evicted) {
+    const HeldCall evicted = this->Release(*decision.result.evicted);
+    decision.record = evicted.call.record;
+    decision.evicted_ticket = evicted.call.request.ticket;
+  }
+  this->PublishCounts();
+  return decision;
+}
+
+void Admission::RefuseCall(const Decision& decision,
+                           const EngineCall& call,
+                           const std::string& reason) {
+  CallRefused refusal = this->Refusal("not_run", reason);
+  refusal.retry_after = std::max(kBusyRetryAfter, decision.result.retry_after);
+  refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
+  CountControlBytes("out", EncodedSize(refusal.loads));
+  ProcessMetrics().Add("calls_refused_total",
+                       RankLabel(call.rank) + ",reason=\"" + reason + "\"");
+  LogLine(LogLevel::kInfo, "refused",
+          {{"request", call.request.ticket},
+           {"organisation", call.request.organisation},
+           {"rank", RankName(call.rank)},
+           {"reason", reason},
+           {"count", decision.check.count},
+           {"mean", decision.check.mean.mean},
+           {"mean_known", decision.check.mean.known},
+           {"bound", decision.check.bound},
+           {"wait_ms", decision.result.wait.count()}});
+  call.record->Refuse(std::move(refusal));
+}
+
+void Admission::LogAdmitted(const Decision& decision,
+                            const EngineCall& call) const {
+  ProcessMetrics().Add("calls_admitted_total", RankLabel(call.rank));
   LogLine(LogLevel::kInfo, "admitted",
-          {{"request", request.ticket},
-           {"organisation", request.organisation},
-           {"profile", request.profile},
-           {"rank", profile->second.rank},
-           {"running", this->running.load()}});
-  this->context.pool.Spawn(
-      this->Run(driver, {request, profile->second.RankValue(), record}));
-}
-
-asio::awaitable<void> Admission::Run(const EngineDriver* driver,
-                                     EngineCall call) {
-  if (call.record->TryStart()) {
-    co_await driver->Run(
-        ParseSocketAddress(this->context.settings.engine_address), call);
+          {{"sequence", decision.sequence},
+           {"request", call.request.ticket},
+           {"organisation", call.request.organisation},
+           {"profile", call.request.profile},
+           {"rank", RankName(call.rank)},
+           {"count", decision.check.count},
+           {"mean", decision.check.mean.mean},
+           {"mean_known", decision.check.mean.known},
+           {"mean_age_ms", decision.check.mean.oldest.count()},
+           {"multiple_percent", decision.check.multiple_percent},
+           {"bound", decision.check.bound},
+           {"evicted", decision.evicted_ticket},
+           {"wait_ms", decision.result.wait.count()}});
+}
+
+void Admission::LogEnded(const EngineCall& call,
+                         const char* how,
+                         std::uint64_t sequence) const {
+  LogLine(
+      LogLevel::kInfo, "released",
+      {{"sequence", sequence}, {"request", call.request.ticket}, {"how", how}});
+}
+
+void Admission::StartReady() {
+  std::vector<std::pair<CallHandle, HeldCall>> ready;
+  {
+    const OrderedLock lock(this->mutex);
+    while (const auto next = this->queue.StartNext(this->Age())) {
+      ready.emplace_back(next->handle, this->held.at(next->handle));
+    }
+    this->PublishCounts();
+  }
+  for (auto& [handle, call] : ready) {
+    ProcessMetrics().Add("calls_started_total", RankLabel(call.call.rank));
+    this->context.pool.Spawn(this->Run(handle, std::move(call)));
+  }
+}
+
+asio::awaitable<void> Admission::Run(CallHandle handle, HeldCall call) {
+  if (call.call.record->TryStart()) {
+    const SocketAddress engine =
+        ParseSocketAddress(this->context.settings.engine_address);
+    try {
+      co_await call.driver->Run(engine, call.call);
+    } catch (const std::exception& fault) {
+      CallRefused failed = this->Refusal("unknown", "engine_failed");
+      failed.detail = fault.what();
+      call.call.record->Refuse(std::move(failed));
+    }
+  }
+  std::uint64_t sequence = 0;
+  {
+    const OrderedLock lock(this->mutex);
+    this->queue.Finish(handle, this->Age());
+    this->Release(handle);
+    sequence = ++this->last_sequence;
+    this->PublishCounts();
+  }
+  this->LogEnded(call.call, "finished", sequence);
+  this->StartReady();
+}
+
+asio::awaitable<void> Admission::ExpireWaiting() {
+  while (true) {
+    co_await SleepFor(kExpiryInterval);
+    std::vector<std::pair<HeldCall, std::uint64_t>> expired;
+    {
+      const OrderedLock lock(this->mutex);
+      for (const CallHandle handle : this->queue.TakeExpired(this->Age())) {
+        HeldCall call = this->Release(handle);
+        expired.emplace_back(std::move(call), ++this->last_sequence);
+      }
+      this->PublishCounts();
+    }
+    for (const auto& [call, sequence] : expired) {
+      CallRefused refusal = this->Refusal("not_run", "deadline_unmet");
+      refusal.retry_after = kBusyRetryAfter;
+      call.call.record->Refuse(std::move(refusal));
+      ProcessMetrics().Add("calls_expired_total", RankLabel(call.call.rank));
+      this->LogEnded(call.call, "deadline_unmet", sequence);
+    }
+  }
+}
+
+bool Admission::Cancel(const std::string& ticket) {
+  HeldCall call;
+  std::uint64_t sequence = 0;
+  {
+    const OrderedLock lock(this->mutex);
+    const auto found = std::find_if(
+        this->held.begin(), this->held.end(), [&](const auto& entry) {
+          return entry.second.call.request.ticket == ticket;
+        });
+    if (found == this->held.end() || !this->queue.Cancel(found->first))
+      return false;
+    call = this->Release(found->first);
+    sequence = ++this->last_sequence;
+    this->PublishCounts();
+  }
+  call.call.record->Refuse(this->Refusal("not_run", "cancelled"));
+  this->LogEnded(call.call, "cancelled", sequence);
+  return true;
+}
+
+Admission::HeldCall Admission::Release(CallHandle handle) {
+  const auto found = this->held.find(handle);
+  HeldCall call = std::move(found->second);
+  this->held.erase(found);
+  return call;
+}
+
+void Admission::AdoptShares(const Configuration& in_force) {
+  if (in_force.revision == this->shares_revision)
+    return;
+  this->shares_revision = in_force.revision;
+  this->queue.SetShares(SharesOf(in_force, this->context.settings.service));
+}
+
+void Admission::PublishCounts() {
+  this->running = this->queue.Running();
+  this->queued = this->queue.Queued();
+  for (std::size_t rank = 0; rank < kRankCount; ++rank) {
+    const RankLoad load = this->queue.LoadOf(static_cast<Rank>(rank));
+    const std::string label = RankLabel(static_cast<Rank>(rank));
+    ProcessMetrics().Set("calls_running", label,
+                         static_cast<double>(load.running));
+    ProcessMetrics().Set("calls_queued", label,
+                         static_cast<double>(load.queued));
+  }
+}
+
+nlohmann::json Admission::Status() const {
+  const OrderedLock lock(this->mutex);
+  const LoadMean mean =
+      this->exchange.MeanWith(static_cast<std::int64_t>(this->held.size()));
+  nlohmann::json ranks = nlohmann::json::object();
+  for (std::size_t rank = 0; rank < kRankCount; ++rank) {
+    const RankLoad load = this->queue.LoadOf(static_cast<Rank>(rank));
+    ranks[std::string(kRankNames.at(rank))] = {{"running", load.running},
+                                               {"queued", load.queued},
+                                               {"started", load.started}};
   }
-  --this->running;
+  return {{"count", this->held.size()},
+          {"mean", mean.mean},
+          {"mean_known", mean.known},
+          {"mean_age_ms", mean.oldest.count()},
+          {"ranks", ranks}};
 }
 
 }  // namespace buckthornpath
--- /dev/null
+++ b/src/endpoint/call_cost.h
@@ -0,0 +1,19 @@
+/** @file call_cost.h Estimates the work of a call before it runs. */
+
+#ifndef SRC_ENDPOINT_CALL_COST_H_
+#define SRC_ENDPOINT_CALL_COST_H_
+
+#include <cstdint>
+#include <string>
+
+namespace buckthornpath {
+
+/**
+ * @param body Body of a chat completion, or of any other request.
+ * @return Tokens of the prompt, by length, and the most tokens generated.
+ */
+std::int64_t EstimateCost(const std::string& body);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_ENDPOINT_CALL_COST_H_
--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -49,9 +49,10 @@
 }  // namespace
 
 DialogueServer::DialogueServer(const RoleContext& context,
-                               const ConfigurationStore& configuration)
+                               const ConfigurationStore& configuration,
+                               const MemberList& members)
     : context(context),
-      admission(context, configuration),
+      admission(context, configuration, members),
       mint(context.settings.ticket_secret),
       incarnation(NewIncarnation()),
       outcomes(EndpointId(context.settings.vm),
@@ -61,6 +62,7 @@
                ParseSocketAddress(context.settings.dialogue_address)) {}
 
 void DialogueServer::Start() {
+  this->admission.Start();
   this->context.pool.Spawn(this->AcceptAll());
 }
 
--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -21,7 +21,8 @@
  public:
   /** Binds the dialogue address. */
   DialogueServer(const RoleContext& context,
-                 const ConfigurationStore& configuration);
+                 const ConfigurationStore& configuration,
+                 const MemberList& members);
 
   void Start();
 
@@ -32,6 +33,7 @@
   std::size_t InFlight() const {
     return this->admission.Running() + this->admission.Queued() + this->sending;
   }
+  Admission& Calls() { return this->admission; }
   const Admission& Calls() const { return this->admission; }
   std::size_t Outcomes() const { return this->outcomes.Size(); }
   Incarnation ThisIncarnation() const { return this->incarnation; }
--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -19,7 +19,7 @@
             this->configuration,
             ParseSocketAddress(context.settings.configuration_address),
             context.settings.configuration_wait),
-        server(context, this->configuration) {}
+        server(context, this->configuration, this->members) {}
 
   void Start() override {
     const Settings& settings = this->context.settings;
@@ -44,6 +44,7 @@
          static_cast<std::uint64_t>(this->server.ThisIncarnation())},
         {"running", this->server.Calls().Running()},
         {"queued", this->server.Calls().Queued()},
+        {"load", this->server.Calls().Status()},
         {"outcomes", this->server.Outcomes()}};
   }
 
--- /dev/null
+++ b/src/endpoint/load_exchange.cc
@@ -0,0 +1,177 @@
+/** @file load_exchange.cc Load reports between the endpoint processes. */
+
+#include "endpoint/load_exchange.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "kernel/json_types.h"
+#include "kernel/metrics.h"
+#include "wire/load_report_json.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using asio::ip::udp;
+
+constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+
+/** Reports of other endpoints in one datagram. */
+constexpr std::size_t kReportsPerDatagram = 11;
+
+/** Bytes of IPv4 and UDP headers, counted as control traffic. */
+constexpr std::size_t kDatagramHeaderBytes = 28;
+
+constexpr std::size_t kLargestDatagram = 1500;
+
+/** Loads above this are taken for a malformed report. */
+constexpr std::int64_t kLargestLoad = 1000000;
+
+/** Content of a datagram. */
+struct LoadDatagram {
+  std::string service;
+  std::vector<LoadReport> reports;  ///< The sender's own first.
+};
+
+std::string Encode(const LoadDatagram& datagram) {
+  std::string bytes;
+  nlohmann::json::to_cbor(
+      nlohmann::json::array({datagram.service, datagram.reports}),
+      nlohmann::detail::output_adapter<char>(bytes));
+  return bytes;
+}
+
+/** @throws nlohmann::json::exception If it is malformed. */
+LoadDatagram Decode(const char* data, std::size_t size) {
+  const auto fields = nlohmann::json::from_cbor(data, data + size);
+  LoadDatagram datagram;
+  datagram.service = fields.at(0).get<std::string>();
+  datagram.reports = fields.at(1).get<std::vector<LoadReport>>();
+  return datagram;
+}
+
+}  // namespace
+
+LoadExchange::LoadExchange(const RoleContext& context,
+                           const MemberList& members,
+                           std::function<std::int64_t()> own_load)
+    : context(context),
+      members(members),
+      own_load(std::move(own_load)),
+      own(context.settings.vm),
+      random(std::random_device()()),
+      strand(context.pool.NewStrand()),
+      socket(this->strand),
+      view(context.settings.load_max_age) {
+  const SocketAddress dialogue =
+      ParseSocketAddress(context.settings.dialogue_address);
+  const udp::endpoint local(dialogue.address(), dialogue.port());
+  this->socket.open(local.protocol());
+  this->socket.bind(local);
+}
+
+void LoadExchange::Start() {
+  asio::co_spawn(this->strand, this->SendAll(), asio::detached);
+  asio::co_spawn(this->strand, this->ReceiveAll(), asio::detached);
+}
+
+std::chrono::milliseconds LoadExchange::Age() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      BootClock::now() - this->started);
+}
+
+void LoadExchange::Note(const std::vector<LoadReport>& reports) {
+  const OrderedLock lock(this->mutex);
+  for (const LoadReport& report : reports) {
+    if (report.load < 0 || report.load > kLargestLoad)
+      ProcessMetrics().Add("malformed_load_reports_total");
+    else if (report.endpoint != this->own)
+      this->view.Update(report, this->Age());
+  }
+}
+
+LoadMean LoadExchange::MeanWith(std::int64_t own) const {
+  const OrderedLock lock(this->mutex);
+  return this->view.MeanWith(this->own, own, this->Age());
+}
+
+std::vector<LoadReport> LoadExchange::LeastLoaded(std::size_t count) const {
+  const OrderedLock lock(this->mutex);
+  return this->view.LeastLoaded(count, this->Age());
+}
+
+std::optional<SocketAddress> LoadExchange::ChoosePeer() {
+  std::vector<Member> peers =
+      this->members.LiveMembers(ServiceName(this->context.settings.service));
+  std::erase_if(peers,
+                [this](const Member& peer) { return peer.id == this->own; });
+  if (peers.empty())
+    return std::nullopt;
+  std::uniform_int_distribution<std::size_t> choose(0, peers.size() - 1);
+  return peers[choose(this->random)].address;
+}
+
+std::string LoadExchange::NextDatagram() {
+  LoadDatagram datagram;
+  datagram.service = this->context.settings.service;
+  const std::int64_t load = this->own_load();
+  const OrderedLock lock(this->mutex);
+  this->view.Sweep(this->Age());
+  datagram.reports =
+      this->view.Sample(kReportsPerDatagram, this->Age(), this->random);
+  datagram.reports.insert(
+      datagram.reports.begin(),
+      LoadReport{this->own, load, std::chrono::milliseconds(0)});
+  return Encode(datagram);
+}
+
+asio::awaitable<void> LoadExchange::SendAll() {
+  while (true) {
+    co_await SleepFor(this->context.settings.load_exchange_interval);
+    const std::optional<SocketAddress> peer = this->ChoosePeer();
+    if (!peer)
+      continue;
+    const std::string datagram = this->NextDatagram();
+    const udp::endpoint address(peer->address(), peer->port());
+    const auto buffer = asio::buffer(datagram);
+    auto [error, sent] =
+        co_await this->socket.async_send_to(buffer, address, kAwaitResult);
+    if (error)
+      ProcessMetrics().Add("load_exchange_faults_total");
+    else
+      CountControlBytes("out", sent + kDatagramHeaderBytes);
+  }
+}
+
+asio::awaitable<void> LoadExchange::ReceiveAll() {
+  std::array<char, kLargestDatagram> data{};
+  udp::endpoint sender;
+  while (true) {
+    const auto buffer = asio::buffer(data);
+    auto [error, size] =
+        co_await this->socket.async_receive_from(buffer, sender, kAwaitResult);
+    if (error) {
+      ProcessMetrics().Add("load_exchange_faults_total");
+      co_await SleepFor(std::chrono::milliseconds(10));
+      continue;
+    }
+    CountControlBytes("in", size + kDatagramHeaderBytes);
+    this->Read(data.data(), size);
+  }
+}
+
+void LoadExchange::Read(const char* data, std::size_t size) {
+  try {
+    const LoadDatagram datagram = Decode(data, size);
+    if (datagram.service == this->context.settings.service)
+      this->Note(datagram.reports);
+  } catch (const nlohmann::json::exception&) {
+    ProcessMetrics().Add("malformed_load_reports_total");
+  }
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/endpoint/load_exchange.h
@@ -0,0 +1,75 @@
+/** @file load_exchange.h Load reports between the endpoint processes. */
+
+#ifndef SRC_ENDPOINT_LOAD_EXCHANGE_H_
+#define SRC_ENDPOINT_LOAD_EXCHANGE_H_
+
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <vector>
+
+#include "buckthornpath/load_view.h"
+#include "fleet/member_list.h"
+#include "kernel/boot_clock.h"
+#include "kernel/lock_order.h"
+#include "kernel/role.h"
+
+namespace buckthornpath {
+
+/**
+ * Sends a datagram with the own load and some others to a random endpoint
+ * process of the service at each interval, to the UDP port whose number is
+ * that of its dialogue address. A lost datagram is replaced by the next.
+ */
+class LoadExchange {
+ public:
+  /**
+   * Binds the UDP port.
+   * @param own_load Counts the calls held here; called from any thread.
+   */
+  LoadExchange(const RoleContext& context,
+               const MemberList& members,
+               std::function<std::int64_t()> own_load);
+
+  void Start();
+
+  /** Takes reports that came with a call. */
+  void Note(const std::vector<LoadReport>& reports);
+
+  /** @return The mean of the service if this process holds a number of calls.
+   */
+  LoadMean MeanWith(std::int64_t own) const;
+
+  /** @return The least loaded other endpoints of the service. */
+  std::vector<LoadReport> LeastLoaded(std::size_t count) const;
+
+ private:
+  asio::awaitable<void> SendAll();
+  asio::awaitable<void> ReceiveAll();
+
+  /** @return The next datagram: the own load and a sample of the others. */
+  std::string NextDatagram();
+
+  /** Reads a datagram; a malformed one is counted and dropped. */
+  void Read(const char* data, std::size_t size);
+
+  /** @return A random other endpoint process of the service, if any. */
+  std::optional<SocketAddress> ChoosePeer();
+
+  /** @return Time since the start, suspended time included. */
+  std::chrono::milliseconds Age() const;
+
+  RoleContext context;
+  const MemberList& members;
+  std::function<std::int64_t()> own_load;
+  EndpointId own;
+  BootClock::time_point started = BootClock::now();
+  std::mt19937_64 random;  ///< Used by SendAll() alone.
+  Strand strand;
+  asio::ip::udp::socket socket;  ///< Used on the strand alone.
+  mutable OrderedMutex mutex{LockRank::kLoadView};
+  LoadView view;
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_ENDPOINT_LOAD_EXCHANGE_H_
--- a/src/kernel/lock_order.h
+++ b/src/kernel/lock_order.h
@@ -15,7 +15,9 @@
   kConfiguration,   ///< Documents in force.
   kMembers,         ///< VM list and what is believed of each endpoint.
   kConnectionPool,  ///< Idle connections to endpoint processes.
+  kRetryBudget,     ///< Retries that the calls of a router may make.
   kAdmission,       ///< Running and queued calls of an endpoint process.
+  kLoadView,        ///< Load that other endpoint processes reported.
   kOutcomeTable,    ///< Calls known to an endpoint process.
   kOutcomeRecord,   ///< One call's answer.
   kMetrics,         ///< Counters and quantiles.
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -26,6 +26,7 @@
   std::string service;
   std::string ticket_secret;
   std::string placement_policy;
+  std::string start_order;
   std::string log_level;
   std::int64_t worker_count = 0;
   std::int64_t max_body_bytes = 0;
@@ -34,6 +35,8 @@
   std::int64_t outcome_entries = 0;
   std::int64_t outcome_bytes = 0;
   std::int64_t max_attempts = 0;
+  std::int64_t max_moves = 0;
+  std::int64_t retry_budget_percent = 0;
   std::int64_t chat_memory_entries = 0;
   std::chrono::milliseconds vm_list_interval{};
   std::chrono::milliseconds configuration_wait{};
@@ -44,6 +47,8 @@
   std::chrono::milliseconds ticket_lifetime{};
   std::chrono::milliseconds answer_retention{};
   std::chrono::milliseconds load_report_age{};
+  std::chrono::milliseconds load_exchange_interval{};
+  std::chrono::milliseconds load_max_age{};
   std::chrono::milliseconds drain_timeout{};
 };
 
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -4,6 +4,8 @@
 
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "router/candidate_walk.h"
+#include "wire/load_report_json.h"
 
 namespace buckthornpath {
 
@@ -74,11 +76,14 @@
       this->context.placement.Place(this->request);
   this->problem = {"no_endpoint", "", Outcome::kNotRun, std::chrono::seconds(1),
                    ""};
-  const auto max_attempts =
-      static_cast<std::uint32_t>(this->context.settings.max_attempts);
-  for (const Member& member : decision.candidates) {
-    if (this->attempt >= max_attempts)
-      break;
+  CandidateWalk walk(this->context.settings, decision.candidates,
+                     this->context.retries);
+  // g++ 12 destroys a variable of a coroutine's loop condition twice.
+  std::optional<Member> next = walk.Next();
+  for (; next; next = walk.Next()) {
+    const Member& member = *next;
+    this->reports = walk.Reports();
+    this->refusal.reset();
     ++this->attempt;
     this->LogRoute(decision, member);
     this->context.placement.Loads().NoteStart(member.id);
@@ -90,6 +95,8 @@
       end = co_await this->Recover(member);
     if (end == AttemptEnd::kAnswered)
       co_return;
+    if (this->refusal)
+      walk.NoteRefusal(member.id, *this->refusal);
     const bool may_move =
         end != AttemptEnd::kLost ||
         (this->request.profile.repeatable && !this->writer.HasBegun());
@@ -142,6 +149,8 @@
   call.path = this->request.path;
   call.body = this->request.body;
   call.after = this->writer.LastSent();
+  call.loads = this->reports;
+  CountControlBytes("out", EncodedSize(call.loads));
   co_await dialogue.connection->Send(std::move(call));
 }
 
@@ -184,6 +193,8 @@
       this->context.placement.Loads().NoteReport(
           endpoint, refused->running + refused->queued,
           std::chrono::steady_clock::now());
+      this->refusal = *refused;
+      CountControlBytes("in", EncodedSize(refused->loads));
       const Outcome outcome = ParseOutcome(refused->outcome);
       this->problem = {refused->reason, refused->detail, outcome,
                        refused->retry_after, ""};
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -10,6 +10,7 @@
 #include "router/caller_request.h"
 #include "router/endpoint_dialogue.h"
 #include "router/placement.h"
+#include "router/retry_limiter.h"
 
 namespace buckthornpath {
 
@@ -18,6 +19,7 @@
   const Settings& settings;
   Placement& placement;
   const TicketMint& mint;
+  RetryLimiter& retries;
 };
 
 /** One call: chooses endpoints, hands over, streams back and recovers. */
@@ -55,8 +57,10 @@
   CallerRequest request;
   AnswerWriter writer;
   std::uint32_t attempt = 0;
-  std::string ticket;  ///< Of the current attempt.
-  Problem problem;     ///< Why the last attempt ended.
+  std::string ticket;                  ///< Of the current attempt.
+  Problem problem;                     ///< Why the last attempt ended.
+  std::vector<LoadReport> reports;     ///< Carried by the next attempt.
+  std::optional<CallRefused> refusal;  ///< That ended the last attempt.
 };
 
 /**
--- /dev/null
+++ b/src/router/candidate_walk.cc
@@ -0,0 +1,96 @@
+/** @file candidate_walk.cc The endpoints that one call tries, in turn. */
+
+#include "router/candidate_walk.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "kernel/boot_clock.h"
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Most reports that a call carries on. */
+constexpr std::size_t kReportsPerCall = 16;
+
+}  // namespace
+
+CandidateWalk::CandidateWalk(const Settings& settings,
+                             std::vector<Member> candidates,
+                             RetryLimiter& retries)
+    : settings(settings),
+      candidates(std::move(candidates)),
+      retries(retries),
+      seen(settings.load_report_age) {}
+
+std::optional<Member> CandidateWalk::Next() {
+  if (this->candidates.empty() || !this->MayTryAgain())
+    return std::nullopt;
+  std::size_t choice = 0;
+  if (this->over_bound) {
+    choice = this->LeastLoaded();
+  } else {
+    while (choice < this->candidates.size() &&
+           this->tried.count(this->candidates[choice].id) > 0) {
+      ++choice;
+    }
+    if (choice == this->candidates.size())
+      return std::nullopt;
+  }
+  this->over_bound = false;
+  this->tried.insert(this->candidates[choice].id);
+  return this->candidates[choice];
+}
+
+bool CandidateWalk::MayTryAgain() {
+  if (this->over_bound) {
+    ProcessMetrics().Add("moves_total");
+    return ++this->moves <= this->settings.max_moves;
+  }
+  if (++this->attempts == 1) {
+    this->retries.CountFirstAttempt();
+    return true;
+  }
+  return this->attempts <= this->settings.max_attempts &&
+         this->tried.size() < this->candidates.size() &&
+         this->retries.TryTake();
+}
+
+void CandidateWalk::NoteRefusal(const EndpointId& endpoint,
+                                const CallRefused& refused) {
+  this->over_bound = refused.reason == "endpoint_over_bound";
+  const LoadReport own{endpoint, refused.running + refused.queued,
+                       std::chrono::milliseconds(0)};
+  this->seen.Update(own, Now());
+  for (const LoadReport& report : refused.loads)
+    this->seen.Update(report, Now());
+}
+
+std::vector<LoadReport> CandidateWalk::Reports() const {
+  return this->seen.LeastLoaded(kReportsPerCall, Now());
+}
+
+std::size_t CandidateWalk::LeastLoaded() const {
+  // An endpoint not reported goes before the tried and after the reported.
+  constexpr std::int64_t kUnreported = std::numeric_limits<std::int64_t>::max();
+  const auto load = [&](const Member& member) {
+    const auto report = this->seen.Find(member.id, Now());
+    return std::pair(this->tried.count(member.id),
+                     report ? report->load : kUnreported);
+  };
+  const auto least =
+      std::min_element(this->candidates.begin(), this->candidates.end(),
+                       [&](const Member& left, const Member& right) {
+                         return load(left) < load(right);
+                       });
+  return static_cast<std::size_t>(least - this->candidates.begin());
+}
+
+std::chrono::milliseconds CandidateWalk::Now() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      BootClock::now().time_since_epoch());
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/router/retry_limiter.cc
@@ -0,0 +1,34 @@
+/** @file retry_limiter.cc The retry budget that all calls of a router share. */
+
+#include "router/retry_limiter.h"
+
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr double kPercent = 100.0;
+
+/** Retries that may be saved up in quiet times. */
+constexpr double kMostSaved = 50.0;
+
+}  // namespace
+
+RetryLimiter::RetryLimiter(const Settings& settings)
+    : budget(static_cast<double>(settings.retry_budget_percent) / kPercent,
+             kMostSaved) {}
+
+void RetryLimiter::CountFirstAttempt() {
+  const OrderedLock lock(this->mutex);
+  this->budget.CountFirstAttempt();
+}
+
+bool RetryLimiter::TryTake() {
+  const OrderedLock lock(this->mutex);
+  const bool taken = this->budget.TryTake();
+  ProcessMetrics().Add(taken ? "retries_total" : "retries_withheld_total");
+  return taken;
+}
+
+}  // namespace buckthornpath
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -20,6 +20,7 @@
       : context(context),
         mint(context.settings.ticket_secret),
         placement(context.settings, this->members, this->mint),
+        retries(context.settings),
         configuration_client(
             this->configuration,
             ParseSocketAddress(context.settings.configuration_address),
@@ -87,7 +88,7 @@
     CallerRequest request = ReadCallerRequest(
         exchange.request(), *this->configuration.InForce(), this->mint);
     const SessionContext session{this->context.settings, this->placement,
-                                 this->mint};
+                                 this->mint, this->retries};
     if (request.action == CallerAction::kMintTicket) {
       HttpResponse response;
       response.status = 201;
@@ -111,6 +112,7 @@
   MemberList members;
   TicketMint mint;
   Placement placement;
+  RetryLimiter retries;
   ConfigurationClient configuration_client;
   std::atomic<std::size_t> in_flight = 0;
   std::atomic<bool> draining = false;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -3,6 +3,7 @@
 #include "wire/codec.h"
 
 #include "kernel/json_types.h"
+#include "wire/load_report_json.h"
 
 namespace buckthornpath {
 
@@ -16,7 +17,8 @@
                                    method,
                                    path,
                                    body,
-                                   after)
+                                   after,
+                                   loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResumeRequest,
                                    ticket,
                                    attempt,
@@ -31,7 +33,8 @@
                                    detail,
                                    retry_after,
                                    running,
-                                   queued)
+                                   queued,
+                                   loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CallChunk, attempt, sequence, data)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CallFinished,
                                    attempt,
--- /dev/null
+++ b/src/wire/load_report_json.cc
@@ -0,0 +1,31 @@
+/** @file load_report_json.cc Load reports as short JSON arrays. */
+
+#include "wire/load_report_json.h"
+
+#include <string>
+
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+void to_json(nlohmann::json& out, const LoadReport& report) {
+  out = nlohmann::json::array(
+      {report.endpoint.str(), report.load, report.age.count()});
+}
+
+void from_json(const nlohmann::json& in, LoadReport& report) {
+  report.endpoint = EndpointId(in.at(0).get<std::string>());
+  report.load = in.at(1).get<std::int64_t>();
+  report.age = std::chrono::milliseconds(in.at(2).get<std::int64_t>());
+}
+
+std::size_t EncodedSize(const std::vector<LoadReport>& reports) {
+  return nlohmann::json::to_cbor(nlohmann::json(reports)).size();
+}
+
+void CountControlBytes(const char* direction, std::size_t bytes) {
+  ProcessMetrics().Add("control_bytes_total",
+                       "direction=\"" + std::string(direction) + "\"", bytes);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/wire/load_report_json.h
@@ -0,0 +1,27 @@
+/** @file load_report_json.h Load reports as short JSON arrays. */
+
+#ifndef SRC_WIRE_LOAD_REPORT_JSON_H_
+#define SRC_WIRE_LOAD_REPORT_JSON_H_
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "buckthornpath/load_view.h"
+
+namespace buckthornpath {
+
+/** Writes a report as [endpoint, load, age in milliseconds]. */
+void to_json(nlohmann::json& out, const LoadReport& report);
+
+/** @throws nlohmann::json::exception If the value is no report. */
+void from_json(const nlohmann::json& in, LoadReport& report);
+
+/** @return Bytes that reports take in a message. */
+std::size_t EncodedSize(const std::vector<LoadReport>& reports);
+
+/** Counts bytes between our processes that serve no caller directly. */
+void CountControlBytes(const char* direction, std::size_t bytes);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_WIRE_LOAD_REPORT_JSON_H_
--- a/src/wire/message_type.h
+++ b/src/wire/message_type.h
@@ -7,7 +7,9 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
+#include "buckthornpath/load_view.h"
 #include "buckthornpath/strong_id_type.h"
 
 namespace buckthornpath {
@@ -30,7 +32,8 @@
   std::string method;
   std::string path;
   std::string body;
-  std::uint64_t after = 0;  ///< Last chunk that the caller has.
+  std::uint64_t after = 0;        ///< Last chunk that the caller has.
+  std::vector<LoadReport> loads;  ///< What refusals of this call reported.
 };
 
 /** Router: send a known call's answer from a chunk on; never runs it. */
@@ -63,6 +66,7 @@
   std::chrono::milliseconds retry_after{};
   std::int64_t running = 0;
   std::int64_t queued = 0;
+  std::vector<LoadReport> loads;  ///< Least loaded endpoints it knows of.
 };
 
 /** Endpoint: one piece of the answer. */
