--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -227,17 +227,33 @@
 }
 
 void Admission::StartReady() {
-  std::vector<std::pair<CallHandle, HeldCall>> ready;
+  struct ReadyCall {
+    WaitingCall waiting;
+    HeldCall call;
+    std::uint64_t sequence;
+  };
+  std::vector<ReadyCall> ready;
   {
     const OrderedLock lock(this->mutex);
     while (const auto next = this->queue.StartNext(this->Age())) {
-      ready.emplace_back(next->handle, this->held.at(next->handle));
+      ready.push_back(
+          {*next, this->held.at(next->handle), ++this->last_sequence});
     }
     this->PublishCounts();
   }
-  for (auto& [handle, call] : ready) {
-    ProcessMetrics().Add("calls_started_total", RankLabel(call.call.rank));
-    this->context.pool.Spawn(this->Run(handle, std::move(call)));
+  for (ReadyCall& next : ready) {
+    const std::string label = RankLabel(next.call.call.rank);
+    ProcessMetrics().Add("calls_started_total", label);
+    ProcessMetrics().Add("work_started_tokens_total", label,
+                         static_cast<std::uint64_t>(next.waiting.cost));
+    LogLine(LogLevel::kInfo, "started",
+            {{"sequence", next.sequence},
+             {"request", next.call.call.request.ticket},
+             {"organisation", next.waiting.organisation.str()},
+             {"rank", RankName(next.waiting.rank)},
+             {"cost", next.waiting.cost}});
+    this->context.pool.Spawn(
+        this->Run(next.waiting.handle, std::move(next.call)));
   }
 }
 
--- /dev/null
+++ b/test/stories/load.cc
@@ -0,0 +1,205 @@
+/** @file load.cc The load bound, ranks and fair shares with real processes. */
+
+#include <cppunit/TestAssert.h>
+
+#include <atomic>
+#include <thread>
+
+#include "harness/caller.h"
+#include "harness/load_history.h"
+#include "harness/local_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr int kTokens = 12;
+constexpr std::size_t kSlots = 4;
+
+/** Callers that run side by side; joined at the end. */
+class Callers {
+ public:
+  Callers() = default;
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+  ~Callers() { this->Join(); }
+
+  /** Sends a number of calls at once, each of its own chat. */
+  void Send(const LocalFleet& fleet,
+            std::size_t router,
+            const char* credential,
+            const char* profile,
+            std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::string chat = "chat-" + std::to_string(this->next_chat++);
+      const HttpRequest request =
+          ChatRequest(credential, profile, chat, "a short question", kTokens);
+      this->threads.emplace_back([this, request, &fleet, router] {
+        const StreamedAnswer answer = CallStream(fleet.Router(router), request);
+        ++(answer.complete ? this->finished : this->refused);
+      });
+    }
+  }
+
+  void Join() {
+    for (std::thread& thread : this->threads)
+      thread.join();
+    this->threads.clear();
+  }
+
+  std::atomic<std::size_t> finished = 0;
+  std::atomic<std::size_t> refused = 0;
+
+ private:
+  std::vector<std::thread> threads;
+  std::size_t next_chat = 0;
+};
+
+/** One endpoint with few slots, and a share of a fifth for each rank. */
+FleetPlan FloodPlan() {
+  FleetPlan plan;
+  plan.routers = 1;
+  plan.endpoints = {{"draft-1", "drafting", true}};
+  plan.settings = {{"max_running", kSlots}};
+  for (const auto& [name, document] : StandardDocuments()) {
+    if (name.rfind("profiles/", 0) != 0)
+      continue;
+    nlohmann::json changed = document;
+    changed["minimum_share_percent"] = 20;
+    plan.documents[name] = changed;
+  }
+  return plan;
+}
+
+std::size_t QueuedOf(const LocalFleet& fleet, const char* rank) {
+  const nlohmann::json status = LocalFleet::StatusOf(fleet.EndpointOperator(0));
+  return status["load"]["ranks"][rank]["queued"].get<std::size_t>();
+}
+
+LoadHistory HistoryOf(const LocalFleet& fleet, const std::string& vm) {
+  return ReadLoadHistory(fleet.Directory() / (vm + ".log"));
+}
+
+void BoundHoldsUnderConcurrentLoad() {
+  FleetPlan plan;
+  plan.routers = 2;
+  plan.endpoints = {{"draft-1", "drafting", true},
+                    {"draft-2", "drafting", true},
+                    {"draft-3", "drafting", true}};
+  plan.settings = {{"load_exchange_interval", 50}};
+  const LocalFleet fleet(plan);
+  constexpr std::size_t kCalls = 60;
+  Callers callers;
+  callers.Send(fleet, 0, kParishCredential, "chat", kCalls);
+  callers.Send(fleet, 1, kHospitalCredential, "chat", kCalls);
+  callers.Join();
+  std::size_t admitted = 0;
+  for (const LocalEndpoint& endpoint : plan.endpoints) {
+    const LoadCheckResult result =
+        CheckLoadBound(HistoryOf(fleet, endpoint.vm));
+    admitted += result.admitted;
+    CPPUNIT_ASSERT_MESSAGE(
+        result.violations.empty() ? "" : result.violations.front(),
+        result.violations.empty());
+  }
+  CPPUNIT_ASSERT(admitted >= callers.finished);
+  CPPUNIT_ASSERT_EQUAL(2 * kCalls, callers.finished + callers.refused);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, callers.refused.load());
+}
+
+void LoadsAreExchanged() {
+  FleetPlan plan;
+  plan.endpoints = {{"draft-1", "drafting", true},
+                    {"draft-2", "drafting", true},
+                    {"ledger-1", "ledger", false}};
+  plan.settings = {{"load_exchange_interval", 50}};
+  LocalFleet fleet(plan);
+  const auto known = [&](std::size_t index) {
+    const nlohmann::json status =
+        LocalFleet::StatusOf(fleet.EndpointOperator(index));
+    return status["load"]["mean_known"].get<std::size_t>();
+  };
+  CPPUNIT_ASSERT(WaitUntil([&] { return known(0) == 2 && known(1) == 2; }));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, known(2));
+  fleet.EndpointProcess(1).Kill();
+  CPPUNIT_ASSERT(WaitUntil([&] { return known(0) == 1; }));
+}
+
+void BulkFloodDoesNotDelayUrgent() {
+  const LocalFleet fleet(FloodPlan());
+  Callers callers;
+  callers.Send(fleet, 0, kHospitalCredential, "statement", 100);
+  CPPUNIT_ASSERT(WaitUntil([&] { return QueuedOf(fleet, "bulk") > 40; }));
+  callers.Send(fleet, 0, kParishCredential, "counter", 6);
+  callers.Join();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{106}, callers.finished.load());
+  // All six may wait together; bulk has a fifth of what starts meanwhile.
+  CPPUNIT_ASSERT(MostStartedBefore(HistoryOf(fleet, "draft-1"), "rank",
+                                   "urgent", "bulk") <= 3);
+}
+
+void UrgentFloodLeavesBulkItsShare() {
+  const LocalFleet fleet(FloodPlan());
+  Callers callers;
+  callers.Send(fleet, 0, kHospitalCredential, "counter", 100);
+  CPPUNIT_ASSERT(WaitUntil([&] { return QueuedOf(fleet, "urgent") > 70; }));
+  callers.Send(fleet, 0, kParishCredential, "statement", 30);
+  callers.Join();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{130}, callers.finished.load());
+  constexpr double kMinimum = 0.20;
+  constexpr double kKept = 0.95;
+  CPPUNIT_ASSERT(ShareUnderFlood(HistoryOf(fleet, "draft-1"), "bulk",
+                                 "urgent") >= kKept * kMinimum);
+}
+
+void HospitalDoesNotDelayParish() {
+  const LocalFleet fleet(FloodPlan());
+  Callers callers;
+  callers.Send(fleet, 0, kHospitalCredential, "chat", 100);
+  CPPUNIT_ASSERT(WaitUntil([&] { return QueuedOf(fleet, "standard") > 40; }));
+  callers.Send(fleet, 0, kParishCredential, "chat", 2);
+  callers.Join();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{102}, callers.finished.load());
+  CPPUNIT_ASSERT(MostStartedBefore(HistoryOf(fleet, "draft-1"), "organisation",
+                                   "parish", "hospital") <= 2);
+}
+
+void LateWorkIsRefused() {
+  FleetPlan plan = FloodPlan();
+  nlohmann::json hasty = StandardDocuments().at("profiles/statement");
+  hasty["deadline"] = 60;
+  plan.documents["profiles/statement"] = hasty;
+  const LocalFleet fleet(plan);
+  Callers callers;
+  callers.Send(fleet, 0, kHospitalCredential, "statement", 80);
+  callers.Join();
+  CPPUNIT_ASSERT(callers.finished > 0);
+  CPPUNIT_ASSERT(callers.refused > 0);
+  CPPUNIT_ASSERT_EQUAL(callers.finished.load(), fleet.EngineHistory().size());
+}
+
+const Story kStory("load", [] {
+  return Section(
+      "given real processes",
+      {Section("when endpoints of a service exchange loads",
+               {Then("each knows those of its own service and forgets the dead",
+                     LoadsAreExchanged),
+                Then("no admission is above the bound under concurrent load",
+                     BoundHoldsUnderConcurrentLoad)}),
+       Section(
+           "when one rank floods an endpoint",
+           {Then("a bulk flood does not delay urgent calls beyond its share",
+                 BulkFloodDoesNotDelayUrgent),
+            Then("an urgent flood leaves bulk its minimum share",
+                 UrgentFloodLeavesBulkItsShare),
+            Then("calls that cannot meet their deadline never run",
+                 LateWorkIsRefused)}),
+       Section("when a hospital asks 50 times what a parish asks",
+               {Then("at most two of its calls start before a parish's",
+                     HospitalDoesNotDelayParish)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
