The bound's story sends every call to one home first

Change: all calls are of one chat and the routers place by hash, so the endpoint alone holds the bound.

--- a/test/stories/load.cc
+++ b/test/stories/load.cc
@@ -25,14 +25,16 @@
   Callers& operator=(const Callers&) = delete;
   ~Callers() { this->Join(); }
 
-  /** Sends a number of calls at once, each of its own chat. */
+  /** Sends a number of calls at once, each of its own chat or all of one. */
   void Send(const LocalFleet& fleet,
             std::size_t router,
             const char* credential,
             const char* profile,
-            std::size_t count) {
+            std::size_t count,
+            bool one_chat = false) {
     for (std::size_t i = 0; i < count; ++i) {
-      const std::string chat = "chat-" + std::to_string(this->next_chat++);
+      const std::size_t number = one_chat ? 0 : this->next_chat++;
+      const std::string chat = "chat-" + std::to_string(number);
       const HttpRequest request =
           ChatRequest(credential, profile, chat, "a short question", kTokens);
       this->threads.emplace_back([this, request, &fleet, router] {
@@ -87,12 +89,14 @@
   plan.endpoints = {{"draft-1", "drafting", true},
                     {"draft-2", "drafting", true},
                     {"draft-3", "drafting", true}};
-  plan.settings = {{"load_exchange_interval", 50}};
+  // Routers send every call of the one chat to its home first.
+  plan.settings = {{"load_exchange_interval", 50},
+                   {"placement_policy", "hash"}};
   const LocalFleet fleet(plan);
   constexpr std::size_t kCalls = 60;
   Callers callers;
-  callers.Send(fleet, 0, kParishCredential, "chat", kCalls);
-  callers.Send(fleet, 1, kHospitalCredential, "chat", kCalls);
+  callers.Send(fleet, 0, kParishCredential, "chat", kCalls, true);
+  callers.Send(fleet, 1, kParishCredential, "chat", kCalls, true);
   callers.Join();
   std::size_t admitted = 0;
   for (const LocalEndpoint& endpoint : plan.endpoints) {
