--- a/src/endpoint/call_record.cc
+++ b/src/endpoint/call_record.cc
@@ -6,8 +6,25 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "buckthornpath/outcome_type.h"
+#include "wire/ticket.h"
+
 namespace buckthornpath {
 
+namespace {
+
+/** Memory that a chunk takes beside its text. */
+constexpr std::size_t kChunkOverheadBytes = sizeof(std::string);
+
+CallRefused EndOf(Outcome outcome, const char* reason) {
+  CallRefused refusal;
+  refusal.outcome = OutcomeName(outcome);
+  refusal.reason = reason;
+  return refusal;
+}
+
+}  // namespace
+
 void CallWaiter::Wake(const std::shared_ptr<CallWaiter>& waiter) {
   asio::post(waiter->strand, [waiter] {
     waiter->woken = true;
@@ -23,30 +40,72 @@
   this->woken = false;
 }
 
+bool AnswerMemory::TryTake(std::size_t bytes) {
+  if (this->held.fetch_add(bytes) + bytes <= this->limit)
+    return true;
+  this->held -= bytes;
+  return false;
+}
+
+bool CallRecord::Bind(const CallRequest& request) {
+  const std::string digest =
+      Sha256Hex(request.method + " " + request.path + "\n" + request.body);
+  const OrderedLock lock(this->mutex);
+  if (this->request_digest.empty())
+    this->request_digest = digest;
+  return this->request_digest == digest;
+}
+
 bool CallRecord::TryStart() {
   const OrderedLock lock(this->mutex);
-  if (this->state != CallState::kAdmitted)
-    return false;
-  this->state = CallState::kRunning;
-  return true;
+  if (this->machine.Start(BootClock::now() < this->start_by))
+    return true;
+  this->RefuseLocked(EndOf(Outcome::kNotRun, "ticket_expired"));
+  return false;
+}
+
+bool CallRecord::TryLeave() {
+  const OrderedLock lock(this->mutex);
+  if (this->machine.Leave(BootClock::now() < this->start_by))
+    return true;
+  this->RefuseLocked(EndOf(Outcome::kNotRun, "ticket_expired"));
+  return false;
+}
+
+CallState CallRecord::Cancel() {
+  const OrderedLock lock(this->mutex);
+  this->cancelled = true;
+  if (this->machine.State() != CallState::kRunning)
+    this->RefuseLocked(EndOf(Outcome::kNotRun, "cancelled"));
+  return this->machine.State();
+}
+
+bool CallRecord::IsCancelled() const {
+  const OrderedLock lock(this->mutex);
+  return this->cancelled;
 }
 
 void CallRecord::Append(std::string data) {
   const OrderedLock lock(this->mutex);
-  if (this->state != CallState::kRunning)
+  if (this->machine.State() != CallState::kRunning)
+    return;
+  const std::size_t cost = data.size() + kChunkOverheadBytes;
+  if (!this->memory->TryTake(cost)) {
+    this->RefuseLocked(EndOf(Outcome::kRan, "answer_memory_full"));
     return;
-  this->bytes += data.size();
+  }
+  this->bytes += cost;
+  this->answer_bytes += data.size();
   this->chunks.push_back(std::move(data));
   this->WakeAll();
 }
 
 void CallRecord::Finish(std::uint32_t status, std::string content_type) {
   const OrderedLock lock(this->mutex);
-  if (this->state != CallState::kRunning)
+  if (!this->machine.Finish())
     return;
-  this->state = CallState::kFinished;
   this->finished.chunks = this->chunks.size();
-  this->finished.bytes = this->bytes;
+  this->finished.bytes = this->answer_bytes;
   this->finished.status = status;
   this->finished.content_type = std::move(content_type);
   this->WakeAll();
@@ -54,11 +113,15 @@
 
 void CallRecord::Refuse(CallRefused refusal) {
   const OrderedLock lock(this->mutex);
-  if (this->state == CallState::kFinished ||
-      this->state == CallState::kRefused) {
+  this->RefuseLocked(std::move(refusal));
+}
+
+void CallRecord::RefuseLocked(CallRefused refusal) {
+  const bool has_left = this->machine.State() == CallState::kRunning;
+  if (!this->machine.Refuse())
     return;
-  }
-  this->state = CallState::kRefused;
+  if (has_left && refusal.outcome == OutcomeName(Outcome::kNotRun))
+    refusal.outcome = OutcomeName(Outcome::kUnknown);
   this->refused = std::move(refusal);
   this->WakeAll();
 }
@@ -66,7 +129,7 @@
 CallView CallRecord::View(std::uint64_t after) const {
   const OrderedLock lock(this->mutex);
   CallView view;
-  view.state = this->state;
+  view.state = this->machine.State();
   if (after < this->chunks.size()) {
     view.chunks.assign(
         this->chunks.begin() + static_cast<std::ptrdiff_t>(after),
@@ -85,13 +148,12 @@
 
 bool CallRecord::HasEnded() const {
   const OrderedLock lock(this->mutex);
-  return this->state == CallState::kFinished ||
-         this->state == CallState::kRefused;
+  return this->machine.HasEnded();
 }
 
-std::size_t CallRecord::Bytes() const {
+std::uint64_t CallRecord::ChunkCount() const {
   const OrderedLock lock(this->mutex);
-  return this->bytes;
+  return this->chunks.size();
 }
 
 void CallRecord::WakeAll() {
--- a/src/endpoint/call_record.h
+++ b/src/endpoint/call_record.h
@@ -3,6 +3,7 @@
 #ifndef SRC_ENDPOINT_CALL_RECORD_H_
 #define SRC_ENDPOINT_CALL_RECORD_H_
 
+#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
@@ -10,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "endpoint/call_machine.h"
 #include "kernel/boot_clock.h"
 #include "kernel/lock_order.h"
 #include "kernel/worker_pool.h"
@@ -17,12 +19,21 @@
 
 namespace buckthornpath {
 
-/** Where a call stands. */
-enum class CallState {
-  kAdmitted,  ///< It may run; nothing has left for the engine.
-  kRunning,   ///< Its request may have reached the engine.
-  kFinished,  ///< Its answer is whole.
-  kRefused,   ///< It ended without a whole answer; see the refusal.
+/** Bytes that the records of one table hold together. */
+class AnswerMemory {
+ public:
+  explicit AnswerMemory(std::size_t limit) : limit(limit) {}
+
+  /** @return False, and nothing taken, if that would pass the limit. */
+  bool TryTake(std::size_t bytes);
+  void Give(std::size_t bytes) { this->held -= bytes; }
+
+  std::size_t Held() const { return this->held; }
+  std::size_t Limit() const { return this->limit; }
+
+ private:
+  std::size_t limit;
+  std::atomic<std::size_t> held = 0;
 };
 
 /** A copy of what a record held at one moment. */
@@ -53,16 +64,55 @@
 /** One call; every dialogue that asks for it reads the same answer. */
 class CallRecord {
  public:
-  /** Moves from kAdmitted to kRunning. @return False if it may not run. */
+  /**
+   * @param start_by Time at which its ticket expires.
+   * @param memory Where the answer's bytes are counted.
+   */
+  CallRecord(BootClock::time_point start_by,
+             std::shared_ptr<AnswerMemory> memory)
+      : start_by(start_by), memory(std::move(memory)) {}
+  ~CallRecord() { this->memory->Give(this->bytes); }
+  CallRecord(const CallRecord&) = delete;
+  CallRecord& operator=(const CallRecord&) = delete;
+
+  /**
+   * Ties the record to a request.
+   * @return False if it is tied to another.
+   */
+  bool Bind(const CallRequest& request);
+
+  /**
+   * Takes the call's turn.
+   * @return False if it may not run; it has ended then.
+   */
   bool TryStart();
 
-  /** Adds a piece of the answer. */
+  /**
+   * Says that the request is about to leave for the engine; called last thing
+   * before it does.
+   * @return False if it must not leave; the call has ended then.
+   */
+  bool TryLeave();
+
+  /**
+   * Ends a call that has not left; one that has is asked to stop.
+   * @return Its state afterwards.
+   */
+  CallState Cancel();
+
+  /** @return True if a running call is to stop. */
+  bool IsCancelled() const;
+
+  /** Adds a piece of the answer; ends the call if there is no room for it. */
   void Append(std::string data);
 
   /** Ends the call with a whole answer. */
   void Finish(std::uint32_t status, std::string content_type);
 
-  /** Ends the call without one, unless it has ended already. */
+  /**
+   * Ends the call without one, unless it has ended already. A call that has
+   * left for the engine is never refused as `not_run`, but as `unknown`.
+   */
   void Refuse(CallRefused refusal);
 
   /** @return The state and the chunks after a sequence number. */
@@ -74,16 +124,23 @@
   /** @return True once the call has ended. */
   bool HasEnded() const;
 
-  /** @return Bytes held. */
-  std::size_t Bytes() const;
+  /** @return Number of chunks so far. */
+  std::uint64_t ChunkCount() const;
 
  private:
+  /** @pre The mutex is held. */
+  void RefuseLocked(CallRefused refusal);
   void WakeAll();
 
   mutable OrderedMutex mutex{LockRank::kOutcomeRecord};
-  CallState state = CallState::kAdmitted;
+  CallMachine machine;
+  std::string request_digest;  ///< Empty until the request has arrived.
+  bool cancelled = false;
+  const BootClock::time_point start_by;
+  const std::shared_ptr<AnswerMemory> memory;
   std::vector<std::string> chunks;
-  std::size_t bytes = 0;
+  std::size_t bytes = 0;  ///< Taken from the memory.
+  std::size_t answer_bytes = 0;
   CallFinished finished;
   CallRefused refused;
   std::vector<std::weak_ptr<CallWaiter>> waiters;
--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -101,6 +101,9 @@
         co_await this->HandleCall(*connection, strand, std::move(*call));
       } else if (auto* resume = std::get_if<ResumeRequest>(&message)) {
         co_await this->HandleResume(*connection, strand, std::move(*resume));
+      } else if (auto* cancel = std::get_if<CancelRequest>(&message)) {
+        CallRefused state = this->Cancel(*cancel);
+        co_await connection->Send(std::move(state));
       } else {
         ProcessMetrics().Add("unexpected_messages_total");
       }
@@ -116,21 +119,23 @@
   const auto ticket = this->mint.Decode(request.ticket);
   CallRefused refusal;
   if (!ticket || ticket->organisation.str() != request.organisation) {
-    refusal = this->admission.Refusal("not_run", "ticket_refused");
+    // Another organisation's call may run under this ticket.
+    refusal = this->admission.Refusal("unknown", "ticket_refused");
   } else {
     const TicketLookup lookup =
         this->outcomes.Open(request.ticket, *ticket, this->Age());
+    const bool is_own = lookup.record && lookup.record->Bind(request);
     if (lookup.answer == TicketAnswer::kNew) {
       this->admission.Submit(request, lookup.record);
     }
-    if (lookup.record) {
+    if (is_own) {
       co_await this->SendAnswer(connection, strand, lookup.record,
                                 request.attempt, request.after);
       co_return;
     }
     refusal = this->admission.Refusal(
         lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
-        lookup.reason);
+        lookup.record ? "ticket_reused" : lookup.reason);
   }
   refusal.attempt = request.attempt;
   co_await connection.Send(refusal);
@@ -160,6 +165,29 @@
   co_await connection.Send(refusal);
 }
 
+CallRefused DialogueServer::Cancel(const CancelRequest& request) {
+  const auto ticket = this->mint.Decode(request.ticket);
+  if (!ticket || ticket->organisation.str() != request.organisation) {
+    return this->admission.Refusal("unknown", "ticket_refused");
+  }
+  const TicketLookup lookup =
+      this->outcomes.Cancel(request.ticket, *ticket, this->Age());
+  if (!lookup.record) {
+    return this->admission.Refusal(
+        lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
+        lookup.reason);
+  }
+  const CallView view = lookup.record->View(0);
+  switch (view.state) {
+    case CallState::kFinished:
+      return this->admission.Refusal("ran", "finished");
+    case CallState::kRefused:
+      return view.refused;
+    default:
+      return this->admission.Refusal("unknown", "stopping");
+  }
+}
+
 asio::awaitable<void> DialogueServer::SendAnswer(
     DialogueConnection& connection,
     const Strand& strand,
--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -48,6 +48,9 @@
                                      const Strand& strand,
                                      ResumeRequest request);
 
+  /** Stops a call. @return What is known of it now. */
+  CallRefused Cancel(const CancelRequest& request);
+
   /** Sends the answer of a call as it comes, after a sequence number. */
   asio::awaitable<void> SendAnswer(DialogueConnection& connection,
                                    const Strand& strand,
--- a/src/endpoint/model_driver.cc
+++ b/src/endpoint/model_driver.cc
@@ -1,8 +1,10 @@
 /** @file model_driver.cc Runs calls at a model engine. */
 
+#include "buckthornpath/outcome_type.h"
 #include "endpoint/engine_driver.h"
 #include "kernel/http_client.h"
 #include "kernel/log.h"
+#include "kernel/metrics.h"
 #include "wire/event_stream.h"
 
 namespace buckthornpath {
@@ -10,6 +12,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds kEngineTimeout{60000};
+constexpr std::chrono::milliseconds kCancelTimeout{2000};
+constexpr std::chrono::milliseconds kResumePause{100};
+constexpr int kMostResumes = 5;
+constexpr unsigned kUnavailable = 503;
 constexpr std::string_view kDoneMark = "[DONE]";
 
 HttpRequest EngineRequest(const EngineCall& call) {
@@ -24,14 +30,25 @@
   return request;
 }
 
-CallRefused Refusal(const char* outcome, std::string detail) {
+/** @return A request for the rest of a stream; it never starts a run. */
+HttpRequest ResumeAtEngine(const EngineCall& call) {
+  HttpRequest request = EngineRequest(call);
+  request.headers.Set("X-Resume-After",
+                      std::to_string(call.record->ChunkCount()));
+  return request;
+}
+
+CallRefused Refusal(Outcome outcome, const char* reason, std::string detail) {
   CallRefused refusal;
-  refusal.outcome = outcome;
-  refusal.reason = "engine_failed";
+  refusal.outcome = OutcomeName(outcome);
+  refusal.reason = reason;
   refusal.detail = std::move(detail);
   return refusal;
 }
 
+/** How one reading of an engine's stream ended. */
+enum class StreamEnd { kSettled, kBroken, kUnknownToEngine };
+
 /** Sends requests to an engine that speaks streamed chat completions. */
 class ModelDriver final : public EngineDriver {
  public:
@@ -39,41 +56,103 @@
 
   asio::awaitable<void> Run(SocketAddress engine,
                             EngineCall call) const override {
+    const std::shared_ptr<CallRecord> record = call.record;
+    MaySend may_send = [record] { return record->TryLeave(); };
+    HttpRequest request = EngineRequest(call);
     std::string fault;
-    try {
-      co_await this->Stream(engine, call);
-    } catch (const HttpError& error) {
-      fault = error.what();
+    StreamEnd end = co_await this->TryRead(engine, std::move(request),
+                                           std::move(may_send), call, fault);
+    for (int i = 0; end == StreamEnd::kBroken && i < kMostResumes; ++i) {
+      co_await SleepFor(kResumePause);
+      ProcessMetrics().Add("engine_resumes_total");
+      HttpRequest resume = ResumeAtEngine(call);
+      end = co_await this->TryRead(engine, std::move(resume), nullptr, call,
+                                   fault);
     }
-    if (!fault.empty())
-      call.record->Refuse(Refusal("unknown", fault));
+    if (end != StreamEnd::kSettled)
+      record->Refuse(Refusal(Outcome::kUnknown, "engine_failed", fault));
+    if (record->IsCancelled())
+      co_await this->CancelAtEngine(engine, call);
   }
 
  private:
-  /** Copies the engine's events into the record. @throws HttpError */
-  asio::awaitable<void> Stream(SocketAddress engine,
-                               const EngineCall& call) const {
-    auto response = co_await HttpResponseStream::Open(
-        engine, EngineRequest(call), kEngineTimeout);
-    if (response->head().status != 200) {
+  /** Reads one stream into the record; a fault is named in `fault`. */
+  asio::awaitable<StreamEnd> TryRead(SocketAddress engine,
+                                     HttpRequest request,
+                                     MaySend may_send,
+                                     const EngineCall& call,
+                                     std::string& fault) const {
+    try {
+      auto response = co_await HttpResponseStream::Open(
+          engine, std::move(request), kEngineTimeout, std::move(may_send));
+      if (response->head().status != 200) {
+        co_return this->ReadFailure(response->head().status, call, fault);
+      }
+      co_return co_await this->Copy(*response, call);
+    } catch (const HttpNotSent& error) {
+      fault = error.what();
       call.record->Refuse(
-          Refusal("unknown",
-                  "engine status " + std::to_string(response->head().status)));
-      co_return;
+          Refusal(Outcome::kNotRun, "engine_unreachable", fault));
+    } catch (const HttpError& error) {
+      fault = error.what();
     }
+    co_return call.record->HasEnded() ? StreamEnd::kSettled
+                                      : StreamEnd::kBroken;
+  }
+
+  StreamEnd ReadFailure(unsigned status,
+                        const EngineCall& call,
+                        std::string& fault) const {
+    fault = "engine status " + std::to_string(status);
+    const bool transient =
+        status == kUnavailable && call.record->ChunkCount() > 0;
+    return transient ? StreamEnd::kBroken : StreamEnd::kUnknownToEngine;
+  }
+
+  /** Copies events into the record. @throws HttpError If the stream breaks. */
+  asio::awaitable<StreamEnd> Copy(HttpResponseStream& response,
+                                  const EngineCall& call) const {
     EventStreamReader reader;
-    while (auto piece = co_await response->ReadSome(kEngineTimeout)) {
+    while (auto piece = co_await response.ReadSome(kEngineTimeout)) {
       reader.Feed(*piece);
       while (auto event = reader.Next()) {
         if (event->data == kDoneMark) {
-          call.record->Finish(200, "text/event-stream");
-          co_return;
+          this->End(call);
+          co_return StreamEnd::kSettled;
         }
         call.record->Append(std::move(event->data));
       }
+      if (call.record->IsCancelled()) {
+        call.record->Refuse(Refusal(Outcome::kRan, "cancelled", ""));
+      }
+      if (call.record->HasEnded())
+        co_return StreamEnd::kSettled;
     }
     throw HttpError("stream ended without its end mark");
   }
+
+  /** Ends a stream that has its end mark; an empty one is a fault. */
+  void End(const EngineCall& call) const {
+    if (call.record->ChunkCount() == 0) {
+      call.record->Refuse(
+          Refusal(Outcome::kRan, "engine_failed", "the answer is empty"));
+      return;
+    }
+    call.record->Finish(200, "text/event-stream");
+  }
+
+  asio::awaitable<void> CancelAtEngine(SocketAddress engine,
+                                       const EngineCall& call) const {
+    HttpRequest request;
+    request.method = "DELETE";
+    request.target = "/v1/requests/" + call.request.ticket;
+    try {
+      co_await HttpFetch(engine, std::move(request), kCancelTimeout);
+    } catch (const HttpError& error) {
+      LogLine(LogLevel::kInfo, "engine_cancel_failed",
+              {{"request", call.request.ticket}, {"reason", error.what()}});
+    }
+  }
 };
 
 const ModelDriver kModelDriver;
--- a/src/endpoint/outcome_table.cc
+++ b/src/endpoint/outcome_table.cc
@@ -10,6 +10,13 @@
 
 constexpr std::chrono::milliseconds kSweepInterval{1000};
 
+/** Memory that an entry takes beside its ticket's text and its answer. */
+constexpr std::size_t kEntryOverheadBytes = 1024;
+
+std::size_t EntryBytes(const std::string& text) {
+  return text.size() + kEntryOverheadBytes;
+}
+
 }  // namespace
 
 void OutcomeTable::Sweep(std::chrono::milliseconds now) {
@@ -17,7 +24,11 @@
     return;
   this->next_sweep = now + kSweepInterval;
   std::erase_if(this->entries, [&](const auto& item) {
-    return item.second.forget_at <= now && item.second.record->HasEnded();
+    const bool old =
+        item.second.forget_at <= now && item.second.record->HasEnded();
+    if (old)
+      this->memory->Give(EntryBytes(item.first));
+    return old;
   });
 }
 
@@ -45,11 +56,18 @@
   return {TicketAnswer::kNew, "", nullptr};
 }
 
+bool OutcomeTable::HasRoom() const {
+  return this->entries.size() < this->limits.entries &&
+         this->memory->Held() < this->limits.bytes / 4 * 3;
+}
+
 std::shared_ptr<CallRecord> OutcomeTable::Add(const std::string& text,
-                                              const Ticket& ticket) {
-  if (this->entries.size() >= this->limits.entries)
+                                              const Ticket& ticket,
+                                              std::chrono::milliseconds now) {
+  if (!this->HasRoom() || !this->memory->TryTake(EntryBytes(text)))
     return nullptr;
-  auto record = std::make_shared<CallRecord>();
+  const auto start_by = BootClock::now() + (ticket.expiry - now);
+  auto record = std::make_shared<CallRecord>(start_by, this->memory);
   this->entries[text] = {record, ticket.expiry + this->limits.retention};
   return record;
 }
@@ -61,7 +79,7 @@
   TicketLookup lookup = this->Find(text, ticket, now);
   if (lookup.answer != TicketAnswer::kNew)
     return lookup;
-  lookup.record = this->Add(text, ticket);
+  lookup.record = this->Add(text, ticket, now);
   if (lookup.record)
     return lookup;
   this->closed_until = std::max(this->closed_until, ticket.issued);
@@ -75,7 +93,7 @@
   TicketLookup lookup = this->Find(text, ticket, now);
   if (lookup.answer != TicketAnswer::kNew)
     return lookup;
-  if (auto record = this->Add(text, ticket)) {
+  if (auto record = this->Add(text, ticket, now)) {
     CallRefused refusal;
     refusal.outcome = OutcomeName(Outcome::kNotRun);
     refusal.reason = "never_arrived";
@@ -86,6 +104,15 @@
   return {TicketAnswer::kNotRun, "never_arrived", nullptr};
 }
 
+TicketLookup OutcomeTable::Cancel(const std::string& text,
+                                  const Ticket& ticket,
+                                  std::chrono::milliseconds now) {
+  TicketLookup lookup = this->Close(text, ticket, now);
+  if (lookup.record)
+    lookup.record->Cancel();
+  return lookup;
+}
+
 std::size_t OutcomeTable::Size() const {
   const OrderedLock lock(this->mutex);
   return this->entries.size();
--- a/src/endpoint/outcome_table.h
+++ b/src/endpoint/outcome_table.h
@@ -46,7 +46,8 @@
                OutcomeLimits limits)
       : endpoint(std::move(endpoint)),
         incarnation(incarnation),
-        limits(limits) {}
+        limits(limits),
+        memory(std::make_shared<AnswerMemory>(limits.bytes)) {}
 
   /**
    * Finds a ticket's record or, if it may still start, makes one.
@@ -64,9 +65,20 @@
                      const Ticket& ticket,
                      std::chrono::milliseconds now);
 
+  /**
+   * Ends a ticket's call if it has not left for the engine, else asks it to
+   * stop. One not seen before is closed as by Close().
+   */
+  TicketLookup Cancel(const std::string& text,
+                      const Ticket& ticket,
+                      std::chrono::milliseconds now);
+
   /** @return Number of records. */
   std::size_t Size() const;
 
+  /** @return Bytes held by tickets and answers. */
+  std::size_t Bytes() const { return this->memory->Held(); }
+
  private:
   struct Entry {
     std::shared_ptr<CallRecord> record;
@@ -83,11 +95,16 @@
 
   /** Adds a record. @pre The mutex is held. @return Null if it is full. */
   std::shared_ptr<CallRecord> Add(const std::string& text,
-                                  const Ticket& ticket);
+                                  const Ticket& ticket,
+                                  std::chrono::milliseconds now);
+
+  /** @return True if a new call may be taken, with room for its answer. */
+  bool HasRoom() const;
 
   EndpointId endpoint;
   Incarnation incarnation;
   OutcomeLimits limits;
+  std::shared_ptr<AnswerMemory> memory;
   mutable OrderedMutex mutex{LockRank::kOutcomeTable};
   std::unordered_map<std::string, Entry> entries;
   std::chrono::milliseconds next_sweep{};
--- a/src/endpoint/plain_driver.cc
+++ b/src/endpoint/plain_driver.cc
@@ -1,5 +1,6 @@
 /** @file plain_driver.cc Runs calls at a plain service. */
 
+#include "buckthornpath/outcome_type.h"
 #include "endpoint/engine_driver.h"
 #include "kernel/http_client.h"
 
@@ -9,6 +10,14 @@
 
 constexpr std::chrono::milliseconds kServiceTimeout{60000};
 
+CallRefused Refusal(Outcome outcome, const char* reason, std::string detail) {
+  CallRefused refusal;
+  refusal.outcome = OutcomeName(outcome);
+  refusal.reason = reason;
+  refusal.detail = std::move(detail);
+  return refusal;
+}
+
 /** Forwards one HTTP request and keeps the whole response. */
 class PlainDriver final : public EngineDriver {
  public:
@@ -22,18 +31,20 @@
     request.headers.Set("Content-Type", "application/json");
     request.headers.Set("Idempotency-Key", call.request.ticket);
     request.body = call.request.body;
+    const std::shared_ptr<CallRecord> record = call.record;
+    MaySend may_send = [record] { return record->TryLeave(); };
     CallRefused refusal;
     try {
-      const HttpResponse response =
-          co_await HttpFetch(engine, std::move(request), kServiceTimeout);
+      const HttpResponse response = co_await HttpFetch(
+          engine, std::move(request), kServiceTimeout, std::move(may_send));
       call.record->Append(response.body);
       call.record->Finish(
           response.status,
           response.headers.Find("Content-Type").value_or("text/plain"));
+    } catch (const HttpNotSent& error) {
+      refusal = Refusal(Outcome::kNotRun, "engine_unreachable", error.what());
     } catch (const HttpError& error) {
-      refusal.outcome = "unknown";
-      refusal.reason = "service_failed";
-      refusal.detail = error.what();
+      refusal = Refusal(Outcome::kUnknown, "service_failed", error.what());
     }
     if (!refusal.outcome.empty())
       call.record->Refuse(std::move(refusal));
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -67,16 +67,20 @@
 asio::awaitable<std::unique_ptr<HttpResponseStream>> HttpResponseStream::Open(
     SocketAddress address,
     HttpRequest request,
-    std::chrono::milliseconds timeout) {
+    std::chrono::milliseconds timeout,
+    MaySend may_send) {
   auto state = std::make_unique<State>(co_await asio::this_coro::executor);
   beast::tcp_stream& stream = state->stream;
   stream.expires_after(timeout);
   auto [connect_error] = co_await stream.async_connect(address, kAwaitResult);
-  ThrowIf(connect_error, "connect");
+  if (connect_error)
+    throw HttpNotSent("connect: " + connect_error.message());
   beast::error_code ignored;
   stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   const auto message = ToBeast(request, address);
   stream.expires_after(timeout);
+  if (may_send && !may_send())
+    throw HttpNotSent("not to be sent");
   auto [write_error, written] =
       co_await http::async_write(stream, message, kAwaitResult);
   ThrowIf(write_error, "write");
@@ -115,9 +119,10 @@
 
 asio::awaitable<HttpResponse> HttpFetch(SocketAddress address,
                                         HttpRequest request,
-                                        std::chrono::milliseconds timeout) {
-  auto stream =
-      co_await HttpResponseStream::Open(address, std::move(request), timeout);
+                                        std::chrono::milliseconds timeout,
+                                        MaySend may_send) {
+  auto stream = co_await HttpResponseStream::Open(address, std::move(request),
+                                                  timeout, std::move(may_send));
   HttpResponse response = stream->head();
   while (auto piece = co_await stream->ReadSome(timeout)) {
     response.body += *piece;
--- a/src/kernel/http_client.h
+++ b/src/kernel/http_client.h
@@ -4,6 +4,7 @@
 #define SRC_KERNEL_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,18 +15,30 @@
 
 namespace buckthornpath {
 
+/** Nothing of the request has been sent. */
+class HttpNotSent : public HttpError {
+ public:
+  using HttpError::HttpError;
+};
+
+/** Asked once connected, last thing before a request is sent. */
+using MaySend = std::function<bool()>;
+
 /** A response whose body is read piece by piece. */
 class HttpResponseStream {
  public:
   /**
    * Connects, sends a request and reads the head of the response.
    * @param timeout Longest time for each of the three steps.
-   * @throws HttpError If any of them fails.
+   * @param may_send If given, the request is sent only if it returns true.
+   * @throws HttpNotSent If nothing of the request has been sent.
+   * @throws HttpError If a later step fails.
    */
   static asio::awaitable<std::unique_ptr<HttpResponseStream>> Open(
       SocketAddress address,
       HttpRequest request,
-      std::chrono::milliseconds timeout);
+      std::chrono::milliseconds timeout,
+      MaySend may_send = nullptr);
 
   ~HttpResponseStream();
 
@@ -52,7 +65,8 @@
  */
 asio::awaitable<HttpResponse> HttpFetch(SocketAddress address,
                                         HttpRequest request,
-                                        std::chrono::milliseconds timeout);
+                                        std::chrono::milliseconds timeout,
+                                        MaySend may_send = nullptr);
 
 }  // namespace buckthornpath
 
--- a/src/kernel/http_server.cc
+++ b/src/kernel/http_server.cc
@@ -220,8 +220,11 @@
     if (IsPeerGone(error))
       co_return false;
     BeastExchange exchange(stream, {}, false);
-    HttpResponse problem = PlainProblem(StatusOfReadError(error),
-                                        "request cannot be read", "not_run");
+    // A call named by its key may have run through another connection.
+    const bool names_call = parser.get().count("Idempotency-Key") > 0;
+    HttpResponse problem =
+        PlainProblem(StatusOfReadError(error), "request cannot be read",
+                     names_call ? "unknown" : "not_run");
     co_await exchange.Send(std::move(problem));
     co_return false;
   }
--- a/src/router/answer_writer.cc
+++ b/src/router/answer_writer.cc
@@ -2,6 +2,8 @@
 
 #include "router/answer_writer.h"
 
+#include <xxhash.h>
+
 #include <nlohmann/json.hpp>
 
 #include "kernel/log.h"
@@ -24,15 +26,33 @@
   co_await this->exchange.BeginStream(std::move(head));
 }
 
+void AnswerWriter::Restart() {
+  this->received = 0;
+  if (this->begun)
+    return;
+  this->sent = 0;
+  this->digests.clear();
+  this->body.clear();
+}
+
 asio::awaitable<void> AnswerWriter::WriteChunk(const CallChunk& chunk) {
-  if (chunk.sequence <= this->sent) {
+  if (chunk.sequence <= this->received) {
     ProcessMetrics().Add("late_chunks_total");
     co_return;
   }
-  if (chunk.sequence != this->sent + 1) {
+  if (chunk.sequence != this->received + 1) {
     throw DialogueLost("chunk out of order");
   }
-  this->sent = chunk.sequence;
+  const std::uint64_t digest =
+      XXH3_64bits(chunk.data.data(), chunk.data.size());
+  this->received = chunk.sequence;
+  if (this->received <= this->sent) {
+    if (this->digests.at(this->received - 1) != digest)
+      throw AnswerDiffers();
+    co_return;
+  }
+  this->sent = this->received;
+  this->digests.push_back(digest);
   if (!this->streamed) {
     this->body += chunk.data;
     co_return;
@@ -43,9 +63,11 @@
 }
 
 asio::awaitable<void> AnswerWriter::Finish(const CallFinished& finished) {
-  if (finished.chunks != this->sent) {
+  if (finished.chunks != this->received) {
     throw DialogueLost("answer ended early");
   }
+  if (this->received < this->sent)
+    throw AnswerDiffers();
   if (!this->streamed) {
     HttpResponse response;
     response.status = finished.status;
--- a/src/router/answer_writer.h
+++ b/src/router/answer_writer.h
@@ -4,7 +4,9 @@
 #define SRC_ROUTER_ANSWER_WRITER_H_
 
 #include <cstdint>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "kernel/http_server.h"
 #include "router/problem.h"
@@ -12,6 +14,12 @@
 
 namespace buckthornpath {
 
+/** A second generation of an answer differs from what the caller has. */
+class AnswerDiffers : public std::runtime_error {
+ public:
+  AnswerDiffers() : runtime_error("the answers differ") {}
+};
+
 /**
  * Writes an answer to a caller: server-sent events with an end event for a
  * model, one whole response for a plain service.
@@ -20,7 +28,7 @@
  public:
   /** @param after Last chunk that the caller has. */
   AnswerWriter(HttpExchange& exchange, bool streamed, std::uint64_t after)
-      : exchange(exchange), streamed(streamed), sent(after) {}
+      : exchange(exchange), streamed(streamed), received(after), sent(after) {}
 
   /** @param request_id Name under which the caller can resume. */
   void SetRequestId(std::string request_id) {
@@ -30,7 +38,18 @@
   /** @param hint Location hint that the answer carries. */
   void SetLocation(std::string hint) { this->location = std::move(hint); }
 
-  /** Sends the next piece; one that the caller has already is dropped. */
+  /**
+   * Takes an answer from its start again. What the caller has already must
+   * come again, byte for byte, so that no answer is spliced of two.
+   * @pre The answer was asked for from its start.
+   */
+  void Restart();
+
+  /**
+   * Sends the next piece; one that came already is dropped and counted.
+   * @throws AnswerDiffers After Restart(), if the caller has another piece.
+   * @throws DialogueLost If a piece is missing before it.
+   */
   asio::awaitable<void> WriteChunk(const CallChunk& chunk);
 
   /** Ends a whole answer. */
@@ -39,11 +58,8 @@
   /** Ends without a whole answer, as a response or as a final event. */
   asio::awaitable<void> Fail(Problem problem);
 
-  /** @return Sequence number of the last chunk that the caller has. */
-  std::uint64_t LastSent() const { return this->sent; }
-
-  /** @return True if anything has been sent. */
-  bool HasBegun() const { return this->begun; }
+  /** @return Sequence number of the last chunk of this generation. */
+  std::uint64_t LastReceived() const { return this->received; }
 
  private:
   asio::awaitable<void> Begin();
@@ -52,7 +68,10 @@
 
   HttpExchange& exchange;
   bool streamed;
-  std::uint64_t sent;
+  std::uint64_t received;  ///< Last chunk of this generation.
+  std::uint64_t sent;      ///< Last chunk that the caller has.
+  /** Digests of the chunks that the caller has from this writer. */
+  std::vector<std::uint64_t> digests;
   bool begun = false;
   std::string request_id;
   std::string location;
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -2,6 +2,8 @@
 
 #include "router/call_session.h"
 
+#include <atomic>
+
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -27,6 +29,31 @@
   return context.mint.Encode(ticket);
 }
 
+/** @return An attempt number that no other dialogue of this process has. */
+std::uint32_t NextDialogueNumber() {
+  static std::atomic<std::uint32_t> last = 0;
+  return ++last;
+}
+
+/** @return The attempt number of a message from an endpoint process. */
+std::uint32_t AttemptOf(const Message& message) {
+  return std::visit(
+      [](const auto& alternative) -> std::uint32_t {
+        if constexpr (requires { alternative.attempt; })
+          return alternative.attempt;
+        else
+          return 0;
+      },
+      message);
+}
+
+/** @return True if the answer goes to the caller as it is generated. */
+bool IsStreamed(const CallerRequest& request) {
+  return request.action == CallerAction::kResume || request.service.IsModel();
+}
+
+}  // namespace
+
 Outcome ParseOutcome(const std::string& name) {
   if (name == OutcomeName(Outcome::kNotRun))
     return Outcome::kNotRun;
@@ -35,19 +62,22 @@
   return Outcome::kUnknown;
 }
 
-/** @return True if the answer goes to the caller as it is generated. */
-bool IsStreamed(const CallerRequest& request) {
-  return request.action == CallerAction::kResume || request.service.IsModel();
+asio::awaitable<EndpointDialogue> OpenOrReuse(const SessionContext& context,
+                                              const Member& member) {
+  if (auto idle = context.pool.Take(member.address))
+    co_return std::move(*idle);
+  co_return co_await OpenDialogue(member.address,
+                                  context.settings.connect_timeout);
 }
 
-}  // namespace
-
 CallSession::CallSession(const SessionContext& context,
                          CallerRequest request,
                          HttpExchange& exchange)
     : context(context),
       request(std::move(request)),
-      writer(exchange, IsStreamed(this->request), this->request.after) {
+      writer(exchange, IsStreamed(this->request), this->request.after),
+      machine({this->request.profile.repeatable,
+               this->request.ticket.has_value()}) {
   this->writer.SetRequestId(this->request.ticket_text);
 }
 
@@ -85,46 +115,54 @@
     const std::shared_ptr<void> leave(nullptr, [&](void*) {
       this->context.placement.Loads().NoteEnd(member.id);
     });
-    AttemptEnd end = co_await this->Attempt(member);
-    if (end == AttemptEnd::kLost)
-      end = co_await this->Recover(member);
-    if (end == AttemptEnd::kAnswered)
+    co_await this->Attempt(member);
+    if (this->machine.MustRecover())
+      co_await this->Recover(member);
+    if (this->machine.IsAnswered())
       co_return;
-    const bool may_move =
-        end != AttemptEnd::kLost ||
-        (this->request.profile.repeatable && !this->writer.HasBegun());
-    if (!may_move || this->request.ticket)
+    if (!this->machine.MayMove())
       break;
+    this->writer.Restart();
   }
+  this->problem.outcome = this->machine.CurrentOutcome();
   co_await this->writer.Fail(this->problem);
 }
 
-asio::awaitable<CallSession::AttemptEnd> CallSession::Attempt(
-    const Member& member) {
-  bool sent = false;
+asio::awaitable<void> CallSession::Attempt(const Member& member) {
+  bool dispatched = false;
+  std::string fault;
   try {
-    EndpointDialogue dialogue = co_await OpenDialogue(
-        member.address, this->context.settings.connect_timeout);
+    EndpointDialogue dialogue = co_await OpenOrReuse(this->context, member);
     this->ticket =
         this->request.ticket
             ? this->request.ticket_text
             : MintTicket(this->context, this->request, dialogue, member);
     this->writer.SetRequestId(this->ticket);
-    sent = true;
+    this->machine.OnDispatch();
+    dispatched = true;
+    this->dialogue = NextDialogueNumber();
     co_await this->SendCall(dialogue);
-    co_return co_await this->Relay(dialogue);
+    co_await this->RelayAndKeep(member, std::move(dialogue));
+    co_return;
   } catch (const DialogueLost& lost) {
-    this->problem = {
-        "endpoint_unreachable", lost.what(),
-        sent || this->request.ticket ? Outcome::kUnknown : Outcome::kNotRun,
-        std::chrono::seconds(1), ""};
+    fault = lost.what();
   }
-  co_return sent ? AttemptEnd::kLost : AttemptEnd::kUnreached;
+  this->NoteLoss(member, fault);
+  if (!dispatched)
+    this->machine.OnUnreached();
+}
+
+void CallSession::NoteLoss(const Member& member, const std::string& reason) {
+  this->context.pool.Forget(member.address);
+  this->machine.OnLost();
+  this->problem.type = "endpoint_unreachable";
+  this->problem.detail = reason;
+  this->problem.retry_after = std::chrono::seconds(1);
 }
 
 ResumeRequest CallSession::ResumeMessage() const {
-  return {this->ticket, this->attempt, this->request.organisation.str(),
-          this->writer.LastSent()};
+  return {this->ticket, this->dialogue, this->request.organisation.str(),
+          this->writer.LastReceived()};
 }
 
 asio::awaitable<void> CallSession::SendCall(EndpointDialogue& dialogue) {
@@ -134,63 +172,108 @@
   }
   CallRequest call;
   call.ticket = this->ticket;
-  call.attempt = this->attempt;
+  call.attempt = this->dialogue;
   call.organisation = this->request.organisation.str();
   call.profile = this->request.profile.name;
   call.chat = this->request.chat.str();
   call.method = this->request.method;
   call.path = this->request.path;
   call.body = this->request.body;
-  call.after = this->writer.LastSent();
+  call.after = this->writer.LastReceived();
   co_await dialogue.connection->Send(std::move(call));
 }
 
-asio::awaitable<CallSession::AttemptEnd> CallSession::Recover(
-    const Member& member) {
-  const auto deadline = std::chrono::steady_clock::now() +
-                        this->context.settings.recovery_timeout;
-  while (std::chrono::steady_clock::now() < deadline) {
+asio::awaitable<void> CallSession::Recover(const Member& member) {
+  const auto limit = this->context.settings.recovery_timeout;
+  const auto lost_at = std::chrono::steady_clock::now();
+  this->last_heard = lost_at;
+  while (std::chrono::steady_clock::now() < this->last_heard + limit) {
+    std::string fault;
     try {
       EndpointDialogue dialogue = co_await OpenDialogue(
           member.address, this->context.settings.connect_timeout);
+      this->dialogue = NextDialogueNumber();
       co_await dialogue.connection->Send(this->ResumeMessage());
       ProcessMetrics().Add("dialogues_resumed_total");
-      co_return co_await this->Relay(dialogue);
+      co_await this->RelayAndKeep(member, std::move(dialogue));
+      ProcessMetrics().Observe("recovery_seconds", "",
+                               std::chrono::steady_clock::now() - lost_at);
+      co_return;
     } catch (const DialogueLost& lost) {
-      this->problem.detail = lost.what();
+      fault = lost.what();
     }
+    this->NoteLoss(member, fault);
     co_await SleepFor(kRecoveryPause);
   }
-  co_return AttemptEnd::kLost;
+  this->machine.OnUnknown();
 }
 
-asio::awaitable<CallSession::AttemptEnd> CallSession::Relay(
-    EndpointDialogue& dialogue) {
+asio::awaitable<void> CallSession::RelayAndKeep(const Member& member,
+                                                EndpointDialogue dialogue) {
+  co_await this->Relay(dialogue);
+  this->context.pool.Put(member.address, std::move(dialogue));
+}
+
+asio::awaitable<void> CallSession::Relay(EndpointDialogue& dialogue) {
   const EndpointId endpoint(dialogue.hello.endpoint);
-  while (true) {
+  bool ended = false;
+  while (!ended) {
     const Message message = co_await dialogue.connection->Receive(
         this->context.settings.silence_timeout);
+    this->last_heard = std::chrono::steady_clock::now();
+    if (AttemptOf(message) == this->dialogue) {
+      ended = co_await this->Handle(message, endpoint);
+    } else {
+      ProcessMetrics().Add("superseded_messages_total");
+    }
+  }
+}
+
+asio::awaitable<bool> CallSession::Handle(const Message& message,
+                                          const EndpointId& endpoint) {
+  bool differs = false;
+  try {
     if (const auto* chunk = std::get_if<CallChunk>(&message)) {
-      if (chunk->attempt == this->attempt) {
-        co_await this->writer.WriteChunk(*chunk);
-      }
-    } else if (const auto* end = std::get_if<CallFinished>(&message)) {
+      co_await this->writer.WriteChunk(*chunk);
+      co_return false;
+    }
+    if (const auto* end = std::get_if<CallFinished>(&message)) {
       co_await this->writer.Finish(*end);
-      co_return AttemptEnd::kAnswered;
-    } else if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
-      this->writer.SetLocation(this->context.placement.NoteAdmitted(
-          this->request, endpoint, accepted->running + accepted->queued));
-    } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
-      this->context.placement.Loads().NoteReport(
-          endpoint, refused->running + refused->queued,
-          std::chrono::steady_clock::now());
-      const Outcome outcome = ParseOutcome(refused->outcome);
-      this->problem = {refused->reason, refused->detail, outcome,
-                       refused->retry_after, ""};
-      co_return outcome == Outcome::kNotRun ? AttemptEnd::kRefused
-                                            : AttemptEnd::kLost;
+      this->machine.OnWhole();
+      co_return true;
     }
+  } catch (const AnswerDiffers&) {
+    differs = true;
+  }
+  if (differs) {
+    this->problem = {"answer_differs", "", Outcome::kRan, {}, ""};
+    this->machine.OnRan();
+    co_return true;
   }
+  if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
+    this->writer.SetLocation(this->context.placement.NoteAdmitted(
+        this->request, endpoint, accepted->running + accepted->queued));
+  } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
+    this->NoteRefusal(*refused, endpoint);
+    co_return true;
+  }
+  co_return false;
+}
+
+void CallSession::NoteRefusal(const CallRefused& refused,
+                              const EndpointId& endpoint) {
+  this->context.placement.Loads().NoteReport(endpoint,
+                                             refused.running + refused.queued,
+                                             std::chrono::steady_clock::now());
+  const Outcome outcome = ParseOutcome(refused.outcome);
+  this->problem = {refused.reason, refused.detail, outcome, refused.retry_after,
+                   ""};
+  if (outcome == Outcome::kNotRun)
+    this->machine.OnNotRun();
+  else if (outcome == Outcome::kRan)
+    this->machine.OnRan();
+  else
+    this->machine.OnUnknown();
 }
 
 asio::awaitable<std::string> MintTicketFor(const SessionContext& context,
@@ -198,9 +281,10 @@
   const PlacementDecision decision = context.placement.Place(request);
   for (const Member& member : decision.candidates) {
     try {
-      const EndpointDialogue dialogue = co_await OpenDialogue(
-          member.address, context.settings.connect_timeout);
-      co_return MintTicket(context, request, dialogue, member);
+      EndpointDialogue dialogue = co_await OpenOrReuse(context, member);
+      std::string ticket = MintTicket(context, request, dialogue, member);
+      context.pool.Put(member.address, std::move(dialogue));
+      co_return ticket;
     } catch (const DialogueLost& lost) {
       LogLine(LogLevel::kInfo, "endpoint_unreached",
               {{"endpoint", member.id.str()}, {"reason", lost.what()}});
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -8,8 +8,9 @@
 #include "kernel/settings.h"
 #include "router/answer_writer.h"
 #include "router/caller_request.h"
-#include "router/endpoint_dialogue.h"
+#include "router/dialogue_pool.h"
 #include "router/placement.h"
+#include "router/request_machine.h"
 
 namespace buckthornpath {
 
@@ -18,6 +19,7 @@
   const Settings& settings;
   Placement& placement;
   const TicketMint& mint;
+  DialoguePool& pool;
 };
 
 /** One call: chooses endpoints, hands over, streams back and recovers. */
@@ -31,34 +33,58 @@
   asio::awaitable<void> Run();
 
  private:
-  /** How one attempt at an endpoint ended. */
-  enum class AttemptEnd {
-    kAnswered,   ///< The caller has its answer or a final refusal.
-    kRefused,    ///< The endpoint has not run it and never will.
-    kUnreached,  ///< Nothing was sent to the endpoint.
-    kLost,       ///< The endpoint may have run it.
-  };
-
-  asio::awaitable<AttemptEnd> Attempt(const Member& member);
-  asio::awaitable<AttemptEnd> Recover(const Member& member);
+  /** Opens a dialogue, or takes an idle one, and sends the call. */
+  asio::awaitable<void> Attempt(const Member& member);
+
+  /** Asks the endpoint for the rest of the answer until it is heard of. */
+  asio::awaitable<void> Recover(const Member& member);
+
+  /** @throws DialogueLost */
   asio::awaitable<void> SendCall(EndpointDialogue& dialogue);
 
   /** @return A request for the rest of the current ticket's answer. */
   ResumeRequest ResumeMessage() const;
 
-  /** Relays the endpoint's messages until the attempt ends. */
-  asio::awaitable<AttemptEnd> Relay(EndpointDialogue& dialogue);
+  /** Relays until the call has ended and keeps the dialogue for the next. */
+  asio::awaitable<void> RelayAndKeep(const Member& member,
+                                     EndpointDialogue dialogue);
+
+  /** Relays messages until the call has ended. @throws DialogueLost */
+  asio::awaitable<void> Relay(EndpointDialogue& dialogue);
+
+  /** @return True if the message ends the call. */
+  asio::awaitable<bool> Handle(const Message& message,
+                               const EndpointId& endpoint);
+
+  /** Takes what an endpoint says of a call without an answer. */
+  void NoteRefusal(const CallRefused& refused, const EndpointId& endpoint);
+
+  /** Notes that a dialogue was lost. */
+  void NoteLoss(const Member& member, const std::string& reason);
 
   void LogRoute(const PlacementDecision& decision, const Member& choice) const;
 
   SessionContext context;
   CallerRequest request;
   AnswerWriter writer;
-  std::uint32_t attempt = 0;
+  RequestMachine machine;
+  std::uint32_t attempt = 0;   ///< Endpoints tried.
+  std::uint32_t dialogue = 0;  ///< Attempt number on the wire.
+  std::chrono::steady_clock::time_point last_heard;
   std::string ticket;  ///< Of the current attempt.
   Problem problem;     ///< Why the last attempt ended.
 };
 
+/**
+ * Takes an idle dialogue or opens one.
+ * @throws DialogueLost If the endpoint cannot be reached.
+ */
+asio::awaitable<EndpointDialogue> OpenOrReuse(const SessionContext& context,
+                                              const Member& member);
+
+/** @return What an endpoint process calls an outcome. */
+Outcome ParseOutcome(const std::string& name);
+
 /**
  * Mints a ticket at the best endpoint that can be reached.
  * @throws RequestRefused If none can.
--- a/src/router/caller_request.cc
+++ b/src/router/caller_request.cc
@@ -101,6 +101,22 @@
   return text.substr(0, prefix.size()) == prefix;
 }
 
+/** Takes a ticket; another key is of use only to repeatable calls. */
+void ReadIdempotencyKey(const HttpRequest& http,
+                        const TicketMint& mint,
+                        CallerRequest& request) {
+  const auto key = http.headers.Find("Idempotency-Key");
+  if (!key)
+    return;
+  if (LooksLikeTicket(*key)) {
+    ReadTicket(*key, mint, request);
+  } else if (!request.profile.repeatable) {
+    Refuse("ticket_needed",
+           "a call that may not be repeated takes a ticket from POST "
+           "/v1/tickets as its Idempotency-Key");
+  }
+}
+
 CallerRequest ReadKnownRequest(const HttpRequest& http,
                                const TicketMint& mint,
                                CallerRequest request) {
@@ -118,6 +134,11 @@
 
 }  // namespace
 
+bool NamesCall(const HttpRequest& http) {
+  return StartsWith(http.Path(), kRequestsPrefix) ||
+         LooksLikeTicket(http.headers.Find("Idempotency-Key").value_or(""));
+}
+
 CallerRequest ReadCallerRequest(const HttpRequest& http,
                                 const Configuration& configuration,
                                 const TicketMint& mint) {
@@ -145,9 +166,7 @@
   } else {
     ReadServiceCall(http, request);
   }
-  const auto key = http.headers.Find("Idempotency-Key");
-  if (key)
-    ReadTicket(*key, mint, request);
+  ReadIdempotencyKey(http, mint, request);
   return request;
 }
 
--- a/src/router/caller_request.h
+++ b/src/router/caller_request.h
@@ -46,6 +46,9 @@
   Problem reason;
 };
 
+/** @return True if a request names a call that may exist already. */
+bool NamesCall(const HttpRequest& http);
+
 /**
  * Classifies a request.
  * @throws RequestRefused If it is malformed or not allowed.
--- /dev/null
+++ b/src/router/dialogue_pool.h
@@ -0,0 +1,43 @@
+/** @file dialogue_pool.h Idle connections to endpoint processes. */
+
+#ifndef SRC_ROUTER_DIALOGUE_POOL_H_
+#define SRC_ROUTER_DIALOGUE_POOL_H_
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+#include "kernel/lock_order.h"
+#include "router/endpoint_dialogue.h"
+
+namespace buckthornpath {
+
+/** Keeps a few idle connections for each endpoint process. */
+class DialoguePool {
+ public:
+  /** @return An idle connection, or nothing if there is none. */
+  std::optional<EndpointDialogue> Take(const SocketAddress& address);
+
+  /** Keeps a connection whose last call has ended. */
+  void Put(const SocketAddress& address, EndpointDialogue dialogue);
+
+  /** Drops all connections to an address. */
+  void Forget(const SocketAddress& address);
+
+  /** @return Number of connections kept. */
+  std::size_t Size() const;
+
+ private:
+  struct IdleDialogue {
+    EndpointDialogue dialogue;
+    std::chrono::steady_clock::time_point since;
+  };
+
+  mutable OrderedMutex mutex{LockRank::kConnectionPool};
+  std::unordered_map<std::string, std::deque<IdleDialogue>> idle;
+  std::size_t size = 0;
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_ROUTER_DIALOGUE_POOL_H_
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -8,6 +8,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/role.h"
+#include "router/call_cancel.h"
 #include "router/call_session.h"
 
 namespace buckthornpath {
@@ -69,6 +70,9 @@
       co_await this->ServeCounted(exchange);
     } catch (const RequestRefused& refusal) {
       refused = refusal.Reason();
+      // Only its endpoint process knows what became of a named call.
+      if (NamesCall(exchange.request()))
+        refused->outcome = Outcome::kUnknown;
     }
     if (!refused)
       co_return;
@@ -87,7 +91,7 @@
     CallerRequest request = ReadCallerRequest(
         exchange.request(), *this->configuration.InForce(), this->mint);
     const SessionContext session{this->context.settings, this->placement,
-                                 this->mint};
+                                 this->mint, this->pool};
     if (request.action == CallerAction::kMintTicket) {
       HttpResponse response;
       response.status = 201;
@@ -98,6 +102,10 @@
       co_await exchange.Send(std::move(response));
       co_return;
     }
+    if (request.action == CallerAction::kCancel) {
+      co_await CancelCall(session, request, exchange);
+      co_return;
+    }
     const std::string label = "rank=\"" + request.profile.rank + "\"";
     ProcessMetrics().Add("requests_total", label);
     CallSession call(session, std::move(request), exchange);
@@ -110,6 +118,7 @@
   ConfigurationStore configuration;
   MemberList members;
   TicketMint mint;
+  DialoguePool pool;
   Placement placement;
   ConfigurationClient configuration_client;
   std::atomic<std::size_t> in_flight = 0;
--- a/src/wire/dialogue_connection.cc
+++ b/src/wire/dialogue_connection.cc
@@ -2,10 +2,13 @@
 
 #include "wire/dialogue_connection.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -22,9 +25,11 @@
 using asio::experimental::awaitable_operators::operator||;
 
 constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kHeaderBytes = 4;
+constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kMaxFrameBytes = 80 * 1024 * 1024;
 
-/** Longest time that one message may take to leave. */
+/** Longest time that a message may take to leave or to be acknowledged. */
 constexpr std::chrono::milliseconds kSendTimeout{5000};
 
 void ThrowIf(boost::system::error_code error, const char* step) {
@@ -38,12 +43,61 @@
 
 }  // namespace
 
+/** Closes a socket if an operation on it takes too long. */
+class DialogueConnection::Deadline {
+ public:
+  explicit Deadline(asio::ip::tcp::socket& socket)
+      : socket(socket), timer(socket.get_executor()) {}
+  ~Deadline() { *this->current = 0; }
+  Deadline(const Deadline&) = delete;
+  Deadline& operator=(const Deadline&) = delete;
+
+  /** @param executor Strand of the coroutine that waits. */
+  void Begin(const asio::any_io_executor& executor,
+             std::chrono::milliseconds time) {
+    const std::uint64_t number = ++this->last;
+    *this->current = number;
+    this->passed = false;
+    this->timer.expires_after(time);
+    this->timer.async_wait(asio::bind_executor(
+        executor, [this, number, current = this->current](auto error) {
+          if (error || *current != number)
+            return;
+          this->passed = true;
+          boost::system::error_code ignored;
+          this->socket.close(ignored);
+        }));
+  }
+
+  /** @return True if the time had run out. */
+  bool End() {
+    *this->current = 0;
+    this->timer.cancel();
+    return this->passed;
+  }
+
+ private:
+  asio::ip::tcp::socket& socket;
+  asio::steady_timer timer;
+  std::uint64_t last = 0;
+  /** Number of the operation under way; outlives this object. */
+  std::shared_ptr<std::uint64_t> current = std::make_shared<std::uint64_t>(0);
+  bool passed = false;
+};
+
 DialogueConnection::DialogueConnection(asio::ip::tcp::socket socket)
-    : socket(std::move(socket)) {
+    : socket(std::move(socket)),
+      receive_deadline(std::make_unique<Deadline>(this->socket)),
+      send_deadline(std::make_unique<Deadline>(this->socket)) {
   boost::system::error_code ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  const auto unacknowledged = static_cast<int>(kSendTimeout.count());
+  setsockopt(this->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &unacknowledged, sizeof(unacknowledged));
 }
 
+DialogueConnection::~DialogueConnection() = default;
+
 asio::awaitable<std::unique_ptr<DialogueConnection>>
 DialogueConnection::Connect(SocketAddress address,
                             std::chrono::milliseconds timeout) {
@@ -56,50 +110,77 @@
   co_return std::make_unique<DialogueConnection>(std::move(socket));
 }
 
+asio::awaitable<void> DialogueConnection::Fill(std::size_t size) {
+  while (this->pending.size() < size) {
+    std::array<char, kPieceBytes> piece{};
+    auto [error, got] = co_await this->socket.async_read_some(
+        asio::buffer(piece), kAwaitResult);
+    ThrowIf(error, "receive");
+    this->pending.append(piece.data(), got);
+  }
+}
+
 asio::awaitable<std::string> DialogueConnection::ReceiveFrame() {
-  std::array<unsigned char, 4> header{};
-  auto [header_error, header_size] = co_await asio::async_read(
-      this->socket, asio::buffer(header), kAwaitResult);
-  ThrowIf(header_error, "receive");
-  const std::uint32_t length = boost::endian::load_big_u32(header.data());
+  co_await this->Fill(kHeaderBytes);
+  const std::uint32_t length = boost::endian::load_big_u32(
+      reinterpret_cast<const unsigned char*>(this->pending.data()));
   if (length > kMaxFrameBytes)
     throw DialogueLost("receive: frame too long");
-  std::string bytes(length, '\0');
-  auto [error, size] = co_await asio::async_read(
-      this->socket, asio::buffer(bytes), kAwaitResult);
-  ThrowIf(error, "receive");
+  co_await this->Fill(kHeaderBytes + length);
+  std::string bytes = this->pending.substr(kHeaderBytes, length);
+  this->pending.erase(0, kHeaderBytes + length);
   co_return bytes;
 }
 
 asio::awaitable<Message> DialogueConnection::Receive(
     std::chrono::milliseconds timeout) {
+  const auto executor = co_await asio::this_coro::executor;
   while (true) {
-    auto result = co_await (this->ReceiveFrame() || Expire(timeout));
-    if (result.index() == 1)
+    this->receive_deadline->Begin(executor, timeout);
+    std::string bytes;
+    std::string fault;
+    try {
+      bytes = co_await this->ReceiveFrame();
+    } catch (const DialogueLost& lost) {
+      fault = lost.what();
+    }
+    if (this->receive_deadline->End())
       throw DialogueLost("receive: silent");
+    if (!fault.empty())
+      throw DialogueLost(fault);
     try {
-      co_return DecodeMessage(std::get<0>(result));
-    } catch (const MalformedMessage& fault) {
+      co_return DecodeMessage(bytes);
+    } catch (const MalformedMessage& error) {
       ProcessMetrics().Add("malformed_messages_total");
       LogLine(LogLevel::kWarning, "malformed_message",
-              {{"reason", fault.what()}});
+              {{"reason", error.what()}});
     }
   }
 }
 
 asio::awaitable<void> DialogueConnection::Send(Message message) {
   const std::string bytes = EncodeMessage(message);
-  std::array<unsigned char, 4> header{};
+  std::array<unsigned char, kHeaderBytes> header{};
   boost::endian::store_big_u32(header.data(),
                                static_cast<std::uint32_t>(bytes.size()));
   const std::array<asio::const_buffer, 2> buffers = {asio::buffer(header),
                                                      asio::buffer(bytes)};
-  auto result =
-      co_await (asio::async_write(this->socket, buffers, kAwaitResult) ||
-                Expire(kSendTimeout));
-  if (result.index() == 1)
+  const auto executor = co_await asio::this_coro::executor;
+  this->send_deadline->Begin(executor, kSendTimeout);
+  auto [error, size] =
+      co_await asio::async_write(this->socket, buffers, kAwaitResult);
+  if (this->send_deadline->End())
     throw DialogueLost("send: timeout");
-  ThrowIf(std::get<0>(std::get<0>(result)), "send");
+  ThrowIf(error, "send");
+}
+
+bool DialogueConnection::IsQuiet() {
+  if (!this->socket.is_open() || !this->pending.empty())
+    return false;
+  char byte = 0;
+  const ssize_t got =
+      recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void DialogueConnection::Close() {
--- a/src/wire/dialogue_connection.h
+++ b/src/wire/dialogue_connection.h
@@ -26,6 +26,9 @@
 class DialogueConnection {
  public:
   explicit DialogueConnection(asio::ip::tcp::socket socket);
+  ~DialogueConnection();
+  DialogueConnection(const DialogueConnection&) = delete;
+  DialogueConnection& operator=(const DialogueConnection&) = delete;
 
   /**
    * Connects to a process.
@@ -48,10 +51,21 @@
   /** Ends the connection; a waiting Receive() throws. */
   void Close();
 
+  /** @return True if it is open and nothing has arrived. */
+  bool IsQuiet();
+
  private:
+  class Deadline;
+
   asio::awaitable<std::string> ReceiveFrame();
 
+  /** Reads until a number of bytes is pending. */
+  asio::awaitable<void> Fill(std::size_t size);
+
   asio::ip::tcp::socket socket;
+  std::string pending;  ///< Received and not yet decoded.
+  std::unique_ptr<Deadline> receive_deadline;
+  std::unique_ptr<Deadline> send_deadline;
 };
 
 }  // namespace buckthornpath
