Stories of outcomes; a lost dialogue sends its call again under its ticket

Asking only for the outcome closed a call whose request was lost on a silent connection, so its caller got no answer. The same ticket attaches to a known call and starts an unknown one once, so sending it again is safe.

--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -193,7 +193,8 @@
       EndpointDialogue dialogue = co_await OpenDialogue(
           member.address, this->context.settings.connect_timeout);
       this->dialogue = NextDialogueNumber();
-      co_await dialogue.connection->Send(this->ResumeMessage());
+      // The ticket makes this safe: a known call is attached to, not run again.
+      co_await this->SendCall(dialogue);
       ProcessMetrics().Add("dialogues_resumed_total");
       co_await this->RelayAndKeep(member, std::move(dialogue));
       ProcessMetrics().Observe("recovery_seconds", "",
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -36,7 +36,10 @@
   /** Opens a dialogue, or takes an idle one, and sends the call. */
   asio::awaitable<void> Attempt(const Member& member);
 
-  /** Asks the endpoint for the rest of the answer until it is heard of. */
+  /**
+   * Sends the call again under the same ticket, for the rest of its answer,
+   * until the endpoint is heard of.
+   */
   asio::awaitable<void> Recover(const Member& member);
 
   /** @throws DialogueLost */
--- /dev/null
+++ b/test/stories/outcome_table.cc
@@ -0,0 +1,288 @@
+/** @file outcome_table.cc The table never forgets a key and stays bounded. */
+
+#include "endpoint/outcome_table.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <set>
+
+#include "harness/property.h"
+#include "harness/story.h"
+#include "router/answer_writer.h"
+#include "router/request_machine.h"
+#include "wire/dialogue_connection.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLifetime{1000};
+constexpr milliseconds kRetention{2000};
+
+OutcomeTable SmallTable(std::size_t entries = 8, std::size_t bytes = 64000) {
+  return {EndpointId("e"), Incarnation{1}, {entries, bytes, kRetention}};
+}
+
+Ticket TicketAt(milliseconds issued, const std::string& nonce) {
+  Ticket ticket;
+  ticket.endpoint = EndpointId("e");
+  ticket.incarnation = Incarnation{1};
+  ticket.nonce = nonce;
+  ticket.issued = issued;
+  ticket.expiry = issued + kLifetime;
+  return ticket;
+}
+
+void ClosedNeverStarts() {
+  OutcomeTable table = SmallTable();
+  const Ticket ticket = TicketAt(milliseconds(0), "a");
+  CPPUNIT_ASSERT(table.Close("a", ticket, milliseconds(1)).answer ==
+                 TicketAnswer::kNotRun);
+  const TicketLookup late = table.Open("a", ticket, milliseconds(2));
+  CPPUNIT_ASSERT(late.answer == TicketAnswer::kKnown);
+  CPPUNIT_ASSERT(!late.record->TryStart());
+}
+
+void FullTableRefuses() {
+  OutcomeTable table = SmallTable(2);
+  for (const char* name : {"a", "b"}) {
+    CPPUNIT_ASSERT(
+        table.Open(name, TicketAt(milliseconds(0), name), milliseconds(0))
+            .answer == TicketAnswer::kNew);
+  }
+  const Ticket third = TicketAt(milliseconds(5), "c");
+  CPPUNIT_ASSERT(table.Open("c", third, milliseconds(6)).answer ==
+                 TicketAnswer::kNotRun);
+  // Room again, but the refusal stands.
+  for (const char* name : {"a", "b"}) {
+    table.Cancel(name, TicketAt(milliseconds(0), name), milliseconds(7));
+  }
+  const milliseconds later = kLifetime + kRetention + milliseconds(1);
+  table.Open("d", TicketAt(later, "d"), later);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.Size());
+  CPPUNIT_ASSERT(table.Open("c", third, milliseconds(900)).answer ==
+                 TicketAnswer::kNotRun);
+}
+
+void BytesAreBounded() {
+  OutcomeTable table = SmallTable(1000, 64000);
+  std::size_t opened = 0;
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = std::to_string(i);
+    const TicketLookup lookup =
+        table.Open(name, TicketAt(milliseconds(i), name), milliseconds(i));
+    if (lookup.answer != TicketAnswer::kNew)
+      continue;
+    ++opened;
+    lookup.record->TryStart();
+    lookup.record->TryLeave();
+    lookup.record->Append(std::string(5000, 'x'));
+    lookup.record->Finish(200, "text/plain");
+  }
+  CPPUNIT_ASSERT(opened > 0 && opened < 100);
+  CPPUNIT_ASSERT(table.Bytes() <= 64000);
+  CPPUNIT_ASSERT_EQUAL(opened, table.Size());
+}
+
+void LongAnswerIsNotWhole() {
+  OutcomeTable table = SmallTable(10, 8000);
+  const auto record =
+      table.Open("a", TicketAt(milliseconds(0), "a"), milliseconds(0)).record;
+  record->TryStart();
+  record->TryLeave();
+  record->Append(std::string(9000, 'x'));
+  record->Finish(200, "text/plain");
+  CPPUNIT_ASSERT(record->View(0).state == CallState::kRefused);
+  CPPUNIT_ASSERT_EQUAL(std::string("ran"), record->View(0).refused.outcome);
+}
+
+void ExpiredDoesNotLeave() {
+  const auto memory = std::make_shared<AnswerMemory>(1000);
+  CallRecord late(BootClock::now() - milliseconds(1), memory);
+  CPPUNIT_ASSERT(!late.TryStart());
+  CPPUNIT_ASSERT_EQUAL(std::string("not_run"), late.View(0).refused.outcome);
+  CallRecord paused(BootClock::now() + milliseconds(20), memory);
+  CPPUNIT_ASSERT(paused.TryStart());
+  const auto end = BootClock::now() + milliseconds(25);
+  while (BootClock::now() < end) {
+  }
+  CPPUNIT_ASSERT(!paused.TryLeave());
+  CPPUNIT_ASSERT_EQUAL(std::string("not_run"), paused.View(0).refused.outcome);
+}
+
+void LeftIsNeverNotRun() {
+  const auto memory = std::make_shared<AnswerMemory>(1000);
+  CallRecord record(BootClock::now() + milliseconds(10000), memory);
+  record.TryStart();
+  record.TryLeave();
+  CallRefused refusal;
+  refusal.outcome = "not_run";
+  record.Refuse(refusal);
+  CPPUNIT_ASSERT_EQUAL(std::string("unknown"), record.View(0).refused.outcome);
+}
+
+/** Property: what was said not to run never starts, in any order of events. */
+void NotRunHolds() {
+  OutcomeTable table = SmallTable(*rc::gen::inRange<std::size_t>(1, 6));
+  std::set<int> refused;
+  milliseconds now{0};
+  const int steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    now += milliseconds(*rc::gen::inRange(0, 400));
+    const int key = *rc::gen::inRange(0, 8);
+    const std::string name = std::to_string(key);
+    const Ticket ticket = TicketAt(milliseconds(key * 150), name);
+    const int event = *rc::gen::inRange(0, 3);
+    const TicketLookup lookup = event == 0   ? table.Open(name, ticket, now)
+                                : event == 1 ? table.Close(name, ticket, now)
+                                             : table.Cancel(name, ticket, now);
+    const bool starts = lookup.record && lookup.record->TryStart();
+    RC_ASSERT(!starts || refused.count(key) == 0);
+    if (lookup.answer == TicketAnswer::kNotRun)
+      refused.insert(key);
+    if (lookup.record && lookup.record->View(0).state == CallState::kRefused &&
+        lookup.record->View(0).refused.outcome == "not_run") {
+      refused.insert(key);
+    }
+  }
+}
+
+/** Property: after an attempt that may have run, not_run is never said. */
+void DoubtStays() {
+  const bool repeatable = *rc::gen::arbitrary<bool>();
+  const bool holds_ticket = *rc::gen::arbitrary<bool>();
+  RequestMachine machine({repeatable, holds_ticket});
+  bool doubt = false;
+  const int steps = *rc::gen::inRange(1, 20);
+  for (int i = 0; i < steps; ++i) {
+    if (!machine.MayMove() && i > 0)
+      break;
+    RC_ASSERT(i == 0 || !holds_ticket);
+    RC_ASSERT(!doubt || repeatable);
+    if (*rc::gen::arbitrary<bool>()) {
+      machine.OnUnreached();
+      doubt = doubt || holds_ticket;
+      continue;
+    }
+    machine.OnDispatch();
+    if (*rc::gen::arbitrary<bool>()) {
+      machine.OnLost();
+      RC_ASSERT(machine.MustRecover());
+    }
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        machine.OnNotRun();
+        break;
+      case 1:
+        machine.OnUnknown();
+        doubt = true;
+        break;
+      default:
+        machine.OnRan();
+        doubt = true;
+    }
+    RC_ASSERT(!machine.MustRecover());
+  }
+  RC_ASSERT(doubt == (machine.CurrentOutcome() != Outcome::kNotRun));
+}
+
+/** Keeps what an answer writer sends. */
+class KeptExchange final : public HttpExchange {
+ public:
+  const HttpRequest& request() const override { return this->asked; }
+  asio::awaitable<void> Send(HttpResponse response) override {
+    this->text += response.body;
+    co_return;
+  }
+  asio::awaitable<void> BeginStream(HttpResponse /*head*/) override {
+    co_return;
+  }
+  asio::awaitable<void> WriteChunk(std::string_view data) override {
+    this->text += data;
+    co_return;
+  }
+  asio::awaitable<void> EndStream() override { co_return; }
+  bool Answered() const override { return !this->text.empty(); }
+
+  HttpRequest asked;
+  std::string text;
+};
+
+/** @return What a task threw, or null. */
+template <class Fault>
+bool Throws(asio::awaitable<void> task) {
+  asio::io_context io;
+  bool thrown = false;
+  asio::co_spawn(io, std::move(task), [&](const std::exception_ptr& fault) {
+    if (!fault)
+      return;
+    try {
+      std::rethrow_exception(fault);
+    } catch (const Fault&) {
+      thrown = true;
+    }
+  });
+  io.run();
+  return thrown;
+}
+
+void NoSplice() {
+  KeptExchange exchange;
+  AnswerWriter writer(exchange, true, 0);
+  CPPUNIT_ASSERT(!Throws<AnswerDiffers>(writer.WriteChunk({1, 1, "one"})));
+  CPPUNIT_ASSERT(!Throws<AnswerDiffers>(writer.WriteChunk({1, 2, "two"})));
+  writer.Restart();
+  CPPUNIT_ASSERT(!Throws<AnswerDiffers>(writer.WriteChunk({2, 1, "one"})));
+  CPPUNIT_ASSERT(Throws<AnswerDiffers>(writer.WriteChunk({2, 2, "other"})));
+}
+
+void ShorterIsNotWhole() {
+  KeptExchange exchange;
+  AnswerWriter writer(exchange, true, 0);
+  Throws<AnswerDiffers>(writer.WriteChunk({1, 1, "one"}));
+  Throws<AnswerDiffers>(writer.WriteChunk({1, 2, "two"}));
+  writer.Restart();
+  Throws<AnswerDiffers>(writer.WriteChunk({2, 1, "one"}));
+  CallFinished finished;
+  finished.chunks = 1;
+  CPPUNIT_ASSERT(Throws<AnswerDiffers>(writer.Finish(finished)));
+}
+
+void PlainBodyStartsAgain() {
+  KeptExchange exchange;
+  AnswerWriter writer(exchange, false, 0);
+  Throws<DialogueLost>(writer.WriteChunk({1, 1, "half of one"}));
+  writer.Restart();
+  Throws<DialogueLost>(writer.WriteChunk({2, 1, "another"}));
+  CallFinished finished;
+  finished.chunks = 1;
+  CPPUNIT_ASSERT(!Throws<AnswerDiffers>(writer.Finish(finished)));
+  CPPUNIT_ASSERT_EQUAL(std::string("another"), exchange.text);
+}
+
+const Story kStory("outcome_table", [] {
+  return Section(
+      "given the calls that an endpoint process remembers",
+      {Section("when a call is closed",
+               {Then("its late request never starts", ClosedNeverStarts),
+                Always("what was said not to run never starts", NotRunHolds)}),
+       Section("when the table is full",
+               {Then("it refuses for good", FullTableRefuses),
+                Then("its bytes stay bounded", BytesAreBounded),
+                Then("a cut answer is not whole", LongAnswerIsNotWhole)}),
+       Section("when time passes before a call leaves",
+               {Then("it does not leave", ExpiredDoesNotLeave),
+                Then("one that left is never not_run", LeftIsNeverNotRun)}),
+       Section("when a router tries several endpoints",
+               {Always("it never says not_run in doubt", DoubtStays),
+                Then("two generations are not spliced", NoSplice),
+                Then("a shorter one is not whole", ShorterIsNotWhole),
+                Then("a plain body is not mixed", PlainBodyStartsAgain)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
