--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 # Generated fault schedules, judged by the checker.
 sweep: build
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
-	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200)
+	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200) $(FAULT)
 
 clean:
 	rm -rf $(BUILD)
--- a/test/sweep/fault_schedule.cc
+++ b/test/sweep/fault_schedule.cc
@@ -31,7 +31,7 @@
     "kill_router", "kill_endpoint", "pause_router", "pause_endpoint",
     "cut",         "cut_one_way",   "silence",      "silence_one_way",
     "delay",       "double",        "reorder",      "refuse_new",
-    "list_change"};
+    "list_change", "engine_break",  "engine_empty"};
 
 FleetPlan SweepPlan() {
   FleetPlan plan;
@@ -102,6 +102,12 @@
         this->fleet.PublishVms(
             {{endpoint < 2 ? "draft-1" : "ledger-1", "leaving"}});
         break;
+      case FaultKind::kEngineBreak:
+        this->SetEngineFaults(R"({"break_next":2,"break_after":5})");
+        break;
+      case FaultKind::kEngineEmpty:
+        this->SetEngineFaults(R"({"empty_next":1})");
+        break;
     }
   }
 
@@ -116,6 +122,14 @@
   }
 
  private:
+  void SetEngineFaults(const char* faults) {
+    constexpr std::size_t kModelEndpoints = 2;
+    for (std::size_t i = 0; i < kModelEndpoints; ++i) {
+      CallHttp(this->fleet.Engine(i),
+               HttpRequest{"POST", "/control", {}, faults});
+    }
+  }
+
   void Pause(ChildProcess& process) {
     process.Signal(SIGSTOP);
     this->pauses.emplace_back([&process] {
@@ -128,13 +142,14 @@
   std::vector<std::jthread> pauses;
 };
 
-rc::Gen<FaultSchedule> Schedules() {
+rc::Gen<FaultSchedule> Schedules(std::optional<FaultKind> only) {
   const auto step = rc::gen::build<FaultStep>(
       rc::gen::set(
           &FaultStep::kind,
-          rc::gen::map(
-              rc::gen::inRange<std::size_t>(0, kFaultKindCount),
-              [](std::size_t index) { return static_cast<FaultKind>(index); })),
+          rc::gen::map(rc::gen::inRange<std::size_t>(0, kFaultKindCount),
+                       [only](std::size_t index) {
+                         return only.value_or(static_cast<FaultKind>(index));
+                       })),
       rc::gen::set(&FaultStep::target, rc::gen::inRange<std::size_t>(0, 8)),
       rc::gen::set(
           &FaultStep::pause,
@@ -188,7 +203,15 @@
   return CheckHistory(lines);
 }
 
-SweepReport Sweep(std::uint64_t seed, int runs) {
+std::optional<FaultKind> FindFault(std::string_view name) {
+  for (std::size_t i = 0; i < kFaultNames.size(); ++i) {
+    if (kFaultNames.at(i) == name)
+      return static_cast<FaultKind>(i);
+  }
+  return std::nullopt;
+}
+
+SweepReport Sweep(std::uint64_t seed, int runs, std::optional<FaultKind> only) {
   SweepReport report;
   std::map<std::string, std::size_t> told;
   rc::detail::TestParams params;
@@ -198,7 +221,7 @@
   metadata.id = "outcomes hold under generated faults";
   const auto result = rc::detail::checkTestable(
       [&] {
-        const FaultSchedule schedule = *Schedules();
+        const FaultSchedule schedule = *Schedules(only);
         const HistoryVerdict verdict = RunSchedule(schedule);
         ++report.runs;
         report.calls += verdict.calls;
@@ -215,6 +238,7 @@
   report.passed = result.template is<rc::detail::SuccessResult>();
   std::cout << "\n"
             << nlohmann::json{{"seed", seed},
+                              {"faults_of", only ? FaultName(*only) : "all"},
                               {"runs", report.runs},
                               {"calls", report.calls},
                               {"faults", report.faults},
--- a/test/sweep/fault_schedule.h
+++ b/test/sweep/fault_schedule.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <iosfwd>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -27,9 +28,11 @@
   kReorder,
   kRefuseNew,
   kListChange,
+  kEngineBreak,
+  kEngineEmpty,
 };
 
-inline constexpr std::size_t kFaultKindCount = 13;
+inline constexpr std::size_t kFaultKindCount = 15;
 
 /** @return Name of a kind of fault. */
 std::string_view FaultName(FaultKind kind);
@@ -57,8 +60,16 @@
   bool passed = false;
 };
 
-/** Runs generated schedules, shrinks one that fails and prints a report. */
-SweepReport Sweep(std::uint64_t seed, int runs);
+/**
+ * Runs generated schedules, shrinks one that fails and prints a report.
+ * @param only The one kind of fault to inject, or nothing for all kinds.
+ */
+SweepReport Sweep(std::uint64_t seed,
+                  int runs,
+                  std::optional<FaultKind> only = std::nullopt);
+
+/** @return The kind of fault with a name. */
+std::optional<FaultKind> FindFault(std::string_view name);
 
 }  // namespace buckthornpath
 
--- a/test/sweep/sweep.cc
+++ b/test/sweep/sweep.cc
@@ -6,11 +6,13 @@
 #include "sweep/fault_schedule.h"
 
 int main(int argc, char** argv) {
-  if (argc != 3) {
-    std::cerr << "usage: sweep SEED RUNS\n";
+  if (argc != 3 && argc != 4) {
+    std::cerr << "usage: sweep SEED RUNS [FAULT]\n";
     return 2;
   }
   const auto seed = std::strtoull(argv[1], nullptr, 10);
   const auto runs = static_cast<int>(std::strtol(argv[2], nullptr, 10));
-  return buckthornpath::Sweep(seed, runs).passed ? 0 : 1;
+  const auto only =
+      argc == 4 ? buckthornpath::FindFault(argv[3]) : std::nullopt;
+  return buckthornpath::Sweep(seed, runs, only).passed ? 0 : 1;
 }
--- a/test/sweep/sweep_callers.cc
+++ b/test/sweep/sweep_callers.cc
@@ -2,6 +2,8 @@
 
 #include "sweep/sweep_callers.h"
 
+#include <thread>
+
 #include "harness/caller.h"
 
 namespace buckthornpath {
@@ -11,7 +13,24 @@
 constexpr std::size_t kRouters = 2;
 constexpr int kTries = 4;
 constexpr int kTokens = 30;
-constexpr std::chrono::milliseconds kTryTimeout{3000};
+constexpr std::chrono::milliseconds kTryTimeout{2000};
+
+/** Chunks after which a caller that resumes hangs up. */
+constexpr std::size_t kPieceChunks = 8;
+
+HttpRequest WithTicket(HttpRequest request, const std::string& ticket) {
+  request.headers.Set("Idempotency-Key", ticket);
+  return request;
+}
+
+HttpRequest OnCall(const std::string& method, const std::string& ticket) {
+  HttpRequest request;
+  request.method = method;
+  request.target = "/v1/requests/" + ticket;
+  request.headers.Set("Authorization",
+                      std::string("Bearer ") + kParishCredential);
+  return request;
+}
 
 std::string OutcomeOf(const HttpResponse& response) {
   const auto body = nlohmann::json::parse(response.body, nullptr, false);
@@ -101,8 +120,7 @@
       this->MintTicket(request.headers.Find("X-Profile").value_or(""));
   if (ticket.empty())
     return;
-  HttpRequest ticketed = request;
-  ticketed.headers.Set("Idempotency-Key", ticket);
+  const HttpRequest ticketed = WithTicket(request, ticket);
   this->NoteInvoke(ticketed, streamed, false);
   for (int i = 0; i < kTries; ++i) {
     if (this->TryOnce(this->NextRouter(), ticketed, streamed))
@@ -110,6 +128,62 @@
   }
 }
 
+void SweepCaller::CallAtOnce(const HttpRequest& request) {
+  const std::string ticket = this->MintTicket("receipt");
+  if (ticket.empty())
+    return;
+  const HttpRequest ticketed = WithTicket(request, ticket);
+  this->NoteInvoke(ticketed, false, false);
+  std::vector<std::jthread> both;
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    both.emplace_back([this, &ticketed, i] {
+      this->TryPlain(this->fleet.Router(i), ticketed);
+    });
+  }
+}
+
+void SweepCaller::CallAndCancel(const HttpRequest& request) {
+  const std::string ticket = this->MintTicket("receipt");
+  if (ticket.empty())
+    return;
+  const HttpRequest ticketed = WithTicket(request, ticket);
+  this->NoteInvoke(ticketed, false, false);
+  const std::jthread call(
+      [this, &ticketed] { this->TryPlain(this->fleet.Router(0), ticketed); });
+  try {
+    const HttpResponse response =
+        CallHttp(this->fleet.Router(1), OnCall("DELETE", ticket), kTryTimeout);
+    this->NoteTold(ticketed, OutcomeOf(response));
+  } catch (const HttpError&) {
+    // Nothing was told.
+  }
+}
+
+void SweepCaller::CallAndResume(const HttpRequest& request) {
+  const std::string ticket = this->MintTicket("statement");
+  if (ticket.empty())
+    return;
+  const HttpRequest ticketed = WithTicket(request, ticket);
+  this->NoteInvoke(ticketed, true, false);
+  std::vector<std::string> chunks;
+  HttpRequest next = ticketed;
+  for (int i = 0; i < 2 * kTries; ++i) {
+    const StreamedAnswer answer = CallStream(
+        this->NextRouter(), next,
+        [](std::size_t count) { return count < kPieceChunks; }, kTryTimeout);
+    chunks.insert(chunks.end(), answer.chunks.begin(), answer.chunks.end());
+    this->NoteTold(request, answer.complete ? "" : answer.outcome);
+    if (answer.complete) {
+      this->history.Write(
+          {{"event", "answer"}, {"body", request.body}, {"chunks", chunks}});
+    }
+    if (answer.complete || answer.outcome == "not_run")
+      return;
+    next = OnCall("GET", ticket);
+    next.headers.Set("Last-Event-ID", std::to_string(chunks.size()));
+  }
+}
+
 void SweepCaller::CallWithoutTicket(const HttpRequest& request,
                                     bool streamed,
                                     bool repeatable) {
@@ -126,20 +200,29 @@
         ServiceRequest(kParishCredential, "receipt",
                        "/v1/services/ledger/issue", "receipt " + name);
     const std::string chat = "chat-" + std::to_string(this->number);
-    switch ((this->number + i) % 4) {
+    const HttpRequest statement = ChatRequest(
+        kParishCredential, "statement", chat, "statement " + name, kTokens);
+    switch ((this->number + i) % 7) {
       case 0:
         this->CallWithTicket(receipt, false);
         break;
       case 1:
-        this->CallWithTicket(ChatRequest(kParishCredential, "statement", chat,
-                                         "statement " + name, kTokens),
-                             true);
+        this->CallWithTicket(statement, true);
         break;
       case 2:
         this->CallWithoutTicket(ChatRequest(kParishCredential, "chat", chat,
                                             "question " + name, kTokens),
                                 true, true);
         break;
+      case 3:
+        this->CallAtOnce(receipt);
+        break;
+      case 4:
+        this->CallAndCancel(receipt);
+        break;
+      case 5:
+        this->CallAndResume(statement);
+        break;
       default:
         this->CallWithoutTicket(receipt, false, false);
         break;
--- a/test/sweep/sweep_callers.h
+++ b/test/sweep/sweep_callers.h
@@ -23,6 +23,15 @@
   /** A call under a ticket, retried through the other routers at once. */
   void CallWithTicket(const HttpRequest& request, bool streamed);
 
+  /** One ticket through both routers at the same time. */
+  void CallAtOnce(const HttpRequest& request);
+
+  /** A call that its caller cancels while it may be running. */
+  void CallAndCancel(const HttpRequest& request);
+
+  /** Reads a stream in pieces, each through the next router. */
+  void CallAndResume(const HttpRequest& request);
+
   /** A call without a ticket, never retried unless it is repeatable. */
   void CallWithoutTicket(const HttpRequest& request,
                          bool streamed,
