Command-line tool: one file for each command; settings checked for a role

Commands register themselves; docopt's page is made from them. Settings: addresses must parse, a role's addresses must be present, silence_timeout must exceed heartbeat_interval. send always uses a ticket, so that resending is safe. docs/SETTINGS.md and docs/PROFILES.md are printed by the tool (make pages) and compared by the story command_line.

Seen failing: mutants without address checks, role checks, kept revisions, reference checks and resumption, each caught by its case.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   libdocopt-dev libcppunit-dev nlohmann-json3-dev libxxhash-dev \
   librapidcheck-dev libssl-dev
 
-.PHONY: deps build check format lint demo measure slopes sweep clean
+.PHONY: deps build check format lint pages demo measure slopes sweep clean
 
 # Installs what is missing; asks the package manager for nothing else.
 deps:
@@ -48,5 +48,10 @@
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
 	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200)
 
+# Reference pages from the tables of fields; a test compares them.
+pages: build
+	$(BUILD)/buckthornpath help settings > docs/SETTINGS.md
+	$(BUILD)/buckthornpath help profiles > docs/PROFILES.md
+
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/src/cli/caller_options.cc
@@ -0,0 +1,74 @@
+/** @file caller_options.cc What `send` and `ticket` say as a caller. */
+
+#include "cli/caller_options.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "cli/http_call.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr const char* kCredentialVariable = "BUCKTHORNPATH_CREDENTIAL";
+
+std::string Credential(const CommandOptions& options) {
+  const auto file_name = options.Text("--credential-file");
+  if (file_name) {
+    std::ifstream file(*file_name);
+    std::string credential;
+    if (!std::getline(file, credential))
+      throw std::runtime_error(*file_name + ": cannot be read");
+    return credential;
+  }
+  const char* value = std::getenv(kCredentialVariable);
+  if (value == nullptr) {
+    throw std::runtime_error(std::string("no --credential-file and no ") +
+                             kCredentialVariable);
+  }
+  return value;
+}
+
+}  // namespace
+
+std::vector<SocketAddress> RoutersOf(const CommandOptions& options) {
+  std::vector<SocketAddress> routers;
+  for (const std::string& text : options.Texts("--router"))
+    routers.push_back(ParseSocketAddress(text));
+  return routers;
+}
+
+HttpRequest CallerRequestOf(const CommandOptions& options) {
+  HttpRequest request;
+  request.method = "POST";
+  request.headers.Set("Authorization", "Bearer " + Credential(options));
+  request.headers.Set("X-Profile", options.Text("--profile").value_or(""));
+  request.headers.Set("Content-Type", "application/json");
+  const auto chat = options.Text("--chat");
+  if (chat)
+    request.headers.Set("X-Chat", *chat);
+  return request;
+}
+
+std::string AskForTicket(const CommandOptions& options) {
+  std::string fault = "no router named";
+  for (const SocketAddress& router : RoutersOf(options)) {
+    HttpRequest request = CallerRequestOf(options);
+    request.target = "/v1/tickets";
+    try {
+      const HttpResponse response =
+          CallAddress(router, std::move(request), kOperatorTimeout);
+      if (response.status == 201)
+        return nlohmann::json::parse(response.body).at("ticket");
+      fault = response.body;
+    } catch (const HttpError& error) {
+      fault = error.what();
+    }
+  }
+  throw HttpError("no ticket: " + fault);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/cli/check_published_cmd.cc
@@ -0,0 +1,29 @@
+/** @file check_published_cmd.cc Checks documents before they are published. */
+
+#include "cli/command.h"
+#include "cli/document_directory.h"
+
+namespace buckthornpath {
+
+namespace {
+
+CommandResult CheckPublished(const CommandOptions& options) {
+  const std::filesystem::path place = options.Text("<place>").value_or("");
+  Configuration configuration;
+  if (!std::filesystem::is_directory(place))
+    return CheckDocuments({ReadDocumentFile(place)}, configuration);
+  const auto documents = ReadDocumentDirectory(place);
+  const CommandResult result = CheckDocuments(documents, configuration);
+  return result == CommandResult::kDone
+             ? CheckReferences(documents, configuration)
+             : result;
+}
+
+const Command kCommand("check published",
+                       "<place>",
+                       "Checks a directory of documents, or one of them.",
+                       CheckPublished);
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/cli/command.cc
@@ -0,0 +1,135 @@
+/** @file command.cc Commands of the tool; each registers itself. */
+
+#include "cli/command.h"
+
+#include <algorithm>
+#include <charconv>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr const char* kOptions = R"(
+Options:
+  --json                    Prints JSON as received.
+  --role=<name>             Role that the settings are meant for.
+  --revision=<n>            Revision of the index.
+  --previous=<file>         Index in force; unchanged documents keep their
+                            revisions.
+  --router=<address>        IP number and port for callers of a router; may be
+                            given again. The next one goes on where one fails.
+  --profile=<name>          Profile of the call.
+  --chat=<name>             Conversation that the call belongs to.
+  --ticket=<ticket>         Ticket of the call; one is asked for otherwise.
+  --service-path=<path>     Calls a plain service, such as /ledger/issue.
+  --body=<text>             Body of the call of a plain service.
+  --max-tokens=<n>          Most tokens of the answer [default: 256].
+  --credential-file=<file>  File with the organisation's credential; otherwise
+                            the variable BUCKTHORNPATH_CREDENTIAL holds it.
+  -h --help                 Prints this page.
+
+Exit codes: 0 done; 1 a document is faulty, or a call was refused or its
+answer is not whole; 2 the command could not be carried out.
+)";
+
+/** In the order of their words. */
+std::vector<const Command*>& Commands() {
+  static std::vector<const Command*> commands;
+  return commands;
+}
+
+}  // namespace
+
+bool CommandOptions::Flag(const std::string& name) const {
+  const auto found = this->values.find(name);
+  return found != this->values.end() && found->second.isBool() &&
+         found->second.asBool();
+}
+
+std::optional<std::string> CommandOptions::Text(const std::string& name) const {
+  const auto found = this->values.find(name);
+  if (found == this->values.end() || !found->second.isString())
+    return std::nullopt;
+  return found->second.asString();
+}
+
+std::vector<std::string> CommandOptions::Texts(const std::string& name) const {
+  const auto found = this->values.find(name);
+  if (found == this->values.end() || !found->second.isStringList())
+    return {};
+  return found->second.asStringList();
+}
+
+std::uint64_t CommandOptions::Number(const std::string& name) const {
+  const std::string text = this->Text(name).value_or("");
+  std::uint64_t number = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, number);
+  if (error != std::errc() || end != last)
+    throw std::invalid_argument(name + " must be a number");
+  return number;
+}
+
+Command::Command(std::string words,
+                 std::string arguments,
+                 std::string help,
+                 Runner runner)
+    : words(std::move(words)),
+      arguments(std::move(arguments)),
+      help(std::move(help)),
+      runner(runner) {
+  auto& commands = Commands();
+  const auto place = std::find_if(
+      commands.begin(), commands.end(),
+      [this](const Command* other) { return this->words < other->words; });
+  commands.insert(place, this);
+}
+
+bool Command::IsNamedBy(
+    const std::map<std::string, docopt::value>& values) const {
+  std::istringstream stream(this->words);
+  for (std::string word; stream >> word;) {
+    const auto found = values.find(word);
+    const bool given = found != values.end() && found->second.isBool() &&
+                       found->second.asBool();
+    if (!given)
+      return false;
+  }
+  return true;
+}
+
+int Command::Main(const std::vector<std::string>& arguments) {
+  const auto values = docopt::docopt(UsageText(), arguments);
+  const auto& commands = Commands();
+  const auto named = std::find_if(
+      commands.begin(), commands.end(),
+      [&](const Command* command) { return command->IsNamedBy(values); });
+  if (named == commands.end())
+    return static_cast<int>(CommandResult::kFault);
+  try {
+    return static_cast<int>((*named)->runner(CommandOptions(values)));
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return static_cast<int>(CommandResult::kFault);
+  }
+}
+
+std::string UsageText() {
+  std::ostringstream text;
+  text << "buckthornpath: checks what operators publish and shows what is in "
+          "force.\n\nUsage:\n";
+  for (const Command* command : Commands()) {
+    text << "  buckthornpath " << command->words
+         << (command->arguments.empty() ? "" : " ") << command->arguments
+         << "\n";
+  }
+  text << "  buckthornpath (-h | --help)\n\nCommands:\n";
+  for (const Command* command : Commands())
+    text << "  " << command->words << ": " << command->help << "\n";
+  return text.str() + kOptions;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/cli/fault_report.h
@@ -0,0 +1,23 @@
+/** @file fault_report.h Prints what is wrong with documents. */
+
+#ifndef SRC_CLI_FAULT_REPORT_H_
+#define SRC_CLI_FAULT_REPORT_H_
+
+#include <string>
+#include <vector>
+
+#include "cli/command.h"
+#include "kernel/field_table.h"
+
+namespace buckthornpath {
+
+/**
+ * Prints each fault as `<file>: <JSON pointer>: <reason>` to standard error,
+ * or that the document is accepted to standard output.
+ */
+CommandResult ReportFaults(const std::string& file,
+                           const std::vector<DocumentFault>& faults);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_CLI_FAULT_REPORT_H_
--- /dev/null
+++ b/src/cli/http_call.cc
@@ -0,0 +1,31 @@
+/** @file http_call.cc HTTP calls of the command-line tool. */
+
+#include "cli/http_call.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include "kernel/http_client.h"
+
+namespace buckthornpath {
+
+void RunTask(asio::awaitable<void> task) {
+  asio::io_context io;
+  std::exception_ptr fault;
+  asio::co_spawn(io, std::move(task),
+                 [&](const std::exception_ptr& thrown) { fault = thrown; });
+  io.run();
+  if (fault)
+    std::rethrow_exception(fault);
+}
+
+HttpResponse CallAddress(const SocketAddress& address,
+                         HttpRequest request,
+                         std::chrono::milliseconds timeout) {
+  HttpResponse response;
+  RunTask([&]() -> asio::awaitable<void> {
+    response = co_await HttpFetch(address, std::move(request), timeout);
+  }());
+  return response;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/cli/http_call.h
@@ -0,0 +1,26 @@
+/** @file http_call.h HTTP calls of the command-line tool. */
+
+#ifndef SRC_CLI_HTTP_CALL_H_
+#define SRC_CLI_HTTP_CALL_H_
+
+#include <chrono>
+
+#include "kernel/http_type.h"
+#include "kernel/socket_address.h"
+#include "kernel/worker_pool.h"
+
+namespace buckthornpath {
+
+inline constexpr std::chrono::milliseconds kOperatorTimeout{3000};
+
+/** Runs a task to its end on this thread; rethrows its exception. */
+void RunTask(asio::awaitable<void> task);
+
+/** Sends a request and waits for the whole response. @throws HttpError */
+HttpResponse CallAddress(const SocketAddress& address,
+                         HttpRequest request,
+                         std::chrono::milliseconds timeout);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_CLI_HTTP_CALL_H_
--- /dev/null
+++ b/src/cli/reference_page.h
@@ -0,0 +1,21 @@
+/** @file reference_page.h Reference pages made from the tables of fields. */
+
+#ifndef SRC_CLI_REFERENCE_PAGE_H_
+#define SRC_CLI_REFERENCE_PAGE_H_
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "kernel/field_table.h"
+
+namespace buckthornpath {
+
+/** Writes one table of fields in Markdown. */
+void WriteFieldTable(std::ostream& out,
+                     const std::string& title,
+                     const std::vector<FieldRule>& rules);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_CLI_REFERENCE_PAGE_H_
--- /dev/null
+++ b/src/cli/send_cmd.cc
@@ -0,0 +1,81 @@
+/** @file send_cmd.cc Sends one call and follows its answer. */
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "cli/answer_follower.h"
+#include "cli/caller_options.h"
+#include "cli/http_call.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Prints the text of a chunk of a chat completion, or the chunk itself. */
+void PrintChunk(const std::string& data) {
+  const auto chunk = nlohmann::json::parse(data, nullptr, false);
+  const nlohmann::json::json_pointer text("/choices/0/delta/content");
+  const bool has_choices = chunk.is_object() && chunk.contains("choices");
+  if (!has_choices) {
+    std::cout << data;
+  } else if (chunk.contains(text) && chunk.at(text).is_string()) {
+    std::cout << chunk.at(text).get<std::string>() << std::flush;
+  }
+}
+
+void FillBody(const CommandOptions& options, HttpRequest& request) {
+  const auto service_path = options.Text("--service-path");
+  if (service_path) {
+    request.target = "/v1/services" + *service_path;
+    request.body = options.Text("--body").value_or("");
+    return;
+  }
+  request.target = "/v1/chat/completions";
+  const nlohmann::ordered_json message = {
+      {"role", "user"}, {"content", options.Text("<prompt>").value_or("")}};
+  const nlohmann::ordered_json body = {
+      {"messages", nlohmann::ordered_json::array({message})},
+      {"max_tokens", options.Number("--max-tokens")},
+      {"stream", true}};
+  request.body = body.dump();
+}
+
+CommandResult Report(const FollowedAnswer& answer) {
+  std::cout << "\n";
+  std::cerr << "outcome: " << answer.outcome << "\n"
+            << "complete: " << (answer.complete ? "yes" : "no") << "\n"
+            << "chunks: " << answer.chunks << "\n"
+            << "router: " << answer.router << "\n"
+            << "resumed: " << answer.resumed << "\n";
+  if (!answer.problem.empty())
+    std::cerr << "problem: " << answer.problem << "\n";
+  if (!answer.complete && !answer.fault.empty())
+    std::cerr << "fault: " << answer.fault << "\n";
+  return answer.complete ? CommandResult::kDone : CommandResult::kRefused;
+}
+
+CommandResult Send(const CommandOptions& options) {
+  const auto given = options.Text("--ticket");
+  const std::string ticket = given ? *given : AskForTicket(options);
+  HttpRequest request = CallerRequestOf(options);
+  request.headers.Set("Idempotency-Key", ticket);
+  FillBody(options, request);
+  std::cerr << "ticket: " << ticket << "\n";
+  AnswerFollower follower(RoutersOf(options), std::move(request), PrintChunk);
+  FollowedAnswer answer;
+  RunTask(
+      [&]() -> asio::awaitable<void> { answer = co_await follower.Run(); }());
+  return Report(answer);
+}
+
+const Command kChat(
+    "send",
+    "--router=<address>... --profile=<name> [--chat=<name>] "
+    "[--ticket=<ticket>] [--credential-file=<file>] [--max-tokens=<n>] "
+    "(<prompt> | --service-path=<path> [--body=<text>])",
+    "Sends a call, follows its answer, and resumes it elsewhere if it breaks.",
+    Send);
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/cli/show_cmd.cc
@@ -0,0 +1,53 @@
+/** @file show_cmd.cc Shows what a process has in force. */
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "cli/command.h"
+#include "cli/http_call.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Prints an object's members, one a line, nested ones indented. */
+void PrintTree(const nlohmann::ordered_json& value, std::size_t depth) {
+  for (const auto& [name, member] : value.items()) {
+    std::cout << std::string(2 * depth, ' ') << name << ":";
+    if (member.is_structured() && !member.empty()) {
+      std::cout << "\n";
+      PrintTree(member, depth + 1);
+    } else {
+      std::cout << " "
+                << (member.is_string() ? member.get<std::string>()
+                                       : member.dump())
+                << "\n";
+    }
+  }
+}
+
+CommandResult Show(const CommandOptions& options) {
+  HttpRequest request;
+  request.target = "/status";
+  const HttpResponse response =
+      CallAddress(ParseSocketAddress(options.Text("<address>").value_or("")),
+                  request, kOperatorTimeout);
+  if (response.status != 200)
+    throw HttpError("status " + std::to_string(response.status));
+  const auto status = nlohmann::ordered_json::parse(response.body);
+  if (options.Flag("--json")) {
+    std::cout << status.dump(2) << "\n";
+  } else {
+    PrintTree(status, 0);
+  }
+  return CommandResult::kDone;
+}
+
+const Command kCommand("show",
+                       "<address> [--json]",
+                       "Shows what a process has in force; operators' address.",
+                       Show);
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/cli/ticket_cmd.cc
@@ -0,0 +1,24 @@
+/** @file ticket_cmd.cc Asks for a ticket. */
+
+#include <iostream>
+
+#include "cli/caller_options.h"
+
+namespace buckthornpath {
+
+namespace {
+
+CommandResult PrintTicket(const CommandOptions& options) {
+  std::cout << AskForTicket(options) << "\n";
+  return CommandResult::kDone;
+}
+
+const Command kCommand("ticket",
+                       "--router=<address>... --profile=<name> "
+                       "[--chat=<name>] [--credential-file=<file>]",
+                       "Prints a ticket, under which a call runs at most once.",
+                       PrintTicket);
+
+}  // namespace
+
+}  // namespace buckthornpath
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -81,7 +81,11 @@
     std::cerr << "no role '" << name << "'; see --list-roles\n";
     return ExitCode::kFault;
   }
-  RunRole(*factory, LoadSettings(options["--settings"].asString()));
+  const Settings settings = LoadSettings(options["--settings"].asString());
+  std::vector<DocumentFault> faults = FaultsForRole(settings, name);
+  if (!faults.empty())
+    throw DocumentRefused(std::move(faults));
+  RunRole(*factory, settings);
 }
 
 }  // namespace
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -5,10 +5,39 @@
 #include <fstream>
 #include <sstream>
 
+#include "kernel/socket_address.h"
+#include "table/role_need_table.h"
 #include "table/settings_table.h"
 
 namespace buckthornpath {
 
+namespace {
+
+/** Reports addresses that are given and cannot be read. */
+void CheckAddresses(const Settings& settings,
+                    std::vector<DocumentFault>& faults) {
+  for (const RoleNeedRow& row : kRoleNeedRows) {
+    const std::string& text = settings.*row.member;
+    if (!row.is_address || text.empty())
+      continue;
+    try {
+      ParseSocketAddress(text);
+    } catch (const std::invalid_argument& error) {
+      faults.push_back({std::string("/") + row.name, error.what()});
+    }
+  }
+}
+
+void CheckTimes(const Settings& settings, std::vector<DocumentFault>& faults) {
+  if (settings.silence_timeout.count() > 0 &&
+      settings.silence_timeout <= settings.heartbeat_interval) {
+    faults.push_back(
+        {"/silence_timeout", "must be longer than heartbeat_interval"});
+  }
+}
+
+}  // namespace
+
 std::span<const FieldRow<Settings>> SettingRows() {
   return kSettingRows;
 }
@@ -17,6 +46,8 @@
   std::vector<DocumentFault> faults;
   const nlohmann::json object = ParseJsonWithComments(text);
   Settings settings = ReadDocument(object, SettingRows(), "", faults);
+  CheckAddresses(settings, faults);
+  CheckTimes(settings, faults);
   if (!faults.empty())
     throw DocumentRefused(std::move(faults));
   return settings;
@@ -31,4 +62,16 @@
   return ParseSettings(text.str());
 }
 
+std::vector<DocumentFault> FaultsForRole(const Settings& settings,
+                                         const std::string& role) {
+  std::vector<DocumentFault> faults;
+  for (const RoleNeedRow& row : kRoleNeedRows) {
+    if (row.role == role && (settings.*row.member).empty()) {
+      faults.push_back({std::string("/") + row.name,
+                        "is required by the role '" + role + "'"});
+    }
+  }
+  return faults;
+}
+
 }  // namespace buckthornpath
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -51,7 +51,8 @@
 std::span<const FieldRow<Settings>> SettingRows();
 
 /**
- * Reads settings from JSON with comments.
+ * Reads settings from JSON with comments. Addresses must be IP numbers with
+ * ports.
  * @throws DocumentRefused With every fault, if there is any.
  */
 Settings ParseSettings(const std::string& text);
@@ -62,6 +63,10 @@
  */
 Settings LoadSettings(const std::string& path);
 
+/** @return What a role lacks in settings that are in order by themselves. */
+std::vector<DocumentFault> FaultsForRole(const Settings& settings,
+                                         const std::string& role);
+
 }  // namespace buckthornpath
 
 #endif  // SRC_KERNEL_SETTINGS_H_
--- /dev/null
+++ b/src/table/role_need_table.h
@@ -0,0 +1,33 @@
+/** @file role_need_table.h Settings that hold addresses or that a role needs.
+ */
+
+#ifndef SRC_TABLE_ROLE_NEED_TABLE_H_
+#define SRC_TABLE_ROLE_NEED_TABLE_H_
+
+#include <string_view>
+
+#include "kernel/settings.h"
+
+namespace buckthornpath {
+
+/** A setting that is an address, or that one role cannot do without. */
+struct RoleNeedRow {
+  const char* name;
+  std::string Settings::*member;
+  std::string_view role;  ///< Role that needs it; empty if none in particular.
+  bool is_address;        ///< Must be an IP number and a port.
+};
+
+inline constexpr RoleNeedRow kRoleNeedRows[] = {
+    {"operator_address", &Settings::operator_address, "", true},
+    {"configuration_address", &Settings::configuration_address, "", true},
+    {"vm_list_address", &Settings::vm_list_address, "", true},
+    {"caller_address", &Settings::caller_address, "router", true},
+    {"dialogue_address", &Settings::dialogue_address, "endpoint", true},
+    {"engine_address", &Settings::engine_address, "endpoint", true},
+    {"service", &Settings::service, "endpoint", false},
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_TABLE_ROLE_NEED_TABLE_H_
