make demo: a fleet on loopback that serves returning chats

Two routers, four endpoint processes of two services and fakes run with the settings and documents under demo/. The script fails if an answer is not whole, a call ran twice, or a returning chat finds nothing in a cache.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,10 @@
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
 	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200)
 
+# A fleet on loopback that serves returning chats and says what it did.
+demo: build
+	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) demo/run.sh
+
 # Reference pages from the tables of fields; a test compares them.
 pages: build
 	$(BUILD)/buckthornpath help settings > docs/SETTINGS.md
--- a/src/cli/answer_follower.cc
+++ b/src/cli/answer_follower.cc
@@ -56,6 +56,9 @@
   auto response = co_await HttpResponseStream::Open(router, std::move(attempt),
                                                     kReadTimeout);
   const HttpResponse head = response->head();
+  const auto location = head.headers.Find("X-Location");
+  if (location)
+    this->answer.location = *location;
   const bool streamed =
       head.headers.Find("Content-Type").value_or("") == "text/event-stream";
   EventStreamReader reader;
--- a/src/cli/answer_follower.h
+++ b/src/cli/answer_follower.h
@@ -22,6 +22,7 @@
   std::uint64_t chunks = 0;
   std::size_t resumed = 0;  ///< Connections after the first.
   SocketAddress router;     ///< The last one used.
+  std::string location;     ///< Hint to be returned with the next call.
 };
 
 /** Sends one call under a ticket; goes on with another router if one fails. */
--- a/src/cli/caller_options.cc
+++ b/src/cli/caller_options.cc
@@ -50,6 +50,9 @@
   const auto chat = options.Text("--chat");
   if (chat)
     request.headers.Set("X-Chat", *chat);
+  const auto location = options.Text("--location");
+  if (location)
+    request.headers.Set("X-Location", *location);
   return request;
 }
 
--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -23,6 +23,7 @@
                             given again. The next one goes on where one fails.
   --profile=<name>          Profile of the call.
   --chat=<name>             Conversation that the call belongs to.
+  --location=<hint>         Location that an earlier answer of the chat named.
   --ticket=<ticket>         Ticket of the call; one is asked for otherwise.
   --service-path=<path>     Calls a plain service, such as /ledger/issue.
   --body=<text>             Body of the call of a plain service.
--- a/src/cli/send_cmd.cc
+++ b/src/cli/send_cmd.cc
@@ -11,17 +11,29 @@
 
 namespace {
 
-/** Prints the text of a chunk of a chat completion, or the chunk itself. */
-void PrintChunk(const std::string& data) {
-  const auto chunk = nlohmann::json::parse(data, nullptr, false);
-  const nlohmann::json::json_pointer text("/choices/0/delta/content");
-  const bool has_choices = chunk.is_object() && chunk.contains("choices");
-  if (!has_choices) {
-    std::cout << data;
-  } else if (chunk.contains(text) && chunk.at(text).is_string()) {
-    std::cout << chunk.at(text).get<std::string>() << std::flush;
+/** Prints an answer as it arrives. */
+class AnswerPrinter {
+ public:
+  /** Prints the text of a chunk of a chat completion, or the chunk itself. */
+  void Print(const std::string& data) {
+    const auto chunk = nlohmann::json::parse(data, nullptr, false);
+    const nlohmann::json::json_pointer text("/choices/0/delta/content");
+    const bool has_choices = chunk.is_object() && chunk.contains("choices");
+    if (!has_choices) {
+      std::cout << data;
+    } else if (chunk.contains(text) && chunk.at(text).is_string()) {
+      std::cout << chunk.at(text).get<std::string>() << std::flush;
+    }
+    if (has_choices && chunk.contains("usage"))
+      this->usage = chunk.at("usage");
   }
-}
+
+  /** @return The engine's count of tokens; null if there was none. */
+  const nlohmann::json& Usage() const { return this->usage; }
+
+ private:
+  nlohmann::json usage;
+};
 
 void FillBody(const CommandOptions& options, HttpRequest& request) {
   const auto service_path = options.Text("--service-path");
@@ -36,10 +48,20 @@
   const nlohmann::ordered_json body = {
       {"messages", nlohmann::ordered_json::array({message})},
       {"max_tokens", options.Number("--max-tokens")},
-      {"stream", true}};
+      {"stream", true},
+      {"stream_options", {{"include_usage", true}}}};
   request.body = body.dump();
 }
 
+void ReportUsage(const nlohmann::json& usage) {
+  const nlohmann::json::json_pointer cached(
+      "/prompt_tokens_details/cached_tokens");
+  if (!usage.is_object() || !usage.contains(cached))
+    return;
+  std::cerr << "cached: " << usage.at(cached) << " of "
+            << usage.value("prompt_tokens", 0) << " prompt tokens\n";
+}
+
 CommandResult Report(const FollowedAnswer& answer) {
   std::cout << "\n";
   std::cerr << "outcome: " << answer.outcome << "\n"
@@ -47,6 +69,8 @@
             << "chunks: " << answer.chunks << "\n"
             << "router: " << answer.router << "\n"
             << "resumed: " << answer.resumed << "\n";
+  if (!answer.location.empty())
+    std::cerr << "location: " << answer.location << "\n";
   if (!answer.problem.empty())
     std::cerr << "problem: " << answer.problem << "\n";
   if (!answer.complete && !answer.fault.empty())
@@ -61,16 +85,22 @@
   request.headers.Set("Idempotency-Key", ticket);
   FillBody(options, request);
   std::cerr << "ticket: " << ticket << "\n";
-  AnswerFollower follower(RoutersOf(options), std::move(request), PrintChunk);
+  AnswerPrinter printer;
+  AnswerFollower follower(
+      RoutersOf(options), std::move(request),
+      [&printer](const std::string& data) { printer.Print(data); });
   FollowedAnswer answer;
   RunTask(
       [&]() -> asio::awaitable<void> { answer = co_await follower.Run(); }());
-  return Report(answer);
+  const CommandResult result = Report(answer);
+  ReportUsage(printer.Usage());
+  return result;
 }
 
-const Command kChat(
+const Command kCommand(
     "send",
     "--router=<address>... --profile=<name> [--chat=<name>] "
+    "[--location=<hint>] "
     "[--ticket=<ticket>] [--credential-file=<file>] [--max-tokens=<n>] "
     "(<prompt> | --service-path=<path> [--body=<text>])",
     "Sends a call, follows its answer, and resumes it elsewhere if it breaks.",
--- a/src/cli/ticket_cmd.cc
+++ b/src/cli/ticket_cmd.cc
@@ -13,11 +13,12 @@
   return CommandResult::kDone;
 }
 
-const Command kCommand("ticket",
-                       "--router=<address>... --profile=<name> "
-                       "[--chat=<name>] [--credential-file=<file>]",
-                       "Prints a ticket, under which a call runs at most once.",
-                       PrintTicket);
+const Command kCommand(
+    "ticket",
+    "--router=<address>... --profile=<name> "
+    "[--chat=<name>] [--location=<hint>] [--credential-file=<file>]",
+    "Prints a ticket, under which a call runs at most once.",
+    PrintTicket);
 
 }  // namespace
 
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -22,7 +22,8 @@
                 [--documents=<dir>] [--vms=<file>]
 
 Options:
-  --documents=<dir>  Values to hold at first; a file's path is its name.
+  --documents=<dir>  Values to hold at first; a file's path without
+                     .json is its name.
   --vms=<file>       VM list to hold at first.
 )";
 
@@ -52,7 +53,9 @@
          std::filesystem::recursive_directory_iterator(directory)) {
       if (!item.is_regular_file())
         continue;
-      const auto name = std::filesystem::relative(item.path(), directory);
+      auto name = std::filesystem::relative(item.path(), directory);
+      if (name.extension() == ".json")
+        name.replace_extension();
       this->Put(name.string(), ReadFile(item.path()));
     }
   }
