--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -34,12 +33,6 @@
   std::atomic<std::size_t>& count;
 };
 
-Incarnation NewIncarnation() {
-  std::random_device device;
-  const std::uint64_t high = device();
-  return Incarnation{(high << 32U) | device()};
-}
-
 OutcomeLimits LimitsOf(const Settings& settings) {
   return {static_cast<std::size_t>(settings.outcome_entries),
           static_cast<std::size_t>(settings.outcome_bytes),
@@ -49,11 +42,12 @@
 }  // namespace
 
 DialogueServer::DialogueServer(const RoleContext& context,
-                               const ConfigurationStore& configuration)
+                               const FleetState& fleet)
     : context(context),
-      admission(context, configuration),
+      fleet(fleet),
+      admission(context, fleet.Store()),
       mint(context.settings.ticket_secret),
-      incarnation(NewIncarnation()),
+      incarnation(fleet.ThisIncarnation()),
       outcomes(EndpointId(context.settings.vm),
                this->incarnation,
                LimitsOf(context.settings)),
@@ -121,7 +115,12 @@
     const TicketLookup lookup =
         this->outcomes.Open(request.ticket, *ticket, this->Age());
     if (lookup.answer == TicketAnswer::kNew) {
-      this->admission.Submit(request, lookup.record);
+      if (this->fleet.RefusesNewWork()) {
+        lookup.record->Refuse(
+            this->admission.Refusal("not_run", "endpoint_leaving"));
+      } else {
+        this->admission.Submit(request, lookup.record);
+      }
     }
     if (lookup.record) {
       co_await this->SendAnswer(connection, strand, lookup.record,
--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -9,6 +9,7 @@
 
 #include "endpoint/admission.h"
 #include "endpoint/outcome_table.h"
+#include "fleet/fleet_state.h"
 #include "kernel/boot_clock.h"
 #include "kernel/role.h"
 #include "wire/dialogue_connection.h"
@@ -20,8 +21,7 @@
 class DialogueServer {
  public:
   /** Binds the dialogue address. */
-  DialogueServer(const RoleContext& context,
-                 const ConfigurationStore& configuration);
+  DialogueServer(const RoleContext& context, const FleetState& fleet);
 
   void Start();
 
@@ -59,6 +59,7 @@
   std::chrono::milliseconds Age() const;
 
   RoleContext context;
+  const FleetState& fleet;
   Admission admission;
   TicketMint mint;
   Incarnation incarnation;
--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -3,8 +3,7 @@
 #include <memory>
 
 #include "endpoint/dialogue_server.h"
-#include "fleet/configuration_client.h"
-#include "fleet/member_list.h"
+#include "fleet/fleet_state.h"
 #include "kernel/role.h"
 
 namespace buckthornpath {
@@ -14,44 +13,31 @@
 class EndpointRole final : public Role {
  public:
   explicit EndpointRole(const RoleContext& context)
-      : context(context),
-        configuration_client(
-            this->configuration,
-            ParseSocketAddress(context.settings.configuration_address),
-            context.settings.configuration_wait),
-        server(context, this->configuration) {}
+      : fleet(context), server(context, this->fleet) {}
 
   void Start() override {
-    const Settings& settings = this->context.settings;
-    this->context.pool.Spawn(this->configuration_client.Follow());
-    this->context.pool.Spawn(FollowVmList(
-        this->members, ParseSocketAddress(settings.vm_list_address),
-        settings.vm_list_interval));
+    this->fleet.Start();
     this->server.Start();
   }
 
-  void BeginDrain() override { this->server.BeginDrain(); }
+  void BeginDrain() override {
+    this->server.BeginDrain();
+    this->fleet.Leave();
+  }
 
   std::size_t InFlight() const override { return this->server.InFlight(); }
 
   nlohmann::json Status() const override {
-    return {
-        {"role", "endpoint"},
-        {"configuration_revision",
-         static_cast<std::uint64_t>(this->configuration.InForce()->revision)},
-        {"members", this->members.All().size()},
-        {"incarnation",
-         static_cast<std::uint64_t>(this->server.ThisIncarnation())},
-        {"running", this->server.Calls().Running()},
-        {"queued", this->server.Calls().Queued()},
-        {"outcomes", this->server.Outcomes()}};
+    nlohmann::json status = this->fleet.Status();
+    status["role"] = "endpoint";
+    status["running"] = this->server.Calls().Running();
+    status["queued"] = this->server.Calls().Queued();
+    status["outcomes"] = this->server.Outcomes();
+    return status;
   }
 
  private:
-  RoleContext context;
-  ConfigurationStore configuration;
-  MemberList members;
-  ConfigurationClient configuration_client;
+  FleetState fleet;
   DialogueServer server;
 };
 
--- a/src/fleet/configuration_client.cc
+++ b/src/fleet/configuration_client.cc
@@ -1,9 +1,9 @@
-/** @file configuration_client.cc Reads and watches the configuration service.
- */
+/** @file configuration_client.cc Follows the published configuration. */
 
 #include "fleet/configuration_client.h"
 
-#include "kernel/http_client.h"
+#include "fleet/index_delta.h"
+#include "fleet/platform_read.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -11,72 +11,218 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kRetryDelay{500};
+constexpr std::chrono::milliseconds kFirstRetryDelay{500};
+constexpr std::chrono::milliseconds kLastRetryDelay{8000};
 constexpr std::chrono::milliseconds kReadTimeout{3000};
 
-/** @throws HttpError If the value cannot be read. */
-asio::awaitable<HttpResponse> ReadValue(SocketAddress service,
-                                        std::string target,
-                                        std::chrono::milliseconds timeout) {
+/** Time after which a process looks whether it has become a watcher. */
+constexpr std::chrono::milliseconds kWatcherCheck{1000};
+
+/** Counts itself while it lives. */
+class CountMark {
+ public:
+  explicit CountMark(int& count) : count(count) { ++this->count; }
+  ~CountMark() { --this->count; }
+  CountMark(const CountMark&) = delete;
+  CountMark& operator=(const CountMark&) = delete;
+
+ private:
+  int& count;
+};
+
+std::string DeltaName(const IndexStamp& from, const IndexStamp& to) {
+  return "index/" + std::to_string(from.revision) + "-" +
+         std::to_string(from.digest) + "/" + std::to_string(to.revision) + "-" +
+         std::to_string(to.digest);
+}
+
+/** @return The index that a peer sent, made from the one in force. */
+Index ReadPeerIndex(const Index& in_force, const std::string& value) {
+  const bool is_whole = !value.empty() && value.front() == 'w';
+  const Index none;
+  return ApplyIndexDelta(is_whole ? none : in_force,
+                         value.substr(value.empty() ? 0 : 1));
+}
+
+}  // namespace
+
+std::chrono::milliseconds ConfigurationClient::Jitter(
+    std::chrono::milliseconds time) {
+  const auto half = static_cast<unsigned>(time.count() / 2 + 1);
+  return time / 2 + std::chrono::milliseconds(this->random() % half);
+}
+
+bool ConfigurationClient::IsWatcher() const {
+  return !this->gossip.IsEnabled() || this->members.IsWatcher(FailureDomainId(
+                                          this->settings.failure_domain));
+}
+
+asio::awaitable<HttpResponse> ConfigurationClient::Read(
+    std::string target,
+    std::chrono::milliseconds timeout) {
   HttpRequest request;
   request.target = std::move(target);
-  HttpResponse response =
-      co_await HttpFetch(service, std::move(request), timeout);
-  if (response.status != 200) {
+  HttpResponse response = co_await ReadPlatform(
+      this->settings.vm,
+      ParseSocketAddress(this->settings.configuration_address),
+      std::move(request), timeout);
+  if (response.status != 200 && response.status != 304)
     throw HttpError("status " + std::to_string(response.status));
-  }
   co_return response;
 }
 
-}  // namespace
+asio::awaitable<std::string> ConfigurationClient::ReadAtService(
+    std::string name,
+    std::string digest) {
+  const HttpResponse response =
+      co_await this->Read("/v1/values/" + name, kReadTimeout);
+  if (DocumentDigest(response.body) == digest)
+    co_return response.body;
+  co_return co_await this->gossip.PullFromAny("document/" + digest);
+}
 
-asio::awaitable<std::string> ConfigurationClient::WatchIndex() {
-  const std::string target =
-      "/v1/watch/index?known=" + this->known_version +
-      "&wait_ms=" + std::to_string(this->watch_wait.count());
-  HttpResponse response = co_await ReadValue(this->service, target,
-                                             this->watch_wait + kReadTimeout);
-  this->known_version = response.headers.Find("X-Version").value_or("");
-  co_return std::move(response.body);
+void ConfigurationClient::Refuse(const IndexStamp& stamp,
+                                 const DocumentRefused& refused) {
+  nlohmann::json faults = nlohmann::json::array();
+  for (const DocumentFault& fault : refused.Faults())
+    faults.push_back({{"path", fault.path}, {"reason", fault.reason}});
+  ProcessMetrics().Add("configuration_refusals_total");
+  LogLine(LogLevel::kError, "configuration_refused",
+          {{"revision", stamp.revision},
+           {"digest", FormatDigest(stamp.digest)},
+           {"faults", faults}});
+  this->store.Refuse({stamp, refused.Faults()});
 }
 
-asio::awaitable<void> ConfigurationClient::Apply(const Index& index) {
-  const ConfigurationPtr before = this->store.InForce();
-  if (index.revision <= before->revision)
-    co_return;
-  auto next = std::make_shared<Configuration>();
-  next->revision = index.revision;
+asio::awaitable<void> ConfigurationClient::Apply(const Index& index,
+                                                 const char* source,
+                                                 const ReadDocument& read) {
+  DocumentTexts texts = this->store.InForce()->texts;
   for (const IndexEntry& entry : index.entries) {
-    const HttpResponse response = co_await ReadValue(
-        this->service, "/v1/values/" + entry.name, kReadTimeout);
-    const std::string& text = response.body;
-    if (DocumentDigest(text) != entry.digest) {
-      throw HttpError("digest of '" + entry.name + "' differs from the index");
-    }
-    AddDocument(*next, entry, text);
+    if (texts.count(entry.digest) > 0)
+      continue;
+    std::string text = co_await read(entry.name, entry.digest);
+    if (DocumentDigest(text) != entry.digest)
+      throw HttpError("'" + entry.name + "' is not the one in the index");
+    ProcessMetrics().Add("configuration_documents_read_total");
+    texts[entry.digest] = std::make_shared<const std::string>(std::move(text));
   }
-  if (!this->store.Adopt(next))
+  try {
+    if (!this->store.Adopt(BuildConfiguration(index, texts)))
+      co_return;
+  } catch (const DocumentRefused& refused) {
+    this->Refuse(index.stamp, refused);
     co_return;
+  }
   LogLine(LogLevel::kInfo, "configuration_in_force",
-          {{"revision", static_cast<std::uint64_t>(index.revision)}});
+          {{"revision", index.stamp.revision},
+           {"digest", FormatDigest(index.stamp.digest)},
+           {"source", source}});
+  this->gossip.Spread();
+}
+
+asio::awaitable<void> ConfigurationClient::TakeFromService(
+    const std::string& text) {
+  Index index;
+  try {
+    index = ParseIndex(text);
+  } catch (const DocumentRefused& refused) {
+    if (this->malformed != text)
+      this->Refuse({}, refused);
+    this->malformed = text;
+    co_return;
+  }
+  const IndexStamp in_force = this->store.InForce()->index.stamp;
+  if (index.stamp < in_force && index.stamp != this->stale) {
+    this->stale = index.stamp;
+    ProcessMetrics().Add("configuration_stale_total");
+    LogLine(LogLevel::kWarning, "configuration_stale",
+            {{"revision", index.stamp.revision},
+             {"digest", FormatDigest(index.stamp.digest)},
+             {"in_force", in_force.revision}});
+  }
+  if (!this->store.Wants(index.stamp))
+    co_return;
+  const ReadDocument read = [this](std::string name, std::string digest) {
+    return this->ReadAtService(std::move(name), std::move(digest));
+  };
+  co_await this->Apply(index, "service", read);
+}
+
+asio::awaitable<void> ConfigurationClient::AskService(
+    std::chrono::milliseconds wait) {
+  const std::string target = "/v1/watch/index?known=" + this->known_version +
+                             "&wait_ms=" + std::to_string(wait.count());
+  const HttpResponse response =
+      co_await this->Read(target, wait + kReadTimeout);
+  if (response.status == 304)
+    co_return;
+  const CountMark mark(this->fetching);
+  this->has_asked_service = true;
+  co_await this->TakeFromService(response.body);
+  this->known_version = response.headers.Find("X-Version").value_or("");
 }
 
 asio::awaitable<void> ConfigurationClient::Follow() {
+  std::chrono::milliseconds delay = kFirstRetryDelay;
+  std::chrono::milliseconds rest{};  ///< Until the next question.
   while (true) {
+    const bool is_watcher = this->IsWatcher();
+    if (!is_watcher && rest > std::chrono::milliseconds::zero()) {
+      co_await SleepFor(std::min(rest, kWatcherCheck));
+      rest -= kWatcherCheck;
+      continue;
+    }
+    const bool must_hurry = this->known_version.empty();
     std::string fault;
     try {
-      const std::string text = co_await this->WatchIndex();
-      co_await this->Apply(ParseIndex(text));
+      co_await this->AskService(is_watcher && !must_hurry
+                                    ? this->settings.configuration_wait
+                                    : std::chrono::milliseconds::zero());
+      delay = kFirstRetryDelay;
     } catch (const std::exception& error) {
       fault = error.what();
-      this->known_version.clear();
     }
+    this->has_asked_service = true;
+    rest = this->Jitter(this->settings.configuration_wait);
     if (fault.empty())
       continue;
     ProcessMetrics().Add("configuration_faults_total");
     LogLine(LogLevel::kWarning, "configuration_fault", {{"reason", fault}});
-    co_await SleepFor(kRetryDelay);
+    if (!is_watcher)
+      continue;
+    co_await SleepFor(this->Jitter(delay));
+    delay = std::min(2 * delay, kLastRetryDelay);
   }
 }
 
+asio::awaitable<void> ConfigurationClient::AdoptFromPeer(GossipAddress peer,
+                                                         IndexStamp stamp) {
+  if (this->is_adopting)
+    co_return;
+  this->is_adopting = true;
+  const CountMark mark(this->fetching);
+  std::string fault;
+  try {
+    const Index in_force = this->store.InForce()->index;
+    const std::string value =
+        co_await this->gossip.Pull(peer, DeltaName(in_force.stamp, stamp));
+    const Index index = ReadPeerIndex(in_force, value);
+    if (index.stamp != stamp)
+      throw PeerFailed("the index is not the one that was announced");
+    const ReadDocument read = [this, peer](std::string /*name*/,
+                                           std::string digest) {
+      return this->gossip.Pull(peer, "document/" + digest);
+    };
+    co_await this->Apply(index, "peer", read);
+  } catch (const std::exception& error) {
+    fault = error.what();
+  }
+  this->is_adopting = false;
+  if (fault.empty())
+    co_return;
+  ProcessMetrics().Add("configuration_peer_faults_total");
+  LogLine(LogLevel::kInfo, "configuration_peer_fault", {{"reason", fault}});
+}
+
 }  // namespace buckthornpath
--- a/src/fleet/configuration_client.h
+++ b/src/fleet/configuration_client.h
@@ -1,38 +1,81 @@
-/** @file configuration_client.h Reads and watches the configuration service. */
+/** @file configuration_client.h Follows the published configuration. */
 
 #ifndef SRC_FLEET_CONFIGURATION_CLIENT_H_
 #define SRC_FLEET_CONFIGURATION_CLIENT_H_
 
 #include <chrono>
+#include <functional>
+#include <random>
 
 #include "fleet/configuration_store.h"
-#include "kernel/socket_address.h"
-#include "kernel/worker_pool.h"
+#include "fleet/gossip.h"
+#include "fleet/member_list.h"
 
 namespace buckthornpath {
 
-/** Follows the published index and puts each accepted one in force. */
+/**
+ * Follows the published index at the service and at peers, reads the documents
+ * that changed and puts each accepted configuration in force. A few processes
+ * of each failure domain watch the service; the others ask it now and then and
+ * learn of changes by gossip. Runs on the strand of the gossip.
+ */
 class ConfigurationClient {
  public:
-  ConfigurationClient(ConfigurationStore& store,
-                      SocketAddress service,
-                      std::chrono::milliseconds watch_wait)
-      : store(store), service(std::move(service)), watch_wait(watch_wait) {}
+  ConfigurationClient(const Settings& settings,
+                      ConfigurationStore& store,
+                      const MemberList& members,
+                      Gossip& gossip)
+      : settings(settings), store(store), members(members), gossip(gossip) {}
 
   /** Follows the service for ever; faults are logged and retried. */
   asio::awaitable<void> Follow();
 
+  /** Fetches a greater index and its documents from a peer. */
+  asio::awaitable<void> AdoptFromPeer(GossipAddress peer, IndexStamp stamp);
+
+  /** @return True once the service has answered or failed to. */
+  bool HasAskedService() const { return this->has_asked_service; }
+
+  /** @return True while something is being fetched. */
+  bool IsFetching() const { return this->fetching > 0; }
+
  private:
-  /** Waits for an index other than the one read last. @throws HttpError */
-  asio::awaitable<std::string> WatchIndex();
+  using ReadDocument =
+      std::function<asio::awaitable<std::string>(std::string, std::string)>;
+
+  /** Asks the service for an index other than the one read last. */
+  asio::awaitable<void> AskService(std::chrono::milliseconds wait);
+
+  /** Puts an index that the service gave in force, if it is wanted. */
+  asio::awaitable<void> TakeFromService(const std::string& text);
+
+  /** Reads what changed and puts the index in force or refuses it. */
+  asio::awaitable<void> Apply(const Index& index,
+                              const char* source,
+                              const ReadDocument& read);
+
+  asio::awaitable<HttpResponse> Read(std::string target,
+                                     std::chrono::milliseconds timeout);
+
+  /** Reads a document at the service, or at a peer if it is another there. */
+  asio::awaitable<std::string> ReadAtService(std::string name,
+                                             std::string digest);
 
-  /** Reads the documents that changed and puts all in force. */
-  asio::awaitable<void> Apply(const Index& index);
+  void Refuse(const IndexStamp& stamp, const DocumentRefused& refused);
+  std::chrono::milliseconds Jitter(std::chrono::milliseconds time);
+  bool IsWatcher() const;
 
+  const Settings& settings;
   ConfigurationStore& store;
-  SocketAddress service;
-  std::chrono::milliseconds watch_wait;
+  const MemberList& members;
+  Gossip& gossip;
   std::string known_version;  ///< The service's version of the last index.
+  std::string malformed;      ///< The last index that could not be read.
+  IndexStamp stale;           ///< The last index below the one in force.
+  bool has_asked_service = false;
+  int fetching = 0;
+  bool is_adopting = false;  ///< From a peer.
+  std::minstd_rand random{std::random_device{}()};
 };
 
 }  // namespace buckthornpath
--- /dev/null
+++ b/src/fleet/fleet_state.cc
@@ -0,0 +1,142 @@
+/** @file fleet_state.cc What a process knows of the fleet. */
+
+#include "fleet/fleet_state.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+#include <sstream>
+
+#include "fleet/uptime.h"
+#include "kernel/log.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Longest time before a process serves what it has. */
+constexpr std::chrono::milliseconds kBootstrapLimit{3000};
+
+/** Longest wait for the first VM list, which names the peers to ask. */
+constexpr std::chrono::milliseconds kListLimit{1000};
+constexpr std::chrono::milliseconds kBootstrapPoll{20};
+
+/** Silence of list and peers after which a process takes no new work. */
+constexpr std::chrono::milliseconds kIsolationLimit{3000};
+
+Incarnation NewIncarnation() {
+  std::random_device device;
+  const std::uint64_t high = device();
+  return Incarnation{(high << 32U) | device()};
+}
+
+/** @return An epoch above that of an earlier life, unless the clock went back;
+ * gossip raises it then. */
+std::uint64_t FirstEpoch() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+std::vector<Peer> ParseSeeds(const std::string& text) {
+  std::vector<Peer> seeds;
+  std::istringstream stream(text);
+  for (std::string address; std::getline(stream, address, ',');)
+    seeds.push_back({VmId(), FailureDomainId(), ParseSocketAddress(address)});
+  return seeds;
+}
+
+nlohmann::json RefusedStatus(const std::optional<RefusedIndex>& refused) {
+  if (!refused)
+    return nullptr;
+  nlohmann::json faults = nlohmann::json::array();
+  for (const DocumentFault& fault : refused->faults)
+    faults.push_back({{"path", fault.path}, {"reason", fault.reason}});
+  return {{"revision", refused->stamp.revision},
+          {"digest", FormatDigest(refused->stamp.digest)},
+          {"faults", faults}};
+}
+
+}  // namespace
+
+FleetState::FleetState(const RoleContext& context)
+    : context(context),
+      incarnation(NewIncarnation()),
+      members(MemberNews{VmId(context.settings.vm), FirstEpoch(),
+                         this->incarnation, MemberStatus::kLive}),
+      gossip(context,
+             this->members,
+             this->store,
+             [this](const GossipAddress& peer, const IndexStamp& stamp) {
+               asio::co_spawn(this->gossip.strand(),
+                              this->client.AdoptFromPeer(peer, stamp),
+                              asio::detached);
+             }),
+      client(context.settings, this->store, this->members, this->gossip) {
+  this->members.AddSeeds(ParseSeeds(context.settings.gossip_seeds));
+}
+
+void FleetState::Start() {
+  this->context.pool.Spawn(FollowVmList(this->members, this->context.settings));
+  this->gossip.Start();
+  asio::co_spawn(this->gossip.strand(), this->client.Follow(), asio::detached);
+  asio::co_spawn(this->gossip.strand(), this->Bootstrap(), asio::detached);
+}
+
+asio::awaitable<void> FleetState::Bootstrap() {
+  const auto deadline = Uptime() + kBootstrapLimit;
+  const auto list_deadline = Uptime() + kListLimit;
+  while (!this->members.ListAge() && Uptime() < list_deadline)
+    co_await SleepFor(kBootstrapPoll);
+  co_await this->gossip.AskAtStart();
+  while (Uptime() < deadline &&
+         (!this->client.HasAskedService() || this->client.IsFetching())) {
+    co_await SleepFor(kBootstrapPoll);
+  }
+  this->has_asked = true;
+  LogLine(LogLevel::kInfo, "bootstrapped",
+          {{"revision", this->InForce()->index.stamp.revision}});
+}
+
+bool FleetState::IsReady() const {
+  return this->has_asked && this->InForce()->index.stamp.revision > 0;
+}
+
+bool FleetState::IsIsolated() const {
+  const auto silence = this->gossip.Silence();
+  if (!silence || *silence < kIsolationLimit)
+    return false;
+  const auto list_age = this->members.ListAge();
+  return !list_age || *list_age >= kIsolationLimit;
+}
+
+bool FleetState::RefusesNewWork() const {
+  return this->members.Self().status == MemberStatus::kLeaving ||
+         this->IsIsolated();
+}
+
+void FleetState::Leave() {
+  this->members.Leave();
+  this->gossip.Spread();
+}
+
+nlohmann::json FleetState::Status() const {
+  const ConfigurationPtr in_force = this->InForce();
+  const MemberNews self = this->members.Self();
+  const auto list_age = this->members.ListAge();
+  return {{"configuration_revision", in_force->index.stamp.revision},
+          {"configuration_digest", FormatDigest(in_force->index.stamp.digest)},
+          {"configuration_refused", RefusedStatus(this->store.Refused())},
+          {"ready", this->IsReady()},
+          {"members", this->members.All().size()},
+          {"members_leaving", this->members.LeavingCount()},
+          {"peers", this->members.Peers().size()},
+          {"leaving", self.status == MemberStatus::kLeaving},
+          {"isolated", this->IsIsolated()},
+          {"epoch", self.epoch},
+          {"incarnation", static_cast<std::uint64_t>(this->incarnation)},
+          {"vm_list_age_ms", list_age ? list_age->count() : -1}};
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/fleet/fleet_state.h
@@ -0,0 +1,66 @@
+/** @file fleet_state.h What a process knows of the fleet. */
+
+#ifndef SRC_FLEET_FLEET_STATE_H_
+#define SRC_FLEET_FLEET_STATE_H_
+
+#include <atomic>
+
+#include "fleet/configuration_client.h"
+#include "fleet/configuration_store.h"
+#include "fleet/gossip.h"
+#include "fleet/member_list.h"
+#include "kernel/role.h"
+
+namespace buckthornpath {
+
+/** Configuration in force and members, kept up to date; one for each role. */
+class FleetState {
+ public:
+  explicit FleetState(const RoleContext& context);
+
+  /** Starts to follow the service, the VM list and the gossip. */
+  void Start();
+
+  const ConfigurationStore& Store() const { return this->store; }
+  ConfigurationPtr InForce() const { return this->store.InForce(); }
+  MemberList& Members() { return this->members; }
+
+  /** @return The life of this process. */
+  Incarnation ThisIncarnation() const { return this->incarnation; }
+
+  /**
+   * @return True once a configuration is in force and the service and some
+   *     peers were asked for a greater one, or time for that ran out.
+   */
+  bool IsReady() const;
+
+  /**
+   * @return True if this process must take no new work: it leaves, or can
+   *     neither read the VM list nor hear a peer that might tell it so.
+   */
+  bool RefusesNewWork() const;
+
+  /** Announces that this process leaves. */
+  void Leave();
+
+  /** @return What operators see. */
+  nlohmann::json Status() const;
+
+ private:
+  /** Asks service and peers before the process serves. */
+  asio::awaitable<void> Bootstrap();
+
+  bool IsIsolated() const;
+
+  RoleContext context;
+  Incarnation incarnation;
+  ConfigurationStore store;
+  MemberList members;
+  Gossip gossip;
+  ConfigurationClient client;
+  std::atomic<bool> has_asked = false;
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_FLEET_FLEET_STATE_H_
--- /dev/null
+++ b/src/fleet/gossip.cc
@@ -0,0 +1,306 @@
+/** @file gossip.cc Exchanges news with other processes of the fleet. */
+
+#include "fleet/gossip.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "fleet/index_delta.h"
+#include "fleet/uptime.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "wire/codec.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+
+/** Headers of IP and UDP, counted with each datagram. */
+constexpr std::size_t kHeaderBytes = 28;
+
+constexpr std::size_t kMaxDatagramBytes = 1400;
+constexpr std::size_t kPieceBytes = 1000;
+constexpr std::size_t kMaxValueBytes = std::size_t{1024} * 1024;
+
+/** Pieces of members' news in one datagram. */
+constexpr std::size_t kNewsPerExchange = 6;
+
+constexpr std::size_t kPeersAskedAtStart = 8;
+constexpr std::size_t kPeersTold = 2;
+constexpr std::size_t kPeersAskedForValue = 3;
+constexpr int kPullTries = 4;
+constexpr std::chrono::milliseconds kAnswerTimeout{300};
+
+/** Pieces of one value sent at once; the rest follow one per pause. */
+constexpr std::size_t kBurstPieces = 16;
+constexpr std::chrono::milliseconds kPiecePause{500};
+
+void CountBytes(const char* direction, std::size_t bytes) {
+  ProcessMetrics().Add("control_bytes_total",
+                       "direction=\"" + std::string(direction) + "\"",
+                       bytes + kHeaderBytes);
+}
+
+GossipAddress ToGossipAddress(const SocketAddress& address) {
+  return {address.address(), address.port()};
+}
+
+/** Splits "index/R1-D1/R2-D2". @return Nothing if it is malformed. */
+std::optional<std::pair<IndexStamp, IndexStamp>> ParseDeltaName(
+    const std::string& name) {
+  IndexStamp from;
+  IndexStamp to;
+  if (std::sscanf(name.c_str(), "index/%lu-%lu/%lu-%lu", &from.revision,
+                  &from.digest, &to.revision, &to.digest) != 4) {
+    return std::nullopt;
+  }
+  return std::pair(from, to);
+}
+
+}  // namespace
+
+Gossip::Gossip(const RoleContext& context,
+               MemberList& members,
+               const ConfigurationStore& configuration,
+               OnGreaterIndex on_greater_index)
+    : context(context),
+      members(members),
+      configuration(configuration),
+      on_greater_index(std::move(on_greater_index)),
+      codec(context.settings.ticket_secret),
+      own_strand(context.pool.NewStrand()) {
+  const std::string& address = context.settings.gossip_address;
+  if (!address.empty()) {
+    this->socket.emplace(this->own_strand,
+                         ToGossipAddress(ParseSocketAddress(address)));
+  }
+}
+
+void Gossip::Start() {
+  if (!this->IsEnabled())
+    return;
+  asio::co_spawn(this->own_strand, this->ReceiveAll(), asio::detached);
+  asio::co_spawn(this->own_strand, this->ExchangeForever(), asio::detached);
+}
+
+std::optional<std::chrono::milliseconds> Gossip::Silence() const {
+  const std::int64_t heard = this->heard_at;
+  if (heard < 0)
+    return std::nullopt;
+  return Uptime() - std::chrono::milliseconds(heard);
+}
+
+asio::awaitable<void> Gossip::ReceiveAll() {
+  std::array<char, 2 * kMaxDatagramBytes> buffer{};
+  while (true) {
+    GossipAddress from;
+    auto [error, size] = co_await this->socket->async_receive_from(
+        asio::buffer(buffer), from, kAwaitResult);
+    if (error)
+      continue;
+    CountBytes("received", size);
+    try {
+      this->Handle(from, this->codec.Decode({buffer.data(), size}));
+    } catch (const MalformedMessage& fault) {
+      ProcessMetrics().Add("malformed_messages_total");
+      LogLine(LogLevel::kWarning, "malformed_gossip",
+              {{"reason", fault.what()}});
+    }
+  }
+}
+
+void Gossip::Send(const GossipAddress& peer, const GossipDatagram& datagram) {
+  const std::string bytes = this->codec.Encode(datagram);
+  boost::system::error_code ignored;
+  this->socket->send_to(asio::buffer(bytes), peer, 0, ignored);
+  CountBytes("sent", bytes.size());
+}
+
+GossipExchange Gossip::MakeExchange(bool is_answer) {
+  GossipExchange exchange;
+  exchange.is_answer = is_answer;
+  exchange.sender = this->members.Self();
+  exchange.in_force = this->configuration.InForce()->index.stamp;
+  exchange.news = this->members.TakeNews(kNewsPerExchange);
+  return exchange;
+}
+
+void Gossip::HandleExchange(const GossipAddress& from,
+                            const GossipExchange& exchange) {
+  this->heard_at = Uptime().count();
+  bool is_new = this->members.Hear(exchange.sender);
+  for (const MemberNews& news : exchange.news)
+    is_new = this->members.Hear(news) || is_new;
+  if (this->configuration.Wants(exchange.in_force))
+    this->on_greater_index(from, exchange.in_force);
+  if (is_new && this->members.HasUrgentNews())
+    this->Spread();
+}
+
+void Gossip::Handle(const GossipAddress& from, const GossipDatagram& datagram) {
+  if (const auto* exchange = std::get_if<GossipExchange>(&datagram.message)) {
+    this->HandleExchange(from, *exchange);
+    if (!exchange->is_answer) {
+      GossipExchange answer = this->MakeExchange(true);
+      const auto about = this->members.About(exchange->sender.vm);
+      if (about)
+        answer.news.push_back(*about);
+      this->Send(from, {datagram.nonce, std::move(answer)});
+      return;
+    }
+  }
+  if (const auto* request = std::get_if<PieceRequest>(&datagram.message)) {
+    this->Send(from, {datagram.nonce, this->FindPiece(*request)});
+    return;
+  }
+  const auto found = this->pending.find(datagram.nonce);
+  if (found == this->pending.end())
+    return;
+  found->second->answer = datagram.message;
+  found->second->timer.cancel();
+}
+
+Piece Gossip::FindPiece(const PieceRequest& request) const {
+  constexpr std::string_view kDocument = "document/";
+  const ConfigurationPtr in_force = this->configuration.InForce();
+  std::string value;
+  if (request.name.compare(0, kDocument.size(), kDocument) == 0) {
+    const auto found =
+        in_force->texts.find(request.name.substr(kDocument.size()));
+    if (found == in_force->texts.end())
+      return {};
+    value = *found->second;
+  } else {
+    const auto stamps = ParseDeltaName(request.name);
+    if (!stamps || stamps->second != in_force->index.stamp)
+      return {};
+    const auto from = this->configuration.Recent(stamps->first);
+    value = EncodeIndexDelta(from.value_or(Index{}), in_force->index);
+    value.insert(value.begin(), from ? 'd' : 'w');
+  }
+  if (request.offset >= value.size())
+    return {};
+  return {true, static_cast<std::uint32_t>(value.size()), request.offset,
+          value.substr(request.offset, kPieceBytes)};
+}
+
+asio::awaitable<std::optional<GossipMessage>> Gossip::Ask(
+    GossipAddress peer,
+    GossipMessage message) {
+  const std::uint64_t nonce = this->random();
+  auto waiting = std::make_shared<Pending>(this->own_strand);
+  this->pending[nonce] = waiting;
+  const GossipDatagram datagram{nonce, std::move(message)};
+  this->Send(peer, datagram);
+  waiting->timer.expires_after(kAnswerTimeout);
+  co_await waiting->timer.async_wait(kAwaitResult);
+  this->pending.erase(nonce);
+  co_return waiting->answer;
+}
+
+asio::awaitable<std::string> Gossip::Pull(GossipAddress peer,
+                                          std::string name) {
+  std::string value;
+  std::size_t size = 1;
+  int tries = 0;
+  std::size_t pieces = 0;
+  while (value.size() < size) {
+    GossipMessage request =
+        PieceRequest{name, static_cast<std::uint32_t>(value.size())};
+    const auto answer = co_await this->Ask(peer, std::move(request));
+    const Piece* piece = answer ? std::get_if<Piece>(&*answer) : nullptr;
+    if (piece == nullptr) {
+      if (++tries >= kPullTries)
+        throw PeerFailed("no answer for '" + name + "'");
+      continue;
+    }
+    if (!piece->held || piece->size > kMaxValueBytes ||
+        piece->offset != value.size() || piece->data.empty()) {
+      throw PeerFailed("'" + name + "' is not held");
+    }
+    size = piece->size;
+    value += piece->data;
+    if (++pieces >= kBurstPieces)
+      co_await SleepFor(kPiecePause);
+  }
+  co_return value;
+}
+
+asio::awaitable<std::string> Gossip::PullFromAny(std::string name) {
+  std::string reason = "no peer is known";
+  for (const Peer& peer : this->ChoosePeers(kPeersAskedForValue)) {
+    try {
+      co_return co_await this->Pull(ToGossipAddress(peer.address), name);
+    } catch (const PeerFailed& failed) {
+      reason = failed.what();
+    }
+  }
+  throw PeerFailed(reason);
+}
+
+std::vector<Peer> Gossip::ChoosePeers(std::size_t most) {
+  std::vector<Peer> peers = this->members.Peers();
+  std::shuffle(peers.begin(), peers.end(), this->random);
+  if (peers.size() > most)
+    peers.resize(most);
+  return peers;
+}
+
+asio::awaitable<void> Gossip::ExchangeWith(Peer peer) {
+  GossipMessage message = this->MakeExchange(false);
+  const auto asked_at = Uptime();
+  const auto answer =
+      co_await this->Ask(ToGossipAddress(peer.address), std::move(message));
+  if (answer || peer.vm.empty())
+    co_return;
+  // After a pause of this process its own lateness says nothing of the peer.
+  if (Uptime() - asked_at < 2 * kAnswerTimeout)
+    this->members.ProbeFailed(peer.vm);
+}
+
+asio::awaitable<void> Gossip::ExchangeForever() {
+  while (true) {
+    if (this->members.Tick()) {
+      ProcessMetrics().Add("pauses_total");
+      LogLine(LogLevel::kWarning, "woke_after_pause", nlohmann::json::object());
+      this->Spread();
+    }
+    for (Peer& peer : this->ChoosePeers(1)) {
+      asio::co_spawn(this->own_strand, this->ExchangeWith(std::move(peer)),
+                     asio::detached);
+    }
+    const auto interval = this->context.settings.gossip_interval;
+    const std::chrono::milliseconds jitter(this->random() %
+                                           (interval.count() / 2 + 1));
+    co_await SleepFor(interval * 3 / 4 + jitter);
+  }
+}
+
+void Gossip::Spread() {
+  if (!this->IsEnabled())
+    return;
+  asio::post(this->own_strand, [this] {
+    for (Peer& peer : this->ChoosePeers(kPeersTold)) {
+      asio::co_spawn(this->own_strand, this->ExchangeWith(std::move(peer)),
+                     asio::detached);
+    }
+  });
+}
+
+asio::awaitable<void> Gossip::AskAtStart() {
+  if (!this->IsEnabled())
+    co_return;
+  for (Peer& peer : this->ChoosePeers(kPeersAskedAtStart)) {
+    asio::co_spawn(this->own_strand, this->ExchangeWith(std::move(peer)),
+                   asio::detached);
+  }
+  co_await SleepFor(kAnswerTimeout);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/fleet/index_delta.cc
@@ -0,0 +1,66 @@
+/** @file index_delta.cc What changed between two indices. */
+
+#include "fleet/index_delta.h"
+
+#include <map>
+
+namespace buckthornpath {
+
+namespace {
+
+using nlohmann::json;
+
+std::map<std::string, IndexEntry> ByName(const Index& index) {
+  std::map<std::string, IndexEntry> entries;
+  for (const IndexEntry& entry : index.entries)
+    entries.emplace(entry.name, entry);
+  return entries;
+}
+
+}  // namespace
+
+std::string EncodeIndexDelta(const Index& from, const Index& to) {
+  std::map<std::string, IndexEntry> dropped = ByName(from);
+  json changed = json::array();
+  for (const IndexEntry& entry : to.entries) {
+    const auto known = dropped.find(entry.name);
+    if (known == dropped.end() || known->second.digest != entry.digest) {
+      changed.push_back({entry.name, static_cast<std::uint64_t>(entry.revision),
+                         entry.digest});
+    }
+    if (known != dropped.end())
+      dropped.erase(known);
+  }
+  json removed = json::array();
+  for (const auto& [name, entry] : dropped)
+    removed.push_back(name);
+  std::string bytes;
+  json::to_cbor(
+      json::array({to.stamp.revision, std::move(changed), std::move(removed)}),
+      nlohmann::detail::output_adapter<char>(bytes));
+  return bytes;
+}
+
+Index ApplyIndexDelta(const Index& from, const std::string& delta) {
+  try {
+    const json parsed = json::from_cbor(delta);
+    std::map<std::string, IndexEntry> entries = ByName(from);
+    for (const json& item : parsed.at(1)) {
+      const auto name = item.at(0).get<std::string>();
+      entries[name] = {name, Revision{item.at(1).get<std::uint64_t>()},
+                       item.at(2).get<std::string>()};
+    }
+    for (const json& name : parsed.at(2))
+      entries.erase(name.get<std::string>());
+    Index index;
+    index.stamp.revision = parsed.at(0).get<std::uint64_t>();
+    for (auto& [name, entry] : entries)
+      index.entries.push_back(std::move(entry));
+    index.stamp.digest = DigestOf(index);
+    return index;
+  } catch (const json::exception& error) {
+    throw DocumentRefused("/delta", error.what());
+  }
+}
+
+}  // namespace buckthornpath
--- a/src/fleet/member_list.cc
+++ b/src/fleet/member_list.cc
@@ -1,9 +1,14 @@
-/** @file member_list.cc Endpoints known from the VM list. */
+/** @file member_list.cc Endpoints and processes of the fleet. */
 
 #include "fleet/member_list.h"
 
+#include <algorithm>
+#include <random>
+
+#include "buckthornpath/rendezvous.h"
+#include "fleet/platform_read.h"
+#include "fleet/uptime.h"
 #include "kernel/field_table.h"
-#include "kernel/http_client.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -13,6 +18,12 @@
 
 constexpr std::chrono::milliseconds kReadTimeout{3000};
 
+/** Time for which a refusal for leaving is believed without other news. */
+constexpr std::chrono::milliseconds kRefusalHolds{3000};
+
+/** Processes of each failure domain that watch the configuration service. */
+constexpr std::size_t kWatchersPerDomain = 2;
+
 Member ParseMember(const nlohmann::json& item) {
   Member member;
   member.vm = VmId(item.at("vm").get<std::string>());
@@ -27,38 +38,198 @@
   return member;
 }
 
+void ParseVm(const nlohmann::json& item, VmList& list) {
+  const VmId vm(item.at("vm").get<std::string>());
+  list.known.insert(vm);
+  if (item.at("state").get<std::string>() != "live")
+    list.leaving.insert(vm);
+  if (item.value("role", "endpoint") == "endpoint")
+    list.members.push_back(ParseMember(item));
+  const auto gossip = item.value("gossip_address", std::string());
+  if (gossip.empty())
+    return;
+  list.peers.push_back(
+      {vm, FailureDomainId(item.at("failure_domain").get<std::string>()),
+       ParseSocketAddress(gossip)});
+}
+
+/** Reads the list once. @throws HttpError, DocumentRefused */
+asio::awaitable<void> ReadVmList(MemberList& list,
+                                 const Settings& settings,
+                                 std::string& etag) {
+  HttpRequest request;
+  request.target = "/v1/vms";
+  if (!etag.empty())
+    request.headers.Set("If-None-Match", etag);
+  const HttpResponse response = co_await ReadPlatform(
+      settings.vm, ParseSocketAddress(settings.vm_list_address),
+      std::move(request), kReadTimeout);
+  if (response.status == 304) {
+    list.Reaffirm();
+    co_return;
+  }
+  if (response.status != 200)
+    throw HttpError("status " + std::to_string(response.status));
+  list.Replace(ParseVmList(response.body));
+  etag = response.headers.Find("ETag").value_or("");
+}
+
 }  // namespace
 
 void MemberList::Replace(std::vector<Member> next) {
+  VmList read;
+  for (const Member& member : next) {
+    read.known.insert(member.vm);
+    if (member.state == MemberState::kLeaving)
+      read.leaving.insert(member.vm);
+  }
+  read.members = std::move(next);
+  this->Replace(std::move(read));
+}
+
+void MemberList::Replace(VmList next) {
+  {
+    const OrderedLock lock(this->mutex);
+    this->list = std::move(next);
+  }
+  this->Reaffirm();
+}
+
+void MemberList::Reaffirm() {
+  const OrderedLock lock(this->mutex);
+  this->list_read_at = Uptime();
+  this->membership.HearList(this->list.known, this->list.leaving, Uptime());
+}
+
+void MemberList::AddSeeds(const std::vector<Peer>& more) {
   const OrderedLock lock(this->mutex);
-  this->members = std::move(next);
+  this->seeds.insert(this->seeds.end(), more.begin(), more.end());
+}
+
+bool MemberList::IsRefusing(const Member& member) const {
+  if (member.state == MemberState::kLeaving ||
+      this->membership.IsLeaving(member.vm)) {
+    return true;
+  }
+  const auto refused = this->refused_until.find(member.id);
+  return refused != this->refused_until.end() && refused->second > Uptime();
 }
 
 std::vector<Member> MemberList::LiveMembers(const ServiceName& service) const {
   const OrderedLock lock(this->mutex);
   std::vector<Member> live;
-  for (const Member& member : this->members) {
-    if (member.service != service)
+  std::vector<Member> doubtful;
+  for (const Member& member : this->list.members) {
+    if (member.service != service || this->IsRefusing(member))
       continue;
-    if (member.state == MemberState::kLive)
+    if (this->membership.IsUsable(member.vm)) {
       live.push_back(member);
+    } else {
+      doubtful.push_back(member);
+    }
   }
-  return live;
+  return live.empty() ? doubtful : live;
 }
 
 std::vector<Member> MemberList::All() const {
   const OrderedLock lock(this->mutex);
-  return this->members;
+  return this->list.members;
+}
+
+std::vector<Peer> MemberList::Peers() const {
+  const OrderedLock lock(this->mutex);
+  std::vector<Peer> peers = this->seeds;
+  for (const Peer& peer : this->list.peers) {
+    if (peer.vm != this->membership.Self().vm)
+      peers.push_back(peer);
+  }
+  return peers;
+}
+
+void MemberList::ReportLeaving(const EndpointId& endpoint) {
+  const OrderedLock lock(this->mutex);
+  const auto now = Uptime();
+  std::erase_if(this->refused_until,
+                [&](const auto& item) { return item.second <= now; });
+  this->refused_until[endpoint] = now + kRefusalHolds;
+}
+
+bool MemberList::IsWatcher(const FailureDomainId& domain) const {
+  const OrderedLock lock(this->mutex);
+  const std::string self = this->membership.Self().vm.str();
+  std::vector<RendezvousSite> sites{{self, 1.0}};
+  for (const Peer& peer : this->list.peers) {
+    if (peer.failure_domain == domain && peer.vm.str() != self &&
+        this->membership.IsUsable(peer.vm)) {
+      sites.push_back({peer.vm.str(), 1.0});
+    }
+  }
+  const auto order = RendezvousOrder("configuration-watchers", sites);
+  const auto place = std::find(order.begin(), order.end(), std::size_t{0});
+  return static_cast<std::size_t>(place - order.begin()) < kWatchersPerDomain;
+}
+
+std::optional<std::chrono::milliseconds> MemberList::ListAge() const {
+  const OrderedLock lock(this->mutex);
+  if (!this->list_read_at)
+    return std::nullopt;
+  return Uptime() - *this->list_read_at;
+}
+
+std::size_t MemberList::LeavingCount() const {
+  const OrderedLock lock(this->mutex);
+  return static_cast<std::size_t>(std::count_if(
+      this->list.members.begin(), this->list.members.end(),
+      [this](const Member& member) { return this->IsRefusing(member); }));
+}
+
+MemberNews MemberList::Self() const {
+  const OrderedLock lock(this->mutex);
+  return this->membership.Self();
+}
+
+std::optional<MemberNews> MemberList::About(const VmId& vm) const {
+  const OrderedLock lock(this->mutex);
+  return this->membership.About(vm);
+}
+
+bool MemberList::Hear(const MemberNews& news) {
+  const OrderedLock lock(this->mutex);
+  return this->membership.Hear(news, Uptime());
 }
 
-std::vector<Member> ParseVmList(const std::string& text) {
+void MemberList::ProbeFailed(const VmId& vm) {
+  const OrderedLock lock(this->mutex);
+  this->membership.ProbeFailed(vm, Uptime());
+}
+
+bool MemberList::Tick() {
+  const OrderedLock lock(this->mutex);
+  return this->membership.Tick(Uptime());
+}
+
+void MemberList::Leave() {
+  const OrderedLock lock(this->mutex);
+  this->membership.Leave();
+}
+
+bool MemberList::HasUrgentNews() const {
+  const OrderedLock lock(this->mutex);
+  return this->membership.HasUrgentNews();
+}
+
+std::vector<MemberNews> MemberList::TakeNews(std::size_t most) {
+  const OrderedLock lock(this->mutex);
+  return this->membership.TakeNews(most);
+}
+
+VmList ParseVmList(const std::string& text) {
   const nlohmann::json object = ParseJsonWithComments(text);
   try {
-    std::vector<Member> members;
-    for (const nlohmann::json& item : object.at("vms")) {
-      members.push_back(ParseMember(item));
-    }
-    return members;
+    VmList list;
+    for (const nlohmann::json& item : object.at("vms"))
+      ParseVm(item, list);
+    return list;
   } catch (const nlohmann::json::exception& error) {
     throw DocumentRefused("/vms", error.what());
   } catch (const std::invalid_argument& error) {
@@ -66,23 +237,20 @@
   }
 }
 
-asio::awaitable<void> FollowVmList(MemberList& list,
-                                   SocketAddress service,
-                                   std::chrono::milliseconds interval) {
+asio::awaitable<void> FollowVmList(MemberList& list, const Settings& settings) {
+  std::minstd_rand random{std::random_device{}()};
+  std::string etag;
   while (true) {
     try {
-      HttpRequest request;
-      request.target = "/v1/vms";
-      const HttpResponse response =
-          co_await HttpFetch(service, request, kReadTimeout);
-      if (response.status != 200)
-        throw HttpError("VM list unavailable");
-      list.Replace(ParseVmList(response.body));
+      co_await ReadVmList(list, settings, etag);
     } catch (const std::exception& error) {
       ProcessMetrics().Add("vm_list_faults_total");
       LogLine(LogLevel::kWarning, "vm_list_fault", {{"reason", error.what()}});
     }
-    co_await SleepFor(interval);
+    const auto interval = settings.vm_list_interval;
+    const std::chrono::milliseconds jitter(
+        random() % static_cast<unsigned>(interval.count() / 5 + 1));
+    co_await SleepFor(interval - jitter);
   }
 }
 
--- /dev/null
+++ b/src/fleet/platform_read.cc
@@ -0,0 +1,39 @@
+/** @file platform_read.cc Reads from the platform, counted. */
+
+#include "fleet/platform_read.h"
+
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Bytes of a request or status line beside its target. */
+constexpr std::size_t kLineBytes = 32;
+
+std::size_t SizeOf(const HttpHeaders& headers) {
+  std::size_t size = 0;
+  for (const auto& [name, value] : headers.Fields())
+    size += name.size() + value.size() + 4;
+  return size;
+}
+
+}  // namespace
+
+asio::awaitable<HttpResponse> ReadPlatform(std::string reader,
+                                           SocketAddress service,
+                                           HttpRequest request,
+                                           std::chrono::milliseconds timeout) {
+  request.headers.Set("User-Agent", "buckthornpathd/" + reader);
+  ProcessMetrics().Add(
+      "control_bytes_total", "direction=\"sent\"",
+      kLineBytes + request.target.size() + SizeOf(request.headers));
+  HttpResponse response =
+      co_await HttpFetch(service, std::move(request), timeout);
+  ProcessMetrics().Add(
+      "control_bytes_total", "direction=\"received\"",
+      kLineBytes + SizeOf(response.headers) + response.body.size());
+  co_return response;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/fleet/platform_read.h
@@ -0,0 +1,26 @@
+/** @file platform_read.h Reads from the platform, counted. */
+
+#ifndef SRC_FLEET_PLATFORM_READ_H_
+#define SRC_FLEET_PLATFORM_READ_H_
+
+#include <chrono>
+#include <string>
+
+#include "kernel/http_client.h"
+
+namespace buckthornpath {
+
+/**
+ * Sends a request to the configuration service or the VM list, names the
+ * reader in User-Agent and counts the bytes as control traffic.
+ * @param reader Name of this process's VM.
+ * @throws HttpError If there is no response.
+ */
+asio::awaitable<HttpResponse> ReadPlatform(std::string reader,
+                                           SocketAddress service,
+                                           HttpRequest request,
+                                           std::chrono::milliseconds timeout);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_FLEET_PLATFORM_READ_H_
--- a/src/fleet/published.cc
+++ b/src/fleet/published.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <iomanip>
 #include <sstream>
 
@@ -27,6 +28,33 @@
   return document;
 }
 
+/** Largest document; larger ones do not fit a node's control traffic. */
+constexpr std::size_t kMaxDocumentBytes = std::size_t{32} * 1024;
+
+void CheckSize(const std::string& text) {
+  if (text.size() > kMaxDocumentBytes) {
+    throw DocumentRefused(
+        "", "has " + std::to_string(text.size()) + " bytes; at most " +
+                std::to_string(kMaxDocumentBytes) +
+                " are allowed, split it into several documents");
+  }
+}
+
+/** Puts the entries in order. @throws DocumentRefused If a name stands twice.
+ */
+void SortEntries(Index& index) {
+  std::sort(
+      index.entries.begin(), index.entries.end(),
+      [](const IndexEntry& a, const IndexEntry& b) { return a.name < b.name; });
+  const auto twice =
+      std::adjacent_find(index.entries.begin(), index.entries.end(),
+                         [](const IndexEntry& a, const IndexEntry& b) {
+                           return a.name == b.name;
+                         });
+  if (twice != index.entries.end())
+    throw DocumentRefused("/documents", "'" + twice->name + "' stands twice");
+}
+
 }  // namespace
 
 Rank Profile::RankValue() const {
@@ -53,13 +81,15 @@
   const nlohmann::json object = ParseJsonWithComments(text);
   try {
     Index index;
-    index.revision = Revision{object.at("revision").get<std::uint64_t>()};
+    index.stamp.revision = object.at("revision").get<std::uint64_t>();
     for (const nlohmann::json& item : object.at("documents")) {
       index.entries.push_back(
           {item.at("name").get<std::string>(),
            Revision{item.at("revision").get<std::uint64_t>()},
            item.at("digest").get<std::string>()});
     }
+    SortEntries(index);
+    index.stamp.digest = DigestOf(index);
     return index;
   } catch (const nlohmann::json::exception& error) {
     throw DocumentRefused("", error.what());
@@ -86,14 +116,45 @@
   } else {
     throw DocumentRefused("", "unknown kind of document '" + kind + "'");
   }
-  configuration.entries[entry.name] = entry;
+}
+
+ConfigurationPtr BuildConfiguration(const Index& index,
+                                    const DocumentTexts& texts) {
+  auto configuration = std::make_shared<Configuration>();
+  configuration->revision = Revision{index.stamp.revision};
+  configuration->index = index;
+  std::vector<DocumentFault> faults;
+  for (const IndexEntry& entry : index.entries) {
+    const std::shared_ptr<const std::string>& text = texts.at(entry.digest);
+    configuration->texts.emplace(entry.digest, text);
+    try {
+      CheckSize(*text);
+      AddDocument(*configuration, entry, *text);
+    } catch (const DocumentRefused& refused) {
+      for (const DocumentFault& fault : refused.Faults())
+        faults.push_back({entry.name + fault.path, fault.reason});
+    }
+  }
+  if (!faults.empty())
+    throw DocumentRefused(std::move(faults));
+  return configuration;
+}
+
+std::uint64_t DigestOf(const Index& index) {
+  std::string text;
+  for (const IndexEntry& entry : index.entries)
+    text += entry.name + '\0' + entry.digest + '\0';
+  return XXH3_64bits(text.data(), text.size());
+}
+
+std::string FormatDigest(std::uint64_t digest) {
+  std::ostringstream text;
+  text << std::hex << std::setw(16) << std::setfill('0') << digest;
+  return text.str();
 }
 
 std::string DocumentDigest(const std::string& text) {
-  std::ostringstream digest;
-  digest << std::hex << std::setw(16) << std::setfill('0')
-         << XXH3_64bits(text.data(), text.size());
-  return digest.str();
+  return FormatDigest(XXH3_64bits(text.data(), text.size()));
 }
 
 }  // namespace buckthornpath
--- a/src/fleet/published_type.h
+++ b/src/fleet/published_type.h
@@ -13,6 +13,7 @@
 #include "buckthornpath/rank_type.h"
 #include "buckthornpath/strong_id_type.h"
 #include "kernel/field_table.h"
+#include "wire/index_stamp_type.h"
 
 namespace buckthornpath {
 
@@ -54,14 +55,18 @@
 
 /** The published index: names the revision of every document. */
 struct Index {
-  Revision revision{};
-  std::vector<IndexEntry> entries;
+  IndexStamp stamp;
+  std::vector<IndexEntry> entries;  ///< In the order of their names.
 };
 
+/** Bytes of documents by digest. */
+using DocumentTexts = std::map<std::string, std::shared_ptr<const std::string>>;
+
 /** All documents in force together. */
 struct Configuration {
   Revision revision{};
-  std::map<std::string, IndexEntry> entries;
+  Index index;
+  DocumentTexts texts;
   std::map<ProfileName, Profile> profiles;
   std::map<OrganisationId, Organisation> organisations;
   std::map<ServiceName, Service> services;
@@ -89,6 +94,19 @@
                  const IndexEntry& entry,
                  const std::string& text);
 
+/**
+ * Builds a configuration from an index and all documents that it names.
+ * @throws DocumentRefused With every fault of every document.
+ */
+ConfigurationPtr BuildConfiguration(const Index& index,
+                                    const DocumentTexts& texts);
+
+/** @return The digest of an index: of its names and their digests. */
+std::uint64_t DigestOf(const Index& index);
+
+/** @return A digest in hexadecimal. */
+std::string FormatDigest(std::uint64_t digest);
+
 /** @return The digest under which the index names a document. */
 std::string DocumentDigest(const std::string& text);
 
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -24,6 +24,8 @@
   std::string dialogue_address;
   std::string engine_address;
   std::string service;
+  std::string gossip_address;
+  std::string gossip_seeds;
   std::string ticket_secret;
   std::string placement_policy;
   std::string log_level;
@@ -37,6 +39,7 @@
   std::int64_t chat_memory_entries = 0;
   std::chrono::milliseconds vm_list_interval{};
   std::chrono::milliseconds configuration_wait{};
+  std::chrono::milliseconds gossip_interval{};
   std::chrono::milliseconds connect_timeout{};
   std::chrono::milliseconds heartbeat_interval{};
   std::chrono::milliseconds silence_timeout{};
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -184,6 +184,8 @@
       this->context.placement.Loads().NoteReport(
           endpoint, refused->running + refused->queued,
           std::chrono::steady_clock::now());
+      if (refused->reason == "endpoint_leaving")
+        this->context.members.ReportLeaving(endpoint);
       const Outcome outcome = ParseOutcome(refused->outcome);
       this->problem = {refused->reason, refused->detail, outcome,
                        refused->retry_after, ""};
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -18,6 +18,7 @@
   const Settings& settings;
   Placement& placement;
   const TicketMint& mint;
+  MemberList& members;
 };
 
 /** One call: chooses endpoints, hands over, streams back and recovers. */
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -3,8 +3,7 @@
 #include <atomic>
 #include <memory>
 
-#include "fleet/configuration_client.h"
-#include "fleet/member_list.h"
+#include "fleet/fleet_state.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/role.h"
@@ -18,12 +17,9 @@
  public:
   explicit RouterRole(const RoleContext& context)
       : context(context),
+        fleet(context),
         mint(context.settings.ticket_secret),
-        placement(context.settings, this->members, this->mint),
-        configuration_client(
-            this->configuration,
-            ParseSocketAddress(context.settings.configuration_address),
-            context.settings.configuration_wait),
+        placement(context.settings, this->fleet.Members(), this->mint),
         server(
             context.pool,
             ParseSocketAddress(context.settings.caller_address),
@@ -31,26 +27,23 @@
             [this](HttpExchange& exchange) { return this->Serve(exchange); }) {}
 
   void Start() override {
-    const Settings& settings = this->context.settings;
-    this->context.pool.Spawn(this->configuration_client.Follow());
-    this->context.pool.Spawn(FollowVmList(
-        this->members, ParseSocketAddress(settings.vm_list_address),
-        settings.vm_list_interval));
+    this->fleet.Start();
     this->server.Start();
   }
 
-  void BeginDrain() override { this->draining = true; }
+  void BeginDrain() override {
+    this->draining = true;
+    this->fleet.Leave();
+  }
 
   std::size_t InFlight() const override { return this->in_flight; }
 
   nlohmann::json Status() const override {
-    return {
-        {"role", "router"},
-        {"configuration_revision",
-         static_cast<std::uint64_t>(this->configuration.InForce()->revision)},
-        {"members", this->members.All().size()},
-        {"in_flight", this->in_flight.load()},
-        {"draining", this->draining.load()}};
+    nlohmann::json status = this->fleet.Status();
+    status["role"] = "router";
+    status["in_flight"] = this->in_flight.load();
+    status["draining"] = this->draining.load();
+    return status;
   }
 
  private:
@@ -77,17 +70,17 @@
   }
 
   asio::awaitable<void> ServeCounted(HttpExchange& exchange) {
-    if (this->draining) {
+    if (this->draining || !this->fleet.IsReady()) {
       Problem problem;
-      problem.type = "router_draining";
+      problem.type = this->draining ? "router_draining" : "no_configuration";
       problem.retry_after = std::chrono::seconds(1);
       throw RequestRefused(std::move(problem));
     }
     const auto begun = std::chrono::steady_clock::now();
     CallerRequest request = ReadCallerRequest(
-        exchange.request(), *this->configuration.InForce(), this->mint);
+        exchange.request(), *this->fleet.InForce(), this->mint);
     const SessionContext session{this->context.settings, this->placement,
-                                 this->mint};
+                                 this->mint, this->fleet.Members()};
     if (request.action == CallerAction::kMintTicket) {
       HttpResponse response;
       response.status = 201;
@@ -107,11 +100,9 @@
   }
 
   RoleContext context;
-  ConfigurationStore configuration;
-  MemberList members;
+  FleetState fleet;
   TicketMint mint;
   Placement placement;
-  ConfigurationClient configuration_client;
   std::atomic<std::size_t> in_flight = 0;
   std::atomic<bool> draining = false;
   HttpServer server;
--- a/src/table/problem_table.h
+++ b/src/table/problem_table.h
@@ -23,6 +23,7 @@
     {"endpoint_restarted", 503, "The endpoint process restarted"},
     {"endpoint_unreachable", 503, "The endpoint cannot be reached"},
     {"no_endpoint", 503, "No endpoint of the service is known"},
+    {"no_configuration", 503, "No configuration is in force yet"},
     {"router_draining", 503, "The router is shutting down"},
     {"engine_failed", 502, "The engine failed during the call"},
     {"service_failed", 502, "The service failed during the call"},
--- /dev/null
+++ b/src/wire/gossip_codec.cc
@@ -0,0 +1,134 @@
+/** @file gossip_codec.cc Gossip messages as datagrams. */
+
+#include "wire/gossip_codec.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "wire/codec.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kCodeBytes = 16;
+
+/** Separates this use of the key from others. */
+constexpr std::string_view kPurpose = "gossip:";
+
+json NewsToJson(const MemberNews& news) {
+  return json::array({news.vm.str(), news.epoch,
+                      static_cast<std::uint64_t>(news.incarnation),
+                      static_cast<int>(news.status)});
+}
+
+MemberNews NewsFromJson(const json& item) {
+  MemberNews news;
+  news.vm = VmId(item.at(0).get<std::string>());
+  news.epoch = item.at(1).get<std::uint64_t>();
+  news.incarnation = Incarnation{item.at(2).get<std::uint64_t>()};
+  const int status = item.at(3).get<int>();
+  if (status < 0 || status > static_cast<int>(MemberStatus::kDown))
+    throw MalformedMessage("unknown member status");
+  news.status = static_cast<MemberStatus>(status);
+  return news;
+}
+
+json FieldsOf(const GossipExchange& exchange) {
+  json news = json::array();
+  for (const MemberNews& item : exchange.news)
+    news.push_back(NewsToJson(item));
+  return json::array({exchange.is_answer, NewsToJson(exchange.sender),
+                      exchange.in_force.revision, exchange.in_force.digest,
+                      std::move(news)});
+}
+
+json FieldsOf(const PieceRequest& request) {
+  return json::array({request.name, request.offset});
+}
+
+json FieldsOf(const Piece& piece) {
+  const std::vector<std::uint8_t> data(piece.data.begin(), piece.data.end());
+  return json::array(
+      {piece.held, piece.size, piece.offset, json::binary(data)});
+}
+
+GossipExchange ReadExchange(const json& fields) {
+  GossipExchange exchange;
+  exchange.is_answer = fields.at(0).get<bool>();
+  exchange.sender = NewsFromJson(fields.at(1));
+  exchange.in_force.revision = fields.at(2).get<std::uint64_t>();
+  exchange.in_force.digest = fields.at(3).get<std::uint64_t>();
+  for (const json& item : fields.at(4))
+    exchange.news.push_back(NewsFromJson(item));
+  return exchange;
+}
+
+Piece ReadPiece(const json& fields) {
+  Piece piece;
+  piece.held = fields.at(0).get<bool>();
+  piece.size = fields.at(1).get<std::uint32_t>();
+  piece.offset = fields.at(2).get<std::uint32_t>();
+  const auto& data = fields.at(3).get_binary();
+  piece.data.assign(data.begin(), data.end());
+  return piece;
+}
+
+GossipMessage ReadMessage(std::size_t kind, const json& fields) {
+  if (kind == 0)
+    return ReadExchange(fields);
+  if (kind == 1) {
+    return PieceRequest{fields.at(0).get<std::string>(),
+                        fields.at(1).get<std::uint32_t>()};
+  }
+  if (kind == 2)
+    return ReadPiece(fields);
+  throw MalformedMessage("unknown kind of gossip");
+}
+
+}  // namespace
+
+std::string GossipCodec::Code(std::string_view bytes) const {
+  const std::string text = std::string(kPurpose) + std::string(bytes);
+  std::array<unsigned char, EVP_MAX_MD_SIZE> code{};
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), this->key.data(), static_cast<int>(this->key.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       code.data(), &size);
+  return {reinterpret_cast<const char*>(code.data()), kCodeBytes};
+}
+
+std::string GossipCodec::Encode(const GossipDatagram& datagram) const {
+  json fields =
+      std::visit([](const auto& alternative) { return FieldsOf(alternative); },
+                 datagram.message);
+  std::string bytes;
+  json::to_cbor(json::array({datagram.nonce, datagram.message.index(),
+                             std::move(fields)}),
+                nlohmann::detail::output_adapter<char>(bytes));
+  return this->Code(bytes) + bytes;
+}
+
+GossipDatagram GossipCodec::Decode(std::string_view bytes) const {
+  if (bytes.size() < kCodeBytes)
+    throw MalformedMessage("datagram too short");
+  const std::string_view body = bytes.substr(kCodeBytes);
+  const std::string code = this->Code(body);
+  if (CRYPTO_memcmp(code.data(), bytes.data(), kCodeBytes) != 0)
+    throw MalformedMessage("datagram is not authentic");
+  try {
+    const json parsed = json::from_cbor(body.begin(), body.end());
+    return {parsed.at(0).get<std::uint64_t>(),
+            ReadMessage(parsed.at(1).get<std::size_t>(), parsed.at(2))};
+  } catch (const json::exception& error) {
+    throw MalformedMessage(error.what());
+  }
+}
+
+}  // namespace buckthornpath
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -7,6 +7,8 @@
 #include <filesystem>
 #include <iostream>
 #include <map>
+#include <set>
+#include <utility>
 
 #include "fakes/fake_program.h"
 
@@ -32,14 +34,24 @@
 struct StoredValue {
   std::string text;
   std::uint64_t version = 0;
+  std::string older;  ///< The text before the last write.
 };
 
-/** Faults that a control request sets. */
+/** Faults that a control request sets; readers are named by their VMs. */
 struct PlatformFaults {
   bool configuration_outage = false;
   bool vm_list_outage = false;
+  std::set<std::string> configuration_outage_for;
+  std::set<std::string> vm_list_outage_for;
+  std::set<std::string> stale_for;  ///< Get the values before the last write.
 };
 
+/** @return The VM that sent a request, by its User-Agent. */
+std::string ReaderOf(const HttpRequest& request) {
+  const std::string agent = request.headers.Find("User-Agent").value_or("");
+  return agent.substr(agent.find('/') + 1);
+}
+
 std::string ReadFile(const std::filesystem::path& path) {
   std::ifstream file(path);
   return {std::istreambuf_iterator<char>(file), {}};
@@ -70,10 +82,10 @@
     } else if (request.method == "PUT" && path.rfind("/v1/values/", 0) == 0) {
       this->Put(path.substr(11), request.body);
       co_await exchange.Send(StatusResponse(204));
-    } else if (this->IsOut()) {
+    } else if (this->IsOut(ReaderOf(request))) {
       co_await exchange.Send(StatusResponse(503));
     } else if (path.rfind("/v1/values/", 0) == 0) {
-      co_await exchange.Send(this->Get(path.substr(11)));
+      co_await exchange.Send(this->Get(path.substr(11), ReaderOf(request)));
     } else if (path.rfind("/v1/watch/", 0) == 0) {
       co_await this->Watch(exchange, path.substr(10));
     } else {
@@ -86,40 +98,56 @@
     HttpResponse response{200, {}, ""};
     {
       const std::lock_guard lock(this->mutex);
+      const std::string reader = ReaderOf(request);
       if (request.method == "PUT") {
-        this->vms = request.body;
-      } else if (this->faults.vm_list_outage) {
+        const auto only = request.Query("reader");
+        (only ? this->vms_for[*only] : this->vms) = request.body;
+      } else if (this->faults.vm_list_outage ||
+                 this->faults.vm_list_outage_for.count(reader) > 0) {
         response.status = 503;
       } else {
         ++this->vm_list_reads;
-        response.body = this->vms;
+        response = this->VmList(reader, request);
       }
     }
     co_await exchange.Send(std::move(response));
   }
 
  private:
+  HttpResponse VmList(const std::string& reader, const HttpRequest& request) {
+    const auto own = this->vms_for.find(reader);
+    std::string text = own == this->vms_for.end() ? this->vms : own->second;
+    const std::string etag = std::to_string(std::hash<std::string>()(text));
+    if (request.headers.Find("If-None-Match") == etag)
+      return {304, {{"ETag", etag}}, ""};
+    return {200, {{"ETag", etag}}, std::move(text)};
+  }
+
   void Put(const std::string& name, std::string text) {
     const std::lock_guard lock(this->mutex);
     StoredValue& value = this->values[name];
-    value.text = std::move(text);
+    value.older = std::exchange(value.text, std::move(text));
     ++value.version;
   }
 
-  bool IsOut() {
+  bool IsOut(const std::string& reader) {
     const std::lock_guard lock(this->mutex);
     ++this->reads;
-    return this->faults.configuration_outage;
+    return this->faults.configuration_outage ||
+           this->faults.configuration_outage_for.count(reader) > 0;
   }
 
-  HttpResponse Get(const std::string& name) {
+  HttpResponse Get(const std::string& name, const std::string& reader) {
     const std::lock_guard lock(this->mutex);
     const auto found = this->values.find(name);
     if (found == this->values.end())
       return {404, {}, ""};
-    return {200,
-            {{"X-Version", std::to_string(found->second.version)}},
-            found->second.text};
+    const StoredValue& value = found->second;
+    if (this->faults.stale_for.count(reader) > 0) {
+      return {
+          200, {{"X-Version", std::to_string(value.version - 1)}}, value.older};
+    }
+    return {200, {{"X-Version", std::to_string(value.version)}}, value.text};
   }
 
   asio::awaitable<void> Watch(HttpExchange& exchange, std::string name) {
@@ -128,12 +156,15 @@
         std::strtoll(exchange.request().Query("wait_ms").value_or("0").c_str(),
                      nullptr, 10));
     const auto deadline = std::chrono::steady_clock::now() + wait;
-    HttpResponse response = this->Get(name);
+    const std::string reader = ReaderOf(exchange.request());
+    HttpResponse response = this->Get(name, reader);
     while (response.headers.Find("X-Version").value_or("") == known &&
            std::chrono::steady_clock::now() < deadline) {
       co_await SleepFor(kWatchPoll);
-      response = this->Get(name);
+      response = this->Get(name, reader);
     }
+    if (response.headers.Find("X-Version").value_or("") == known)
+      response = {304, {{"X-Version", known}}, ""};
     co_await exchange.Send(std::move(response));
   }
 
@@ -144,6 +175,12 @@
       this->faults.configuration_outage =
           body.value("configuration_outage", false);
       this->faults.vm_list_outage = body.value("vm_list_outage", false);
+      using Names = std::set<std::string>;
+      this->faults.configuration_outage_for =
+          body.value("configuration_outage_for", Names());
+      this->faults.vm_list_outage_for =
+          body.value("vm_list_outage_for", Names());
+      this->faults.stale_for = body.value("stale_for", Names());
     }
     return JsonResponse({{"configuration_reads", this->reads},
                          {"vm_list_reads", this->vm_list_reads}});
@@ -152,6 +189,7 @@
   std::mutex mutex;
   std::map<std::string, StoredValue> values;
   std::string vms = R"({"vms":[]})";
+  std::map<std::string, std::string> vms_for;  ///< By reader, in place of vms.
   PlatformFaults faults;
   std::uint64_t reads = 0;
   std::uint64_t vm_list_reads = 0;
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -27,7 +27,8 @@
   kCallerPort,
   kDialoguePort,
   kEnginePort,
-  kProxyPort
+  kProxyPort,
+  kGossipPort
 };
 
 /** A network of loopback for each process, so that tests run side by side. */
@@ -148,7 +149,7 @@
   const auto is_ready = [&](const SocketAddress& address) {
     return WaitUntil([&] {
       const nlohmann::json status = StatusOf(address);
-      return status.is_object() &&
+      return status.is_object() && status.value("ready", false) &&
              status.value("configuration_revision", 0U) >= this->revision &&
              status.value("members", 0U) >= this->plan.endpoints.size();
     });
@@ -242,7 +243,8 @@
       {"configuration_address", this->Address(kPlatformHost, 0)},
       {"vm_list_address", this->Address(kPlatformHost, 1)},
       {"ticket_secret", "a-secret-for-tests-only"},
-      {"vm_list_interval", 100}};
+      {"vm_list_interval", 100},
+      {"gossip_interval", 100}};
   settings.update(this->plan.settings);
   settings.update(specific);
   const auto path = this->directory / (name + ".json");
@@ -279,6 +281,7 @@
                       {{"operator_address", this->Address(host, kOperatorPort)},
                        {"dialogue_address", this->Address(host, kDialoguePort)},
                        {"engine_address", this->Address(host, kEnginePort)},
+                       {"gossip_address", this->Address(host, kGossipPort)},
                        {"service", endpoint.service}});
   this->endpoints[index] = std::make_unique<ChildProcess>(
       this->StartDaemon("endpoint", endpoint.vm));
@@ -298,7 +301,8 @@
   const int host = kFirstRouterHost + static_cast<int>(index);
   this->WriteSettings(name,
                       {{"operator_address", this->Address(host, kOperatorPort)},
-                       {"caller_address", this->Address(host, kCallerPort)}});
+                       {"caller_address", this->Address(host, kCallerPort)},
+                       {"gossip_address", this->Address(host, kGossipPort)}});
   this->routers[index] =
       std::make_unique<ChildProcess>(this->StartDaemon("router", name));
 }
@@ -334,8 +338,19 @@
          {"address",
           this->Address(kFirstEndpointHost + static_cast<int>(i),
                         this->plan.proxied ? kProxyPort : kDialoguePort)},
+         {"gossip_address",
+          this->Address(kFirstEndpointHost + static_cast<int>(i), kGossipPort)},
          {"state", state == states.end() ? "live" : state->second}});
   }
+  for (std::size_t i = 0; i < this->plan.routers; ++i) {
+    vms.push_back(
+        {{"vm", "router-" + std::to_string(i)},
+         {"role", "router"},
+         {"failure_domain", "a"},
+         {"gossip_address",
+          this->Address(kFirstRouterHost + static_cast<int>(i), kGossipPort)},
+         {"state", "live"}});
+  }
   Put(this->VmListService(), "/v1/vms", nlohmann::json{{"vms", vms}}.dump());
 }
 
