--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -115,9 +115,8 @@
     const TicketLookup lookup =
         this->outcomes.Open(request.ticket, *ticket, this->Age());
     if (lookup.answer == TicketAnswer::kNew) {
-      if (this->fleet.RefusesNewWork()) {
-        lookup.record->Refuse(
-            this->admission.Refusal("not_run", "endpoint_leaving"));
+      if (const char* reason = this->fleet.WhyRefused()) {
+        lookup.record->Refuse(this->admission.Refusal("not_run", reason));
       } else {
         this->admission.Submit(request, lookup.record);
       }
--- a/src/fleet/configuration_client.cc
+++ b/src/fleet/configuration_client.cc
@@ -18,6 +18,20 @@
 /** Time after which a process looks whether it has become a watcher. */
 constexpr std::chrono::milliseconds kWatcherCheck{1000};
 
+constexpr std::chrono::milliseconds kTurnPoll{10};
+
+/** Sets a flag while it lives. */
+class FlagMark {
+ public:
+  explicit FlagMark(bool& flag) : flag(flag) { this->flag = true; }
+  ~FlagMark() { this->flag = false; }
+  FlagMark(const FlagMark&) = delete;
+  FlagMark& operator=(const FlagMark&) = delete;
+
+ private:
+  bool& flag;
+};
+
 /** Counts itself while it lives. */
 class CountMark {
  public:
@@ -36,6 +50,26 @@
          std::to_string(to.digest);
 }
 
+/** Reports two contents under one revision. */
+void ReportConflict(const IndexStamp& kept, const IndexStamp& dropped) {
+  ProcessMetrics().Add("configuration_conflicts_total");
+  LogLine(LogLevel::kError, "configuration_conflict",
+          {{"revision", kept.revision},
+           {"kept", FormatDigest(kept.digest)},
+           {"dropped", FormatDigest(dropped.digest)}});
+}
+
+/** Reports an index at the service that is below the one in force. */
+void ReportStale(const IndexStamp& in_force, const IndexStamp& stale) {
+  if (in_force.revision == stale.revision) {
+    ReportConflict(in_force, stale);
+    return;
+  }
+  ProcessMetrics().Add("configuration_stale_total");
+  LogLine(LogLevel::kWarning, "configuration_stale",
+          {{"revision", stale.revision}, {"in_force", in_force.revision}});
+}
+
 /** @return The index that a peer sent, made from the one in force. */
 Index ReadPeerIndex(const Index& in_force, const std::string& value) {
   const bool is_whole = !value.empty() && value.front() == 'w';
@@ -107,6 +141,7 @@
     ProcessMetrics().Add("configuration_documents_read_total");
     texts[entry.digest] = std::make_shared<const std::string>(std::move(text));
   }
+  const IndexStamp before = this->store.InForce()->index.stamp;
   try {
     if (!this->store.Adopt(BuildConfiguration(index, texts)))
       co_return;
@@ -114,6 +149,8 @@
     this->Refuse(index.stamp, refused);
     co_return;
   }
+  if (before.revision == index.stamp.revision)
+    ReportConflict(index.stamp, before);
   LogLine(LogLevel::kInfo, "configuration_in_force",
           {{"revision", index.stamp.revision},
            {"digest", FormatDigest(index.stamp.digest)},
@@ -135,16 +172,15 @@
   const IndexStamp in_force = this->store.InForce()->index.stamp;
   if (index.stamp < in_force && index.stamp != this->stale) {
     this->stale = index.stamp;
-    ProcessMetrics().Add("configuration_stale_total");
-    LogLine(LogLevel::kWarning, "configuration_stale",
-            {{"revision", index.stamp.revision},
-             {"digest", FormatDigest(index.stamp.digest)},
-             {"in_force", in_force.revision}});
+    ReportStale(in_force, index.stamp);
   }
+  co_await this->WaitForTurn();
   if (!this->store.Wants(index.stamp))
     co_return;
-  const ReadDocument read = [this](std::string name, std::string digest) {
-    return this->ReadAtService(std::move(name), std::move(digest));
+  const FlagMark turn(this->is_applying);
+  const ReadDocument read = [this](const std::string& name,
+                                   const std::string& digest) {
+    return this->ReadAtService(name, digest);
   };
   co_await this->Apply(index, "service", read);
 }
@@ -196,33 +232,53 @@
   }
 }
 
+asio::awaitable<void> ConfigurationClient::WaitForTurn() {
+  while (this->is_applying)
+    co_await SleepFor(kTurnPoll);
+}
+
+asio::awaitable<void> ConfigurationClient::FetchFromPeer(GossipAddress peer,
+                                                         IndexStamp stamp) {
+  co_await this->WaitForTurn();
+  if (!this->store.Wants(stamp))
+    co_return;
+  const FlagMark turn(this->is_applying);
+  const Index in_force = this->store.InForce()->index;
+  const std::string value =
+      co_await this->gossip.Pull(peer, DeltaName(in_force.stamp, stamp));
+  const Index index = ReadPeerIndex(in_force, value);
+  if (index.stamp != stamp)
+    throw PeerFailed("the index is not the one that was announced");
+  const ReadDocument read = [this, peer](const std::string& /*name*/,
+                                         const std::string& digest) {
+    return this->gossip.Pull(peer, "document/" + digest);
+  };
+  co_await this->Apply(index, "peer", read);
+}
+
 asio::awaitable<void> ConfigurationClient::AdoptFromPeer(GossipAddress peer,
                                                          IndexStamp stamp) {
+  if (!this->announced || this->announced->second < stamp)
+    this->announced.emplace(peer, stamp);
   if (this->is_adopting)
     co_return;
   this->is_adopting = true;
   const CountMark mark(this->fetching);
-  std::string fault;
-  try {
-    const Index in_force = this->store.InForce()->index;
-    const std::string value =
-        co_await this->gossip.Pull(peer, DeltaName(in_force.stamp, stamp));
-    const Index index = ReadPeerIndex(in_force, value);
-    if (index.stamp != stamp)
-      throw PeerFailed("the index is not the one that was announced");
-    const ReadDocument read = [this, peer](std::string /*name*/,
-                                           std::string digest) {
-      return this->gossip.Pull(peer, "document/" + digest);
-    };
-    co_await this->Apply(index, "peer", read);
-  } catch (const std::exception& error) {
-    fault = error.what();
+  while (this->announced) {
+    const auto [from, wanted] = *this->announced;
+    this->announced.reset();
+    std::string fault;
+    try {
+      co_await this->FetchFromPeer(from, wanted);
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    if (fault.empty())
+      continue;
+    ProcessMetrics().Add("configuration_peer_faults_total");
+    LogLine(LogLevel::kInfo, "configuration_peer_fault", {{"reason", fault}});
   }
   this->is_adopting = false;
-  if (fault.empty())
-    co_return;
-  ProcessMetrics().Add("configuration_peer_faults_total");
-  LogLine(LogLevel::kInfo, "configuration_peer_fault", {{"reason", fault}});
 }
 
 }  // namespace buckthornpath
--- a/src/fleet/configuration_client.h
+++ b/src/fleet/configuration_client.h
@@ -41,7 +41,14 @@
 
  private:
   using ReadDocument =
-      std::function<asio::awaitable<std::string>(std::string, std::string)>;
+      std::function<asio::awaitable<std::string>(const std::string& name,
+                                                 const std::string& digest)>;
+
+  /** Waits until no other index is being applied. */
+  asio::awaitable<void> WaitForTurn();
+
+  /** Fetches one index from a peer and puts it in force. */
+  asio::awaitable<void> FetchFromPeer(GossipAddress peer, IndexStamp stamp);
 
   /** Asks the service for an index other than the one read last. */
   asio::awaitable<void> AskService(std::chrono::milliseconds wait);
@@ -74,7 +81,10 @@
   IndexStamp stale;           ///< The last index below the one in force.
   bool has_asked_service = false;
   int fetching = 0;
-  bool is_adopting = false;  ///< From a peer.
+  bool is_adopting = false;  ///< A peer's announcements are being handled.
+  bool is_applying = false;  ///< Documents of an index are being read.
+  /** The greatest index announced while another is fetched. */
+  std::optional<std::pair<GossipAddress, IndexStamp>> announced;
   std::minstd_rand random{std::random_device{}()};
 };
 
--- a/src/fleet/configuration_store.cc
+++ b/src/fleet/configuration_store.cc
@@ -2,9 +2,6 @@
 
 #include "fleet/configuration_store.h"
 
-#include "kernel/log.h"
-#include "kernel/metrics.h"
-
 namespace buckthornpath {
 
 namespace {
@@ -12,15 +9,6 @@
 /** Indices kept so that peers can be sent only what changed since. */
 constexpr std::size_t kRecentIndices = 16;
 
-/** Reports two contents under one revision. */
-void ReportConflict(const IndexStamp& kept, const IndexStamp& dropped) {
-  ProcessMetrics().Add("configuration_conflicts_total");
-  LogLine(LogLevel::kError, "configuration_conflict",
-          {{"revision", kept.revision},
-           {"kept", FormatDigest(kept.digest)},
-           {"dropped", FormatDigest(dropped.digest)}});
-}
-
 }  // namespace
 
 ConfigurationPtr ConfigurationStore::InForce() const {
@@ -29,21 +17,15 @@
 }
 
 bool ConfigurationStore::Adopt(ConfigurationPtr next) {
-  ConfigurationPtr before;
-  {
-    const OrderedLock lock(this->mutex);
-    before = this->in_force;
-    if (next->index.stamp <= before->index.stamp)
-      return false;
-    this->in_force = next;
-    this->recent.push_back(next);
-    if (this->recent.size() > kRecentIndices)
-      this->recent.pop_front();
-    if (this->refused && this->refused->stamp < next->index.stamp)
-      this->refused.reset();
-  }
-  if (before->index.stamp.revision == next->index.stamp.revision)
-    ReportConflict(next->index.stamp, before->index.stamp);
+  const OrderedLock lock(this->mutex);
+  if (next->index.stamp <= this->in_force->index.stamp)
+    return false;
+  this->in_force = std::move(next);
+  this->recent.push_back(this->in_force);
+  if (this->recent.size() > kRecentIndices)
+    this->recent.pop_front();
+  if (this->refused && this->refused->stamp < this->in_force->index.stamp)
+    this->refused.reset();
   return true;
 }
 
--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -111,9 +111,12 @@
   return !list_age || *list_age >= kIsolationLimit;
 }
 
-bool FleetState::RefusesNewWork() const {
-  return this->members.Self().status == MemberStatus::kLeaving ||
-         this->IsIsolated();
+const char* FleetState::WhyRefused() const {
+  if (this->members.Self().status == MemberStatus::kLeaving ||
+      this->IsIsolated()) {
+    return "endpoint_leaving";
+  }
+  return this->IsReady() ? nullptr : "no_configuration";
 }
 
 void FleetState::Leave() {
@@ -125,18 +128,20 @@
   const ConfigurationPtr in_force = this->InForce();
   const MemberNews self = this->members.Self();
   const auto list_age = this->members.ListAge();
-  return {{"configuration_revision", in_force->index.stamp.revision},
-          {"configuration_digest", FormatDigest(in_force->index.stamp.digest)},
-          {"configuration_refused", RefusedStatus(this->store.Refused())},
-          {"ready", this->IsReady()},
-          {"members", this->members.All().size()},
-          {"members_leaving", this->members.LeavingCount()},
-          {"peers", this->members.Peers().size()},
-          {"leaving", self.status == MemberStatus::kLeaving},
-          {"isolated", this->IsIsolated()},
-          {"epoch", self.epoch},
-          {"incarnation", static_cast<std::uint64_t>(this->incarnation)},
-          {"vm_list_age_ms", list_age ? list_age->count() : -1}};
+  const bool is_ready = this->IsReady();
+  return {
+      {"configuration_revision", is_ready ? in_force->index.stamp.revision : 0},
+      {"configuration_digest", FormatDigest(in_force->index.stamp.digest)},
+      {"configuration_refused", RefusedStatus(this->store.Refused())},
+      {"ready", is_ready},
+      {"members", this->members.All().size()},
+      {"members_leaving", this->members.LeavingCount()},
+      {"peers", this->members.Peers().size()},
+      {"leaving", self.status == MemberStatus::kLeaving},
+      {"isolated", this->IsIsolated()},
+      {"epoch", self.epoch},
+      {"incarnation", static_cast<std::uint64_t>(this->incarnation)},
+      {"vm_list_age_ms", list_age ? list_age->count() : -1}};
 }
 
 }  // namespace buckthornpath
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -35,10 +35,11 @@
   bool IsReady() const;
 
   /**
-   * @return True if this process must take no new work: it leaves, or can
-   *     neither read the VM list nor hear a peer that might tell it so.
+   * @return Problem type for which this process must take no new work, or
+   *     null: it leaves, can neither read the VM list nor hear a peer that
+   *     might tell it so, or has no configuration yet.
    */
-  bool RefusesNewWork() const;
+  const char* WhyRefused() const;
 
   /** Announces that this process leaves. */
   void Leave();
