A process back from a pause asks list, peers and service before it serves

Cause: a router paused for 3.5 s answered its first call by the configuration from before the pause: a credential withdrawn meanwhile still let a caller in (story 'after a pause it serves nothing by the old one': 200 instead of 401 on the code before).

The router now answers no_configuration, and the endpoint process refuses, for as long as it takes to ask again, at most 3 s.

Ruled out: asking anew at the next gossip interval only, because calls that arrived during the pause are served first.

--- a/src/fleet/configuration_client.cc
+++ b/src/fleet/configuration_client.cc
@@ -4,6 +4,7 @@
 
 #include "fleet/index_delta.h"
 #include "fleet/platform_read.h"
+#include "fleet/uptime.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -194,7 +195,7 @@
   if (response.status == 304)
     co_return;
   const CountMark mark(this->fetching);
-  this->has_asked_service = true;
+  this->asked_at = Uptime();
   co_await this->TakeFromService(response.body);
   this->known_version = response.headers.Find("X-Version").value_or("");
 }
@@ -219,7 +220,7 @@
     } catch (const std::exception& error) {
       fault = error.what();
     }
-    this->has_asked_service = true;
+    this->asked_at = Uptime();
     rest = this->Jitter(this->settings.configuration_wait);
     if (fault.empty())
       continue;
--- a/src/fleet/configuration_client.h
+++ b/src/fleet/configuration_client.h
@@ -33,8 +33,8 @@
   /** Fetches a greater index and its documents from a peer. */
   asio::awaitable<void> AdoptFromPeer(GossipAddress peer, IndexStamp stamp);
 
-  /** @return True once the service has answered or failed to. */
-  bool HasAskedService() const { return this->has_asked_service; }
+  /** @return Uptime at which the service last answered or failed to. */
+  std::chrono::milliseconds AskedServiceAt() const { return this->asked_at; }
 
   /** @return True while something is being fetched. */
   bool IsFetching() const { return this->fetching > 0; }
@@ -79,7 +79,7 @@
   std::string known_version;  ///< The service's version of the last index.
   std::string malformed;      ///< The last index that could not be read.
   IndexStamp stale;           ///< The last index below the one in force.
-  bool has_asked_service = false;
+  std::chrono::milliseconds asked_at{};
   int fetching = 0;
   bool is_adopting = false;  ///< A peer's announcements are being handled.
   bool is_applying = false;  ///< Documents of an index are being read.
--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -15,11 +15,15 @@
 namespace {
 
 /** Longest time before a process serves what it has. */
-constexpr std::chrono::milliseconds kBootstrapLimit{3000};
+constexpr std::chrono::milliseconds kAskLimit{3000};
 
 /** Longest wait for the first VM list, which names the peers to ask. */
 constexpr std::chrono::milliseconds kListLimit{1000};
-constexpr std::chrono::milliseconds kBootstrapPoll{20};
+constexpr std::chrono::milliseconds kPoll{20};
+
+/** Pause of the process after which what it believes is old. */
+constexpr std::chrono::milliseconds kPauseLimit{3000};
+constexpr std::chrono::milliseconds kFreshInterval{500};
 
 /** Silence of list and peers after which a process takes no new work. */
 constexpr std::chrono::milliseconds kIsolationLimit{3000};
@@ -81,26 +85,51 @@
   this->context.pool.Spawn(FollowVmList(this->members, this->context.settings));
   this->gossip.Start();
   asio::co_spawn(this->gossip.strand(), this->client.Follow(), asio::detached);
-  asio::co_spawn(this->gossip.strand(), this->Bootstrap(), asio::detached);
+  asio::co_spawn(this->gossip.strand(), this->KeepFresh(), asio::detached);
+}
+
+bool FleetState::HasAskedSince(std::chrono::milliseconds begun) const {
+  if (this->client.IsFetching())
+    return false;
+  if (this->client.AskedServiceAt() >= begun)
+    return true;
+  const auto silence = this->gossip.Silence();
+  return !this->is_first && silence && Uptime() - *silence >= begun;
 }
 
-asio::awaitable<void> FleetState::Bootstrap() {
-  const auto deadline = Uptime() + kBootstrapLimit;
-  const auto list_deadline = Uptime() + kListLimit;
-  while (!this->members.ListAge() && Uptime() < list_deadline)
-    co_await SleepFor(kBootstrapPoll);
+asio::awaitable<void> FleetState::AskAll(std::chrono::milliseconds begun) {
+  const auto has_list = [this, begun] {
+    const auto age = this->members.ListAge();
+    return age && Uptime() - *age >= begun;
+  };
+  while (!has_list() && Uptime() < begun + kListLimit)
+    co_await SleepFor(kPoll);
   co_await this->gossip.AskAtStart();
-  while (Uptime() < deadline &&
-         (!this->client.HasAskedService() || this->client.IsFetching())) {
-    co_await SleepFor(kBootstrapPoll);
+  while (!this->HasAskedSince(begun) && Uptime() < begun + kAskLimit)
+    co_await SleepFor(kPoll);
+}
+
+asio::awaitable<void> FleetState::KeepFresh() {
+  while (true) {
+    const auto now = Uptime();
+    const std::chrono::milliseconds last(this->fresh_at);
+    if (this->is_first || now - last > kPauseLimit) {
+      co_await this->AskAll(now);
+      this->is_first = false;
+      LogLine(LogLevel::kInfo, "fleet_asked",
+              {{"revision", this->InForce()->index.stamp.revision},
+               {"took_ms", (Uptime() - now).count()}});
+    }
+    this->fresh_at = Uptime().count();
+    co_await SleepFor(kFreshInterval);
   }
-  this->has_asked = true;
-  LogLine(LogLevel::kInfo, "bootstrapped",
-          {{"revision", this->InForce()->index.stamp.revision}});
 }
 
 bool FleetState::IsReady() const {
-  return this->has_asked && this->InForce()->index.stamp.revision > 0;
+  const std::int64_t fresh = this->fresh_at;
+  if (fresh < 0 || Uptime() - std::chrono::milliseconds(fresh) > kPauseLimit)
+    return false;
+  return this->InForce()->index.stamp.revision > 0;
 }
 
 bool FleetState::IsIsolated() const {
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -30,7 +30,8 @@
 
   /**
    * @return True once a configuration is in force and the service and some
-   *     peers were asked for a greater one, or time for that ran out.
+   *     peers were asked for a greater one, or time for that ran out. False
+   *     again after a pause of the process until they were asked anew.
    */
   bool IsReady() const;
 
@@ -48,8 +49,14 @@
   nlohmann::json Status() const;
 
  private:
-  /** Asks service and peers before the process serves. */
-  asio::awaitable<void> Bootstrap();
+  /** Asks service and peers at the start and after each pause. */
+  asio::awaitable<void> KeepFresh();
+
+  /** Waits until list, peers and service were asked, for a bounded time. */
+  asio::awaitable<void> AskAll(std::chrono::milliseconds begun);
+
+  /** @return True if service or peers told their index since a time. */
+  bool HasAskedSince(std::chrono::milliseconds begun) const;
 
   bool IsIsolated() const;
 
@@ -59,7 +66,8 @@
   MemberList members;
   Gossip gossip;
   ConfigurationClient client;
-  std::atomic<bool> has_asked = false;
+  std::atomic<std::int64_t> fresh_at = -1;  ///< Uptime in milliseconds.
+  bool is_first = true;  ///< No configuration was asked for yet.
 };
 
 }  // namespace buckthornpath
--- a/test/stories/configuration.cc
+++ b/test/stories/configuration.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "fleet/published_type.h"
 #include "harness/caller.h"
@@ -22,6 +23,9 @@
 /** Within which an accepted configuration is to be in force everywhere. */
 constexpr milliseconds kInForceTarget{18000};
 
+/** Longer than a process may pause without asking anew. */
+constexpr milliseconds kLongPause{3500};
+
 const std::vector<std::string> kNames = {"router-0", "router-1", "draft-1",
                                          "draft-2", "ledger-1"};
 
@@ -275,6 +279,34 @@
   CheckNeverFell(fleet);
 }
 
+/** A credential that was withdrawn during the pause lets nobody in. */
+void PausedRouterAsksFirst() {
+  LocalFleet fleet(Plan());
+  const HttpRequest request =
+      ChatRequest(kParishCredential, "chat", "c", "let me in");
+  for (int i = 0; i < 3; ++i) {
+    const std::uint64_t withdrawn = RevisionOf(Status(fleet, 1)) + 1;
+    fleet.RouterProcess(0).Signal(SIGSTOP);
+    const std::string hash(64, static_cast<char>('1' + i));
+    fleet.Publish({{"organisations/parish",
+                    {{"name", "parish"}, {"credential_sha256", hash}}}});
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return AllAt(fleet, {1, 2, 3, 4}, withdrawn);
+    }));
+    std::this_thread::sleep_for(kLongPause);
+    fleet.RouterProcess(0).Signal(SIGCONT);
+    unsigned status = 503;
+    while (status == 503)
+      status = CallStream(fleet.Router(0), request).status;
+    CPPUNIT_ASSERT_EQUAL(401U, status);
+    fleet.Publish({{"organisations/parish",
+                    StandardDocuments().at("organisations/parish")}});
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return AllAt(fleet, kAll, withdrawn + 1); }));
+  }
+  CheckNeverFell(fleet);
+}
+
 void LateIndexIsPassedOver() {
   LocalFleet fleet(Plan());
   const IndexStamp accepted = PutIndex(fleet, 9, 20000);
@@ -403,6 +435,8 @@
            {Then("during an outage it takes its peers' configuration",
                  RestartDuringOutage),
             Then("stale answers do not set it back", RestartDuringStaleAnswers),
+            Then("after a pause it serves nothing by the old one",
+                 PausedRouterAsksFirst),
             Then("without any configuration it runs nothing",
                  NoConfigurationNoService)}),
        Section("when operators race",
