--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -34,12 +33,6 @@
   std::atomic<std::size_t>& count;
 };
 
-Incarnation NewIncarnation() {
-  std::random_device device;
-  const std::uint64_t high = device();
-  return Incarnation{(high << 32U) | device()};
-}
-
 OutcomeLimits LimitsOf(const Settings& settings) {
   return {static_cast<std::size_t>(settings.outcome_entries),
           static_cast<std::size_t>(settings.outcome_bytes),
@@ -49,12 +42,12 @@
 }  // namespace
 
 DialogueServer::DialogueServer(const RoleContext& context,
-                               const ConfigurationStore& configuration,
-                               const MemberList& members)
+                               const FleetState& fleet)
     : context(context),
-      admission(context, configuration, members),
+      fleet(fleet),
+      admission(context, fleet.Store(), fleet.Members()),
       mint(context.settings.ticket_secret),
-      incarnation(NewIncarnation()),
+      incarnation(fleet.ThisIncarnation()),
       outcomes(EndpointId(context.settings.vm),
                this->incarnation,
                LimitsOf(context.settings)),
@@ -128,7 +121,11 @@
         this->outcomes.Open(request.ticket, *ticket, this->Age());
     const bool is_own = lookup.record && lookup.record->Bind(request);
     if (lookup.answer == TicketAnswer::kNew) {
-      this->admission.Submit(request, lookup.record);
+      if (const char* reason = this->fleet.WhyRefused()) {
+        lookup.record->Refuse(this->admission.Refusal("not_run", reason));
+      } else {
+        this->admission.Submit(request, lookup.record);
+      }
     }
     if (is_own) {
       co_await this->SendAnswer(connection, strand, lookup.record,
--- a/src/fleet/configuration_store.cc
+++ b/src/fleet/configuration_store.cc
@@ -4,6 +4,13 @@
 
 namespace buckthornpath {
 
+namespace {
+
+/** Indices kept so that peers can be sent only what changed since. */
+constexpr std::size_t kRecentIndices = 16;
+
+}  // namespace
+
 ConfigurationPtr ConfigurationStore::InForce() const {
   const OrderedLock lock(this->mutex);
   return this->in_force;
@@ -11,10 +18,41 @@
 
 bool ConfigurationStore::Adopt(ConfigurationPtr next) {
   const OrderedLock lock(this->mutex);
-  if (next->revision <= this->in_force->revision)
+  if (next->index.stamp <= this->in_force->index.stamp)
     return false;
   this->in_force = std::move(next);
+  this->recent.push_back(this->in_force);
+  if (this->recent.size() > kRecentIndices)
+    this->recent.pop_front();
+  if (this->refused && this->refused->stamp < this->in_force->index.stamp)
+    this->refused.reset();
   return true;
 }
 
+void ConfigurationStore::Refuse(RefusedIndex refused) {
+  const OrderedLock lock(this->mutex);
+  this->refused = std::move(refused);
+}
+
+bool ConfigurationStore::Wants(const IndexStamp& stamp) const {
+  const OrderedLock lock(this->mutex);
+  if (this->refused && this->refused->stamp == stamp)
+    return false;
+  return stamp > this->in_force->index.stamp;
+}
+
+std::optional<RefusedIndex> ConfigurationStore::Refused() const {
+  const OrderedLock lock(this->mutex);
+  return this->refused;
+}
+
+std::optional<Index> ConfigurationStore::Recent(const IndexStamp& stamp) const {
+  const OrderedLock lock(this->mutex);
+  for (const ConfigurationPtr& configuration : this->recent) {
+    if (configuration->index.stamp == stamp)
+      return configuration->index;
+  }
+  return std::nullopt;
+}
+
 }  // namespace buckthornpath
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -275,6 +275,8 @@
   this->context.placement.Loads().NoteReport(endpoint,
                                              refused.running + refused.queued,
                                              std::chrono::steady_clock::now());
+  if (refused.reason == "endpoint_leaving")
+    this->context.members.ReportLeaving(endpoint);
   this->refusal = refused;
   CountControlBytes("in", EncodedSize(refused.loads));
   const Outcome outcome = ParseOutcome(refused.outcome);
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -20,6 +20,7 @@
   const Settings& settings;
   Placement& placement;
   const TicketMint& mint;
+  MemberList& members;
   RetryLimiter& retries;
   DialoguePool& pool;
 };
