Shutdown answers every exchange whole and names what it cuts off

Cause: a drain ended when a counter of calls reached zero. A request that had begun to arrive was reset; a router holding a hello met a closed connection, which is `unknown` for a call that may not be repeated; a second POST /drain, or a SIGTERM after it, cut calls off; `cut_off` gave only a number.

Change: two phases (calls, then 300 ms without an open exchange, port closed), only signals cut off, InFlightCalls names the calls, answers in a drain close their connection. The acceptors run on strands, so that closing them does not race with accepting.

Ruled out: waiting for all exchanges in one phase (a steady stream of refused requests would keep it from ending).

--- a/src/daemon/drain.cc
+++ b/src/daemon/drain.cc
@@ -10,35 +10,70 @@
 
 constexpr std::chrono::milliseconds kPollInterval{20};
 
+/** Time without an open exchange after which the process may end. */
+constexpr std::chrono::milliseconds kQuietTime{300};
+
 }  // namespace
 
 void Drain::Request() {
-  if (this->requested.exchange(true)) {
-    this->CutOff("second_request");
+  if (this->requested.exchange(true))
     return;
-  }
-  LogLine(LogLevel::kInfo, "drain_begun",
-          {{"in_flight", this->role.InFlight()}});
   this->role.BeginDrain();
-  this->pool.Spawn(this->WaitUntilIdle());
+  LogLine(LogLevel::kInfo, "drain_begun",
+          {{"in_flight", this->role.InFlight().size()}});
+  this->pool.Spawn(this->Run());
 }
 
-asio::awaitable<void> Drain::WaitUntilIdle() {
-  const auto deadline = std::chrono::steady_clock::now() + this->limit;
-  while (this->role.InFlight() > 0) {
-    if (std::chrono::steady_clock::now() >= deadline) {
-      this->CutOff("drain_timeout");
-      co_return;
-    }
-    co_await SleepFor(kPollInterval);
+void Drain::Signal() {
+  if (++this->signals > 1) {
+    this->CutOff("second_signal");
+    return;
+  }
+  this->Request();
+}
+
+asio::awaitable<void> Drain::Run() {
+  const auto deadline = Clock::now() + this->limit;
+  bool whole = co_await this->AwaitCalls(deadline);
+  if (whole) {
+    this->role.StopAccepting();
+    whole = co_await this->AwaitQuiet(deadline);
+  }
+  if (!whole) {
+    this->CutOff("drain_timeout");
+    co_return;
   }
   LogLine(LogLevel::kInfo, "drained", nlohmann::json::object());
   this->pool.Stop();
 }
 
+asio::awaitable<bool> Drain::AwaitCalls(Clock::time_point deadline) {
+  while (!this->role.InFlight().empty()) {
+    if (Clock::now() >= deadline)
+      co_return false;
+    co_await SleepFor(kPollInterval);
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> Drain::AwaitQuiet(Clock::time_point deadline) {
+  auto quiet_since = Clock::now();
+  while (Clock::now() - quiet_since < kQuietTime) {
+    co_await SleepFor(kPollInterval);
+    if (this->role.InFlight().empty() && this->role.OpenExchanges() == 0)
+      continue;
+    quiet_since = Clock::now();
+    if (quiet_since >= deadline)
+      co_return false;
+  }
+  co_return true;
+}
+
 void Drain::CutOff(const char* reason) {
   LogLine(LogLevel::kError, "cut_off",
-          {{"reason", reason}, {"in_flight", this->role.InFlight()}});
+          {{"reason", reason},
+           {"requests", this->role.InFlight()},
+           {"open_exchanges", this->role.OpenExchanges()}});
   this->result = ExitCode::kCutOff;
   this->pool.Stop();
 }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -38,12 +38,11 @@
   return name == "error" ? LogLevel::kError : LogLevel::kInfo;
 }
 
-/** Asks for a drain at each of the signals that end a process. */
-asio::awaitable<void> WatchSignals(Drain& drain) {
-  asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+/** Tells the drain of each of the signals that end a process. */
+asio::awaitable<void> WatchSignals(asio::signal_set& signals, Drain& drain) {
   while (true) {
     co_await signals.async_wait(asio::use_awaitable);
-    drain.Request();
+    drain.Signal();
   }
 }
 
@@ -59,7 +58,8 @@
   const std::unique_ptr<Role> role = factory.Make(context);
   Drain drain(pool, *role, settings.drain_timeout);
   OperatorPort operators(context, *role, [&drain] { drain.Request(); });
-  pool.Spawn(WatchSignals(drain));
+  asio::signal_set signals(pool.NewStrand(), SIGTERM, SIGINT);
+  WorkerPool::SpawnOn(signals.get_executor(), WatchSignals(signals, drain));
   role->Start();
   operators.Start();
   LogLine(LogLevel::kInfo, "started", {{"role", factory.Name()}});
--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -72,6 +72,7 @@
 
 asio::awaitable<void> Admission::Run(const EngineDriver* driver,
                                      EngineCall call) {
+  const InFlightCalls::Mark mark(this->in_flight, call.request.ticket);
   if (call.record->TryStart()) {
     co_await driver->Run(
         ParseSocketAddress(this->context.settings.engine_address), call);
--- a/src/endpoint/admission.h
+++ b/src/endpoint/admission.h
@@ -9,6 +9,7 @@
 
 #include "endpoint/engine_driver.h"
 #include "fleet/configuration_store.h"
+#include "kernel/in_flight_calls.h"
 #include "kernel/role.h"
 
 namespace buckthornpath {
@@ -36,6 +37,9 @@
   /** @return Calls at the engine. */
   std::size_t Running() const { return this->running; }
 
+  /** @return Names of the calls admitted that have not ended. */
+  const InFlightCalls& InFlight() const { return this->in_flight; }
+
   /** @return Calls admitted and not yet at the engine. */
   std::size_t Queued() const { return 0; }
 
@@ -46,6 +50,7 @@
   const ConfigurationStore& configuration;
   std::atomic<std::size_t> running = 0;  ///< Calls at the engine.
   std::atomic<bool> draining = false;
+  InFlightCalls in_flight;
 };
 
 }  // namespace buckthornpath
--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -2,6 +2,7 @@
 
 #include "endpoint/dialogue_server.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,15 +21,18 @@
 /** Silence after which an idle connection from a router is closed. */
 constexpr std::chrono::milliseconds kIdleTimeout{300000};
 
-/** Counts itself among the answers on their way while it lives. */
-class InFlightMark {
+/** Longest time from the hello to the first message of a router. */
+constexpr std::chrono::milliseconds kFirstMessageTimeout{5000};
+
+/** Counts itself among the messages being handled while it lives. */
+class HandlingMark {
  public:
-  explicit InFlightMark(std::atomic<std::size_t>& count) : count(count) {
+  explicit HandlingMark(std::atomic<std::size_t>& count) : count(count) {
     ++this->count;
   }
-  ~InFlightMark() { --this->count; }
-  InFlightMark(const InFlightMark&) = delete;
-  InFlightMark& operator=(const InFlightMark&) = delete;
+  ~HandlingMark() { --this->count; }
+  HandlingMark(const HandlingMark&) = delete;
+  HandlingMark& operator=(const HandlingMark&) = delete;
 
  private:
   std::atomic<std::size_t>& count;
@@ -57,11 +61,28 @@
       outcomes(EndpointId(context.settings.vm),
                this->incarnation,
                LimitsOf(context.settings)),
-      acceptor(context.pool.context(),
+      acceptor(context.pool.NewStrand(),
                ParseSocketAddress(context.settings.dialogue_address)) {}
 
 void DialogueServer::Start() {
-  this->context.pool.Spawn(this->AcceptAll());
+  WorkerPool::SpawnOn(this->acceptor.get_executor(), this->AcceptAll());
+}
+
+void DialogueServer::StopAccepting() {
+  this->accepting = false;
+  asio::post(this->acceptor.get_executor(), [this] {
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+  });
+}
+
+std::vector<std::string> DialogueServer::InFlight() const {
+  std::vector<std::string> names = this->admission.InFlight().Names();
+  for (std::string& name : this->answers.Names())
+    names.push_back(std::move(name));
+  std::sort(names.begin(), names.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+  return names;
 }
 
 std::chrono::milliseconds DialogueServer::Age() const {
@@ -70,7 +91,7 @@
 }
 
 asio::awaitable<void> DialogueServer::AcceptAll() {
-  while (true) {
+  while (this->accepting) {
     const Strand strand = this->context.pool.NewStrand();
     auto [error, socket] =
         co_await this->acceptor.async_accept(strand, kAwaitResult);
@@ -93,10 +114,14 @@
     hello.incarnation = static_cast<std::uint64_t>(this->incarnation);
     hello.now = this->Age();
     hello.service = this->context.settings.service;
+    // A router that has the hello is about to send: a drain waits for it.
+    auto mark = std::make_unique<HandlingMark>(this->handling);
     co_await connection->Send(hello);
+    auto timeout = kFirstMessageTimeout;
     while (true) {
-      Message message = co_await connection->Receive(kIdleTimeout);
-      const InFlightMark mark(this->sending);
+      Message message = co_await connection->Receive(timeout);
+      timeout = kIdleTimeout;
+      mark = std::make_unique<HandlingMark>(this->handling);
       if (auto* call = std::get_if<CallRequest>(&message)) {
         co_await this->HandleCall(*connection, strand, std::move(*call));
       } else if (auto* resume = std::get_if<ResumeRequest>(&message)) {
@@ -104,6 +129,7 @@
       } else {
         ProcessMetrics().Add("unexpected_messages_total");
       }
+      mark.reset();
     }
   } catch (const DialogueLost& lost) {
     LogLine(LogLevel::kDebug, "dialogue_ended", {{"reason", lost.what()}});
@@ -124,6 +150,7 @@
       this->admission.Submit(request, lookup.record);
     }
     if (lookup.record) {
+      const InFlightCalls::Mark mark(this->answers, request.ticket);
       co_await this->SendAnswer(connection, strand, lookup.record,
                                 request.attempt, request.after);
       co_return;
@@ -148,6 +175,7 @@
     const TicketLookup lookup =
         this->outcomes.Close(request.ticket, *ticket, this->Age());
     if (lookup.record) {
+      const InFlightCalls::Mark mark(this->answers, request.ticket);
       co_await this->SendAnswer(connection, strand, lookup.record,
                                 request.attempt, request.after);
       co_return;
--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -6,10 +6,13 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "endpoint/admission.h"
 #include "endpoint/outcome_table.h"
 #include "kernel/boot_clock.h"
+#include "kernel/in_flight_calls.h"
 #include "kernel/role.h"
 #include "wire/dialogue_connection.h"
 #include "wire/ticket.h"
@@ -28,10 +31,18 @@
   /** Refuses new calls from now on. */
   void BeginDrain() { this->admission.BeginDrain(); }
 
+  /** Accepts no further dialogues; those that are open go on. */
+  void StopAccepting();
+
   /** @return Calls admitted and answers on their way to routers. */
-  std::size_t InFlight() const {
-    return this->admission.Running() + this->admission.Queued() + this->sending;
+  std::vector<std::string> InFlight() const;
+
+  /** @return Messages of routers not yet dealt with, and admitted calls. */
+  std::size_t OpenExchanges() const {
+    return this->admission.Running() + this->admission.Queued() +
+           this->handling;
   }
+
   const Admission& Calls() const { return this->admission; }
   std::size_t Outcomes() const { return this->outcomes.Size(); }
   Incarnation ThisIncarnation() const { return this->incarnation; }
@@ -65,7 +76,9 @@
   BootClock::time_point started = BootClock::now();
   OutcomeTable outcomes;
   asio::ip::tcp::acceptor acceptor;
-  std::atomic<std::size_t> sending = 0;  ///< Answers on their way to routers.
+  std::atomic<std::size_t> handling = 0;  ///< Messages not yet dealt with.
+  InFlightCalls answers;                  ///< On their way to routers.
+  std::atomic<bool> accepting = true;
 };
 
 }  // namespace buckthornpath
--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -32,7 +32,15 @@
 
   void BeginDrain() override { this->server.BeginDrain(); }
 
-  std::size_t InFlight() const override { return this->server.InFlight(); }
+  std::vector<std::string> InFlight() const override {
+    return this->server.InFlight();
+  }
+
+  void StopAccepting() override { this->server.StopAccepting(); }
+
+  std::size_t OpenExchanges() const override {
+    return this->server.OpenExchanges();
+  }
 
   nlohmann::json Status() const override {
     return {
--- a/src/kernel/http_server.cc
+++ b/src/kernel/http_server.cc
@@ -50,14 +50,21 @@
 
 class BeastExchange final : public HttpExchange {
  public:
-  BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive)
-      : stream(stream), received(std::move(request)), keep_alive(keep_alive) {}
+  /** @param draining Whether each answer closes its connection. */
+  BeastExchange(beast::tcp_stream& stream,
+                HttpRequest request,
+                bool keep_alive,
+                const std::atomic<bool>& draining)
+      : stream(stream),
+        received(std::move(request)),
+        keep_alive(keep_alive),
+        draining(draining) {}
 
   const HttpRequest& request() const override { return this->received; }
 
   asio::awaitable<void> Send(HttpResponse response) override {
     auto message = ToBeast(response);
-    message.keep_alive(this->keep_alive);
+    message.keep_alive(this->MayKeepAlive());
     message.prepare_payload();
     this->answered = true;
     this->complete = true;
@@ -71,7 +78,7 @@
       message.set(name, value);
     }
     message.chunked(true);
-    message.keep_alive(this->keep_alive);
+    message.keep_alive(this->MayKeepAlive());
     this->answered = true;
     http::response_serializer<http::empty_body> serializer(message);
     this->stream.expires_after(kWriteTimeout);
@@ -104,6 +111,11 @@
   bool CanContinue() const { return this->complete && this->keep_alive; }
 
  private:
+  bool MayKeepAlive() {
+    this->keep_alive = this->keep_alive && !this->draining;
+    return this->keep_alive;
+  }
+
   template <class Message>
   asio::awaitable<void> Write(Message& message) {
     this->stream.expires_after(kWriteTimeout);
@@ -116,10 +128,25 @@
   beast::tcp_stream& stream;
   HttpRequest received;
   bool keep_alive;
+  const std::atomic<bool>& draining;
   bool answered = false;
   bool complete = false;
 };
 
+/** Counts one exchange among the open ones while it lives. */
+class ExchangeMark {
+ public:
+  explicit ExchangeMark(std::atomic<std::size_t>& count) : count(count) {
+    ++this->count;
+  }
+  ~ExchangeMark() { --this->count; }
+  ExchangeMark(const ExchangeMark&) = delete;
+  ExchangeMark& operator=(const ExchangeMark&) = delete;
+
+ private:
+  std::atomic<std::size_t>& count;
+};
+
 /** @return A problem document for a fault that no handler answered. */
 HttpResponse PlainProblem(unsigned status,
                           const char* title,
@@ -156,7 +183,7 @@
         HttpLimits limits,
         HttpHandler handler)
       : pool(pool),
-        acceptor(pool.context(), address),
+        acceptor(pool.NewStrand(), address),
         limits(limits),
         handler(std::move(handler)) {}
 
@@ -182,14 +209,18 @@
                               std::shared_ptr<State> self) {
     beast::flat_buffer buffer;
     for (bool first = true;; first = false) {
+      if (!co_await self->AwaitRequest(stream, buffer, first))
+        break;
+      const ExchangeMark mark(self->open_exchanges);
       http::request_parser<http::string_body> parser;
       parser.header_limit(
           static_cast<std::uint32_t>(self->limits.header_bytes));
       parser.body_limit(self->limits.body_bytes);
-      if (!co_await self->ReadRequest(stream, buffer, parser, first))
+      if (!co_await self->ReadRequest(stream, buffer, parser))
         break;
       const bool keep_alive = parser.get().keep_alive();
-      BeastExchange exchange(stream, FromBeast(parser.release()), keep_alive);
+      BeastExchange exchange(stream, FromBeast(parser.release()), keep_alive,
+                             self->draining);
       co_await self->Handle(exchange);
       if (!exchange.CanContinue())
         break;
@@ -198,20 +229,28 @@
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   }
 
+  /**
+   * Waits for the first bytes of a request.
+   * @return False if the connection is to be closed.
+   */
+  asio::awaitable<bool> AwaitRequest(beast::tcp_stream& stream,
+                                     beast::flat_buffer& buffer,
+                                     bool first) {
+    if (buffer.size() > 0)
+      co_return true;
+    stream.expires_after(first ? this->limits.read_timeout
+                               : this->limits.idle_timeout);
+    auto [error, size] = co_await stream.async_read_some(
+        buffer.prepare(this->limits.header_bytes), kAwaitResult);
+    buffer.commit(size);
+    co_return !error;
+  }
+
   /** @return False if the connection is to be closed. */
   asio::awaitable<bool> ReadRequest(
       beast::tcp_stream& stream,
       beast::flat_buffer& buffer,
-      http::request_parser<http::string_body>& parser,
-      bool first) {
-    if (!first && buffer.size() == 0) {
-      stream.expires_after(this->limits.idle_timeout);
-      auto [error, size] = co_await stream.async_read_some(
-          buffer.prepare(this->limits.header_bytes), kAwaitResult);
-      if (error)
-        co_return false;
-      buffer.commit(size);
-    }
+      http::request_parser<http::string_body>& parser) {
     stream.expires_after(this->limits.read_timeout);
     auto [error, size] =
         co_await http::async_read(stream, buffer, parser, kAwaitResult);
@@ -219,7 +258,7 @@
       co_return true;
     if (IsPeerGone(error))
       co_return false;
-    BeastExchange exchange(stream, {}, false);
+    BeastExchange exchange(stream, {}, false, this->draining);
     HttpResponse problem = PlainProblem(StatusOfReadError(error),
                                         "request cannot be read", "not_run");
     co_await exchange.Send(std::move(problem));
@@ -248,6 +287,8 @@
   HttpLimits limits;
   HttpHandler handler;
   std::atomic<bool> closed = false;
+  std::atomic<bool> draining = false;
+  std::atomic<std::size_t> open_exchanges = 0;
 };
 
 HttpServer::HttpServer(WorkerPool& pool,
@@ -260,7 +301,16 @@
 HttpServer::~HttpServer() = default;
 
 void HttpServer::Start() {
-  this->state->pool.Spawn(this->state->AcceptAll());
+  WorkerPool::SpawnOn(this->state->acceptor.get_executor(),
+                      this->state->AcceptAll());
+}
+
+void HttpServer::BeginDrain() {
+  this->state->draining = true;
+}
+
+std::size_t HttpServer::OpenExchanges() const {
+  return this->state->open_exchanges;
 }
 
 void HttpServer::Close() {
--- a/src/kernel/http_server.h
+++ b/src/kernel/http_server.h
@@ -63,9 +63,15 @@
   /** Starts to accept connections. */
   void Start();
 
+  /** Closes each connection after its next answer from now on. */
+  void BeginDrain();
+
   /** Accepts no further connections; those that are open go on. */
   void Close();
 
+  /** @return Requests that have begun to arrive and are not yet answered. */
+  std::size_t OpenExchanges() const;
+
   /** @return The address bound, with the port chosen if 0 was asked for. */
   SocketAddress Address() const;
 
--- a/src/kernel/lock_order.h
+++ b/src/kernel/lock_order.h
@@ -12,6 +12,7 @@
  * a higher rank. Debug builds end the process with a message otherwise.
  */
 enum class LockRank {
+  kInFlightCalls,   ///< Names of the calls in flight.
   kConfiguration,   ///< Documents in force.
   kMembers,         ///< VM list and what is believed of each endpoint.
   kConnectionPool,  ///< Idle connections to endpoint processes.
--- a/src/kernel/role.h
+++ b/src/kernel/role.h
@@ -31,8 +31,14 @@
   /** Takes no new work from now on; running work goes on. */
   virtual void BeginDrain() = 0;
 
-  /** @return Number of calls in flight. */
-  virtual std::size_t InFlight() const = 0;
+  /** @return Names of the calls in flight. */
+  virtual std::vector<std::string> InFlight() const = 0;
+
+  /** Accepts no further connections. */
+  virtual void StopAccepting() = 0;
+
+  /** @return Exchanges that are not over yet, refusals included. */
+  virtual std::size_t OpenExchanges() const = 0;
 
   /** @return What the process has in force, for operators. */
   virtual nlohmann::json Status() const = 0;
--- a/src/kernel/worker_pool.cc
+++ b/src/kernel/worker_pool.cc
@@ -29,7 +29,12 @@
 }  // namespace
 
 void WorkerPool::Spawn(asio::awaitable<void> task) {
-  asio::co_spawn(this->NewStrand(), RunLogged(std::move(task)), asio::detached);
+  SpawnOn(this->NewStrand(), std::move(task));
+}
+
+void WorkerPool::SpawnOn(const asio::any_io_executor& executor,
+                         asio::awaitable<void> task) {
+  asio::co_spawn(executor, RunLogged(std::move(task)), asio::detached);
 }
 
 void WorkerPool::Run() {
--- a/src/kernel/worker_pool.h
+++ b/src/kernel/worker_pool.h
@@ -3,6 +3,7 @@
 #ifndef SRC_KERNEL_WORKER_POOL_H_
 #define SRC_KERNEL_WORKER_POOL_H_
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
@@ -26,6 +27,10 @@
   /** Starts a task on a strand of its own; its exception is logged. */
   void Spawn(asio::awaitable<void> task);
 
+  /** Starts a task on an executor; its exception is logged. */
+  static void SpawnOn(const asio::any_io_executor& executor,
+                      asio::awaitable<void> task);
+
   /** Runs until Stop() or until no work is left. */
   void Run();
 
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -110,6 +110,7 @@
             ? this->request.ticket_text
             : MintTicket(this->context, this->request, dialogue, member);
     this->writer.SetRequestId(this->ticket);
+    this->context.in_flight.SetName(this->ticket);
     sent = true;
     co_await this->SendCall(dialogue);
     co_return co_await this->Relay(dialogue);
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "kernel/in_flight_calls.h"
 #include "kernel/settings.h"
 #include "router/answer_writer.h"
 #include "router/caller_request.h"
@@ -18,6 +19,7 @@
   const Settings& settings;
   Placement& placement;
   const TicketMint& mint;
+  InFlightCalls::Mark& in_flight;  ///< Named after the call's ticket.
 };
 
 /** One call: chooses endpoints, hands over, streams back and recovers. */
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -39,9 +39,20 @@
     this->server.Start();
   }
 
-  void BeginDrain() override { this->draining = true; }
+  void BeginDrain() override {
+    this->draining = true;
+    this->server.BeginDrain();
+  }
+
+  std::vector<std::string> InFlight() const override {
+    return this->in_flight.Names();
+  }
 
-  std::size_t InFlight() const override { return this->in_flight; }
+  void StopAccepting() override { this->server.Close(); }
+
+  std::size_t OpenExchanges() const override {
+    return this->server.OpenExchanges();
+  }
 
   nlohmann::json Status() const override {
     return {
@@ -49,7 +60,7 @@
         {"configuration_revision",
          static_cast<std::uint64_t>(this->configuration.InForce()->revision)},
         {"members", this->members.All().size()},
-        {"in_flight", this->in_flight.load()},
+        {"in_flight", this->in_flight.Size()},
         {"draining", this->draining.load()}};
   }
 
@@ -61,9 +72,6 @@
   }
 
   asio::awaitable<void> Serve(HttpExchange& exchange) {
-    ++this->in_flight;
-    const std::shared_ptr<void> leave(nullptr,
-                                      [this](void*) { --this->in_flight; });
     std::optional<Problem> refused;
     try {
       co_await this->ServeCounted(exchange);
@@ -77,6 +85,8 @@
   }
 
   asio::awaitable<void> ServeCounted(HttpExchange& exchange) {
+    // Counted before the check, so that a drain sees every call let through.
+    InFlightCalls::Mark mark(this->in_flight, exchange.request().target);
     if (this->draining) {
       Problem problem;
       problem.type = "router_draining";
@@ -87,7 +97,7 @@
     CallerRequest request = ReadCallerRequest(
         exchange.request(), *this->configuration.InForce(), this->mint);
     const SessionContext session{this->context.settings, this->placement,
-                                 this->mint};
+                                 this->mint, mark};
     if (request.action == CallerAction::kMintTicket) {
       HttpResponse response;
       response.status = 201;
@@ -112,7 +122,7 @@
   TicketMint mint;
   Placement placement;
   ConfigurationClient configuration_client;
-  std::atomic<std::size_t> in_flight = 0;
+  InFlightCalls in_flight;
   std::atomic<bool> draining = false;
   HttpServer server;
 };
--- /dev/null
+++ b/test/harness/raw_connection.h
@@ -0,0 +1,39 @@
+/** @file raw_connection.h A connection on which a test sends single bytes. */
+
+#ifndef TEST_HARNESS_RAW_CONNECTION_H_
+#define TEST_HARNESS_RAW_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+#include "kernel/http_type.h"
+#include "kernel/socket_address.h"
+
+namespace buckthornpath {
+
+/** A TCP connection without a protocol of its own. */
+class RawConnection {
+ public:
+  explicit RawConnection(const SocketAddress& address);
+
+  void Send(const std::string& bytes);
+
+  /**
+   * Reads the head of one response and drops its body.
+   * @return The head; what came of it if the connection ended early.
+   */
+  std::string ReadHead();
+
+ private:
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket;
+  std::string received;
+};
+
+/** @return The bytes of an HTTP/1.1 request. */
+std::string FormatRequest(const HttpRequest& request);
+
+}  // namespace buckthornpath
+
+#endif  // TEST_HARNESS_RAW_CONNECTION_H_
