--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -350,6 +350,14 @@
   }
 }
 
+std::vector<std::string> Admission::HeldTickets() const {
+  const OrderedLock lock(this->mutex);
+  std::vector<std::string> tickets;
+  for (const auto& [handle, call] : this->held)
+    tickets.push_back(call.call.request.ticket);
+  return tickets;
+}
+
 nlohmann::json Admission::Status() const {
   const OrderedLock lock(this->mutex);
   const LoadMean mean =
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -145,6 +145,7 @@
             ? this->request.ticket_text
             : MintTicket(this->context, this->request, dialogue, member);
     this->writer.SetRequestId(this->ticket);
+    this->context.in_flight.SetName(this->ticket);
     this->machine.OnDispatch();
     dispatched = true;
     this->dialogue = NextDialogueNumber();
