Load exchange answers each datagram; youngest reports first

Change: the peer answers with its own datagram, the youngest reports are sent, the interval is 700 ms. Load fields of answers are counted as control bytes.

--- a/include/buckthornpath/load_view.h
+++ b/include/buckthornpath/load_view.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <random>
 #include <vector>
 
 #include "buckthornpath/strong_id_type.h"
@@ -57,10 +56,9 @@
                     std::int64_t own_load,
                     std::chrono::milliseconds now) const;
 
-  /** @return Up to `count` reports chosen at random. */
-  std::vector<LoadReport> Sample(std::size_t count,
-                                 std::chrono::milliseconds now,
-                                 std::mt19937_64& random) const;
+  /** @return Up to `count` reports, youngest first. */
+  std::vector<LoadReport> Youngest(std::size_t count,
+                                   std::chrono::milliseconds now) const;
 
   /** @return Up to `count` reports, least load first. */
   std::vector<LoadReport> LeastLoaded(std::size_t count,
@@ -79,6 +77,12 @@
 
   std::vector<LoadReport> Reports(std::chrono::milliseconds now) const;
 
+  /** @return Up to `count` reports in an order. */
+  template <class Less>
+  std::vector<LoadReport> FirstBy(std::size_t count,
+                                  std::chrono::milliseconds now,
+                                  Less less) const;
+
   std::chrono::milliseconds max_age;
   std::map<EndpointId, Entry> entries;
 };
--- a/src/decision/load_view.cc
+++ b/src/decision/load_view.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 
 namespace buckthornpath {
 
@@ -58,27 +57,31 @@
   return result;
 }
 
-std::vector<LoadReport> LoadView::Sample(std::size_t count,
-                                         std::chrono::milliseconds now,
-                                         std::mt19937_64& random) const {
-  const std::vector<LoadReport> reports = this->Reports(now);
-  std::vector<LoadReport> chosen;
-  std::sample(reports.begin(), reports.end(), std::back_inserter(chosen), count,
-              random);
-  return chosen;
+template <class Less>
+std::vector<LoadReport> LoadView::FirstBy(std::size_t count,
+                                          std::chrono::milliseconds now,
+                                          Less less) const {
+  std::vector<LoadReport> reports = this->Reports(now);
+  std::stable_sort(reports.begin(), reports.end(), less);
+  if (reports.size() > count)
+    reports.resize(count);
+  return reports;
+}
+
+std::vector<LoadReport> LoadView::Youngest(
+    std::size_t count,
+    std::chrono::milliseconds now) const {
+  return this->FirstBy(count, now, [](const auto& left, const auto& right) {
+    return left.age < right.age;
+  });
 }
 
 std::vector<LoadReport> LoadView::LeastLoaded(
     std::size_t count,
     std::chrono::milliseconds now) const {
-  std::vector<LoadReport> reports = this->Reports(now);
-  std::stable_sort(reports.begin(), reports.end(),
-                   [](const LoadReport& left, const LoadReport& right) {
-                     return left.load < right.load;
-                   });
-  if (reports.size() > count)
-    reports.resize(count);
-  return reports;
+  return this->FirstBy(count, now, [](const auto& left, const auto& right) {
+    return left.load < right.load;
+  });
 }
 
 void LoadView::Sweep(std::chrono::milliseconds now) {
--- a/src/endpoint/load_exchange.cc
+++ b/src/endpoint/load_exchange.cc
@@ -34,13 +34,15 @@
 /** Content of a datagram. */
 struct LoadDatagram {
   std::string service;
+  bool is_answer = false;
   std::vector<LoadReport> reports;  ///< The sender's own first.
 };
 
 std::string Encode(const LoadDatagram& datagram) {
   std::string bytes;
   nlohmann::json::to_cbor(
-      nlohmann::json::array({datagram.service, datagram.reports}),
+      nlohmann::json::array(
+          {datagram.service, datagram.is_answer, datagram.reports}),
       nlohmann::detail::output_adapter<char>(bytes));
   return bytes;
 }
@@ -50,7 +52,8 @@
   const auto fields = nlohmann::json::from_cbor(data, data + size);
   LoadDatagram datagram;
   datagram.service = fields.at(0).get<std::string>();
-  datagram.reports = fields.at(1).get<std::vector<LoadReport>>();
+  datagram.is_answer = fields.at(1).get<bool>();
+  datagram.reports = fields.at(2).get<std::vector<LoadReport>>();
   return datagram;
 }
 
@@ -115,35 +118,39 @@
   return peers[choose(this->random)].address;
 }
 
-std::string LoadExchange::NextDatagram() {
+std::string LoadExchange::NextDatagram(bool is_answer) {
   LoadDatagram datagram;
   datagram.service = this->context.settings.service;
+  datagram.is_answer = is_answer;
   const std::int64_t load = this->own_load();
   const OrderedLock lock(this->mutex);
   this->view.Sweep(this->Age());
-  datagram.reports =
-      this->view.Sample(kReportsPerDatagram, this->Age(), this->random);
+  datagram.reports = this->view.Youngest(kReportsPerDatagram, this->Age());
   datagram.reports.insert(
       datagram.reports.begin(),
       LoadReport{this->own, load, std::chrono::milliseconds(0)});
   return Encode(datagram);
 }
 
+asio::awaitable<void> LoadExchange::Send(udp::endpoint peer, bool is_answer) {
+  const std::string datagram = this->NextDatagram(is_answer);
+  const auto buffer = asio::buffer(datagram);
+  auto [error, sent] =
+      co_await this->socket.async_send_to(buffer, peer, kAwaitResult);
+  if (error)
+    ProcessMetrics().Add("load_exchange_faults_total");
+  else
+    CountControlBytes("out", sent + kDatagramHeaderBytes);
+}
+
 asio::awaitable<void> LoadExchange::SendAll() {
   while (true) {
     co_await SleepFor(this->context.settings.load_exchange_interval);
     const std::optional<SocketAddress> peer = this->ChoosePeer();
     if (!peer)
       continue;
-    const std::string datagram = this->NextDatagram();
     const udp::endpoint address(peer->address(), peer->port());
-    const auto buffer = asio::buffer(datagram);
-    auto [error, sent] =
-        co_await this->socket.async_send_to(buffer, address, kAwaitResult);
-    if (error)
-      ProcessMetrics().Add("load_exchange_faults_total");
-    else
-      CountControlBytes("out", sent + kDatagramHeaderBytes);
+    co_await this->Send(address, false);
   }
 }
 
@@ -160,17 +167,21 @@
       continue;
     }
     CountControlBytes("in", size + kDatagramHeaderBytes);
-    this->Read(data.data(), size);
+    if (this->Read(data.data(), size))
+      co_await this->Send(sender, true);
   }
 }
 
-void LoadExchange::Read(const char* data, std::size_t size) {
+bool LoadExchange::Read(const char* data, std::size_t size) {
   try {
     const LoadDatagram datagram = Decode(data, size);
-    if (datagram.service == this->context.settings.service)
-      this->Note(datagram.reports);
+    if (datagram.service != this->context.settings.service)
+      return false;
+    this->Note(datagram.reports);
+    return !datagram.is_answer;
   } catch (const nlohmann::json::exception&) {
     ProcessMetrics().Add("malformed_load_reports_total");
+    return false;
   }
 }
 
--- a/src/endpoint/load_exchange.h
+++ b/src/endpoint/load_exchange.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <random>
 #include <vector>
 
 #include "buckthornpath/load_view.h"
@@ -16,9 +17,10 @@
 namespace buckthornpath {
 
 /**
- * Sends a datagram with the own load and some others to a random endpoint
- * process of the service at each interval, to the UDP port whose number is
- * that of its dialogue address. A lost datagram is replaced by the next.
+ * At each interval, sends a datagram with the own load and the youngest others
+ * to a random endpoint process of the service, to the UDP port whose number is
+ * that of its dialogue address; the peer answers with its own. A lost datagram
+ * is replaced by the next.
  */
 class LoadExchange {
  public:
@@ -46,11 +48,17 @@
   asio::awaitable<void> SendAll();
   asio::awaitable<void> ReceiveAll();
 
-  /** @return The next datagram: the own load and a sample of the others. */
-  std::string NextDatagram();
+  /** Sends the own load and the youngest others. */
+  asio::awaitable<void> Send(asio::ip::udp::endpoint peer, bool is_answer);
 
-  /** Reads a datagram; a malformed one is counted and dropped. */
-  void Read(const char* data, std::size_t size);
+  /** @return A datagram with the own load and the youngest others. */
+  std::string NextDatagram(bool is_answer);
+
+  /**
+   * Reads a datagram; a malformed one is counted and dropped.
+   * @return True if the sender is to be answered.
+   */
+  bool Read(const char* data, std::size_t size);
 
   /** @return A random other endpoint process of the service, if any. */
   std::optional<SocketAddress> ChoosePeer();
@@ -63,7 +71,7 @@
   std::function<std::int64_t()> own_load;
   EndpointId own;
   BootClock::time_point started = BootClock::now();
-  std::mt19937_64 random;  ///< Used by SendAll() alone.
+  std::mt19937_64 random;  ///< Used on the strand alone.
   Strand strand;
   asio::ip::udp::socket socket;  ///< Used on the strand alone.
   mutable OrderedMutex mutex{LockRank::kLoadView};
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -82,7 +82,7 @@
      "Endpoint: time that an outcome is remembered after its ticket's end."},
     {"load_report_age", &Settings::load_report_age, "ms", 2000, 10, 600000, "",
      "Router: age above which an endpoint's load report counts no longer."},
-    {"load_exchange_interval", &Settings::load_exchange_interval, "ms", 500, 20, 60000, "",
+    {"load_exchange_interval", &Settings::load_exchange_interval, "ms", 700, 20, 60000, "",
      "Endpoint: time between two load datagrams to others of the service."},
     {"load_max_age", &Settings::load_max_age, "ms", 3000, 50, 600000, "",
      "Endpoint: age above which another endpoint's load counts no longer."},
