Fewer reserved slots and fewer load reports

Change: a quarter of a rank's share of slots is kept free; a refusal carries 2 reports, a call at most 4; the load in an admission is counted at both ends.

--- a/src/decision/admission_queue.cc
+++ b/src/decision/admission_queue.cc
@@ -59,7 +59,7 @@
   for (std::size_t rank = 0; rank < kRankCount; ++rank) {
     allowed[rank] = this->MayStart(rank);
   }
-  const std::optional<WaitingCall> call = this->order->Take(allowed);
+  std::optional<WaitingCall> call = this->order->Take(allowed);
   if (!call)
     return std::nullopt;
   RankLoad& rank_load = this->load[IndexOf(call->rank)];
--- a/src/decision/share_order.cc
+++ b/src/decision/share_order.cc
@@ -11,6 +11,10 @@
 
 namespace {
 
+/** Part of a rank's minimum share of the slots that less urgent work leaves
+ * free, so that the rank's next calls need not wait for a slot. */
+constexpr double kReservedPart = 0.25;
+
 /**
  * Each start of work c gives every rank that has waiting calls a credit of its
  * share of c and takes c from the rank that started, down to zero. A rank whose
@@ -77,7 +81,10 @@
   PerRank<std::size_t> ReservedSlots(std::size_t limit) const override {
     PerRank<std::size_t> reserved{};
     for (std::size_t rank = 0; rank < kRankCount; ++rank) {
-      reserved[rank] = this->ShareOf(rank, limit);
+      if (this->ShareOf(rank, limit) == 0)
+        continue;
+      reserved[rank] = static_cast<std::size_t>(std::ceil(
+          kReservedPart * this->shares[rank] * static_cast<double>(limit)));
     }
     return reserved;
   }
--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -20,10 +20,7 @@
 constexpr std::chrono::milliseconds kExpiryInterval{20};
 
 /** Reports of other endpoints in a refusal. */
-constexpr std::size_t kReportsPerRefusal = 4;
-
-/** Bytes of the fields "running" and "queued" in a message. */
-constexpr std::size_t kLoadFieldBytes = 17;
+constexpr std::size_t kReportsPerRefusal = 2;
 
 constexpr double kPercent = 100.0;
 
@@ -93,11 +90,11 @@
 }
 
 CallAccepted Admission::Accepted(std::uint32_t attempt) const {
-  CountControlBytes("out", kLoadFieldBytes);
   CallAccepted accepted;
   accepted.attempt = attempt;
   accepted.running = static_cast<std::int64_t>(this->Running());
   accepted.queued = static_cast<std::int64_t>(this->Queued());
+  CountControlBytes("out", EncodedSize(accepted));
   return accepted;
 }
 
@@ -187,7 +184,7 @@
   CallRefused refusal = this->Refusal("not_run", reason);
   refusal.retry_after = std::max(kBusyRetryAfter, decision.result.retry_after);
   refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
-  CountControlBytes("out", EncodedSize(refusal.loads) + kLoadFieldBytes);
+  CountControlBytes("out", EncodedSize(refusal.loads));
   ProcessMetrics().Add("calls_refused_total",
                        RankLabel(call.rank) + ",reason=\"" + reason + "\"");
   LogLine(LogLevel::kInfo, "refused",
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -261,6 +261,7 @@
     co_return true;
   }
   if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
+    CountControlBytes("in", EncodedSize(*accepted));
     this->writer.SetLocation(this->context.placement.NoteAdmitted(
         this->request, endpoint, accepted->running + accepted->queued));
   } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
--- a/src/router/candidate_walk.cc
+++ b/src/router/candidate_walk.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /** Most reports that a call carries on. */
-constexpr std::size_t kReportsPerCall = 16;
+constexpr std::size_t kReportsPerCall = 4;
 
 }  // namespace
 
@@ -69,7 +69,7 @@
 }
 
 std::vector<LoadReport> CandidateWalk::Reports() const {
-  return this->seen.LeastLoaded(kReportsPerCall, Now());
+  return this->seen.Youngest(kReportsPerCall, Now());
 }
 
 std::size_t CandidateWalk::LeastLoaded() const {
--- a/src/wire/load_report_json.cc
+++ b/src/wire/load_report_json.cc
@@ -3,6 +3,7 @@
 #include "wire/load_report_json.h"
 
 #include <string>
+#include <string_view>
 
 #include "kernel/metrics.h"
 
@@ -20,7 +21,15 @@
 }
 
 std::size_t EncodedSize(const std::vector<LoadReport>& reports) {
-  return nlohmann::json::to_cbor(nlohmann::json(reports)).size();
+  constexpr std::string_view kKey = "loads";
+  return 1 + kKey.size() +
+         nlohmann::json::to_cbor(nlohmann::json(reports)).size();
+}
+
+std::size_t EncodedSize(const CallAccepted& accepted) {
+  const nlohmann::json fields = {{"running", accepted.running},
+                                 {"queued", accepted.queued}};
+  return nlohmann::json::to_cbor(fields).size() - 1;
 }
 
 void CountControlBytes(const char* direction, std::size_t bytes) {
--- a/src/wire/load_report_json.h
+++ b/src/wire/load_report_json.h
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "buckthornpath/load_view.h"
+#include "wire/message_type.h"
 
 namespace buckthornpath {
 
@@ -19,6 +19,9 @@
 /** @return Bytes that reports take in a message. */
 std::size_t EncodedSize(const std::vector<LoadReport>& reports);
 
+/** @return Bytes that the load takes in a message that a call is admitted. */
+std::size_t EncodedSize(const CallAccepted& accepted);
+
 /** Counts bytes between our processes that serve no caller directly. */
 void CountControlBytes(const char* direction, std::size_t bytes);
 
