A cancelled call leaves the queue at once

Cause: a cancel marked the record, but the call kept its place in the queue and in the load count until it came to a slot. Change: the dialogue server's cancel also takes it out of the admission queue.

--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -176,6 +176,7 @@
         lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
         lookup.reason);
   }
+  this->admission.Cancel(request.ticket);
   const CallView view = lookup.record->View(0);
   switch (view.state) {
     case CallState::kFinished:
--- a/test/stories/load.cc
+++ b/test/stories/load.cc
@@ -31,12 +31,13 @@
             const char* credential,
             const char* profile,
             std::size_t count,
-            bool one_chat = false) {
+            bool one_chat = false,
+            int tokens = kTokens) {
     for (std::size_t i = 0; i < count; ++i) {
       const std::size_t number = one_chat ? 0 : this->next_chat++;
       const std::string chat = "chat-" + std::to_string(number);
       const HttpRequest request =
-          ChatRequest(credential, profile, chat, "a short question", kTokens);
+          ChatRequest(credential, profile, chat, "a short question", tokens);
       this->threads.emplace_back([this, request, &fleet, router] {
         const StreamedAnswer answer = CallStream(fleet.Router(router), request);
         ++(answer.complete ? this->finished : this->refused);
@@ -183,6 +184,41 @@
   CPPUNIT_ASSERT_EQUAL(callers.finished.load(), fleet.EngineHistory().size());
 }
 
+void CancelledCallLeavesTheQueue() {
+  const LocalFleet fleet(FloodPlan());
+  HttpRequest mint =
+      ServiceRequest(kParishCredential, "statement", "/v1/tickets", "");
+  const std::string ticket =
+      nlohmann::json::parse(CallHttp(fleet.Router(0), mint).body)
+          .value("ticket", "");
+  Callers callers;
+  callers.Send(fleet, 0, kHospitalCredential, "statement", 60, false, 100);
+  CPPUNIT_ASSERT(WaitUntil([&] { return QueuedOf(fleet, "bulk") >= 56; }));
+  std::thread waiting([&] {
+    HttpRequest request =
+        ChatRequest(kParishCredential, "statement", "c", "a question", kTokens);
+    request.headers.Set("Idempotency-Key", ticket);
+    CallStream(fleet.Router(0), request);
+  });
+  const bool queued = WaitUntil([&] { return QueuedOf(fleet, "bulk") >= 57; });
+  HttpRequest cancel;
+  cancel.method = "DELETE";
+  cancel.target = "/v1/requests/" + ticket;
+  cancel.headers.Set("Authorization",
+                     std::string("Bearer ") + kParishCredential);
+  CallHttp(fleet.Router(0), cancel);
+  waiting.join();
+  callers.Join();
+  CPPUNIT_ASSERT(queued);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.RunsOf(ticket));
+  std::string how;
+  for (const nlohmann::json& line : HistoryOf(fleet, "draft-1")) {
+    if (line.value("request", "") == ticket)
+      how += line.value("event", "") + " " + line.value("how", "") + ";";
+  }
+  CPPUNIT_ASSERT_EQUAL(std::string("admitted ;released cancelled;"), how);
+}
+
 const Story kStory("load", [] {
   return Section(
       "given real processes",
@@ -198,7 +234,9 @@
             Then("an urgent flood leaves bulk its minimum share",
                  UrgentFloodLeavesBulkItsShare),
             Then("calls that cannot meet their deadline never run",
-                 LateWorkIsRefused)}),
+                 LateWorkIsRefused),
+            Then("a cancelled call leaves the queue and never runs",
+                 CancelledCallLeavesTheQueue)}),
        Section("when a hospital asks 50 times what a parish asks",
                {Then("at most two of its calls start before a parish's",
                      HospitalDoesNotDelayParish)})});
