--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -183,7 +183,8 @@
                            const std::string& reason) {
   CallRefused refusal = this->Refusal("not_run", reason);
   refusal.retry_after = std::max(kBusyRetryAfter, decision.result.retry_after);
-  refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
+  if (!decision.check.IsWithin())
+    refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
   CountControlBytes("out", EncodedSize(refusal.loads));
   ProcessMetrics().Add("calls_refused_total",
                        RankLabel(call.rank) + ",reason=\"" + reason + "\"");
