A drained endpoint counts in no mean load

Ruled out: a shorter load_max_age, which forgets slow reporters as well. Change: a draining process reports no load of its own; reports count only of endpoints that the member list gives new work to. Seen failing first: story load, 'one that has drained counts in no mean'.

--- a/src/endpoint/admission.h
+++ b/src/endpoint/admission.h
@@ -31,7 +31,10 @@
   void Start();
 
   /** Refuses new calls from now on; admitted calls still start. */
-  void BeginDrain() { this->draining = true; }
+  void BeginDrain() {
+    this->draining = true;
+    this->exchange.StopReporting();
+  }
 
   /** Queues or starts a new call, or refuses it in its record. */
   void Submit(const CallRequest& request,
--- a/src/endpoint/load_exchange.cc
+++ b/src/endpoint/load_exchange.cc
@@ -35,7 +35,8 @@
 struct LoadDatagram {
   std::string service;
   bool is_answer = false;
-  std::vector<LoadReport> reports;  ///< The sender's own first.
+  std::vector<LoadReport> reports;  ///< The sender's own first, if it takes
+                                    ///< new work.
 };
 
 std::string Encode(const LoadDatagram& datagram) {
@@ -92,7 +93,7 @@
   for (const LoadReport& report : reports) {
     if (report.load < 0 || report.load > kLargestLoad)
       ProcessMetrics().Add("malformed_load_reports_total");
-    else if (report.endpoint != this->own)
+    else if (this->taking_work.count(report.endpoint) > 0)
       this->view.Update(report, this->Age());
   }
 }
@@ -107,15 +108,24 @@
   return this->view.LeastLoaded(count, this->Age());
 }
 
-std::optional<SocketAddress> LoadExchange::ChoosePeer() {
+std::vector<Member> LoadExchange::Peers() const {
   std::vector<Member> peers =
       this->members.LiveMembers(ServiceName(this->context.settings.service));
   std::erase_if(peers,
                 [this](const Member& peer) { return peer.id == this->own; });
-  if (peers.empty())
-    return std::nullopt;
-  std::uniform_int_distribution<std::size_t> choose(0, peers.size() - 1);
-  return peers[choose(this->random)].address;
+  return peers;
+}
+
+void LoadExchange::KeepOnly(const std::vector<Member>& peers) {
+  const OrderedLock lock(this->mutex);
+  std::set<EndpointId> next;
+  for (const Member& peer : peers)
+    next.insert(peer.id);
+  for (const EndpointId& old : this->taking_work) {
+    if (next.count(old) == 0)
+      this->view.Forget(old);
+  }
+  this->taking_work = std::move(next);
 }
 
 std::string LoadExchange::NextDatagram(bool is_answer) {
@@ -126,9 +136,11 @@
   const OrderedLock lock(this->mutex);
   this->view.Sweep(this->Age());
   datagram.reports = this->view.Youngest(kReportsPerDatagram, this->Age());
-  datagram.reports.insert(
-      datagram.reports.begin(),
-      LoadReport{this->own, load, std::chrono::milliseconds(0)});
+  if (this->is_reporting) {
+    datagram.reports.insert(
+        datagram.reports.begin(),
+        LoadReport{this->own, load, std::chrono::milliseconds(0)});
+  }
   return Encode(datagram);
 }
 
@@ -146,10 +158,13 @@
 asio::awaitable<void> LoadExchange::SendAll() {
   while (true) {
     co_await SleepFor(this->context.settings.load_exchange_interval);
-    const std::optional<SocketAddress> peer = this->ChoosePeer();
-    if (!peer)
+    const std::vector<Member> peers = this->Peers();
+    this->KeepOnly(peers);
+    if (peers.empty())
       continue;
-    const udp::endpoint address(peer->address(), peer->port());
+    std::uniform_int_distribution<std::size_t> choose(0, peers.size() - 1);
+    const SocketAddress peer = peers[choose(this->random)].address;
+    const udp::endpoint address(peer.address(), peer.port());
     co_await this->Send(address, false);
   }
 }
--- a/src/endpoint/load_exchange.h
+++ b/src/endpoint/load_exchange.h
@@ -3,9 +3,11 @@
 #ifndef SRC_ENDPOINT_LOAD_EXCHANGE_H_
 #define SRC_ENDPOINT_LOAD_EXCHANGE_H_
 
+#include <atomic>
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "buckthornpath/load_view.h"
@@ -34,6 +36,9 @@
 
   void Start();
 
+  /** Tells no own load from now on, as this process takes no new work. */
+  void StopReporting() { this->is_reporting = false; }
+
   /** Takes reports that came with a call. */
   void Note(const std::vector<LoadReport>& reports);
 
@@ -60,8 +65,11 @@
    */
   bool Read(const char* data, std::size_t size);
 
-  /** @return A random other endpoint process of the service, if any. */
-  std::optional<SocketAddress> ChoosePeer();
+  /** @return The other endpoint processes of the service that take work. */
+  std::vector<Member> Peers() const;
+
+  /** Keeps reports of these endpoints only, now and later. */
+  void KeepOnly(const std::vector<Member>& peers);
 
   /** @return Time since the start, suspended time included. */
   std::chrono::milliseconds Age() const;
@@ -76,6 +84,8 @@
   asio::ip::udp::socket socket;  ///< Used on the strand alone.
   mutable OrderedMutex mutex{LockRank::kLoadView};
   LoadView view;
+  std::set<EndpointId> taking_work;  ///< Others of the service.
+  std::atomic<bool> is_reporting = true;
 };
 
 }  // namespace buckthornpath
--- a/test/stories/load.cc
+++ b/test/stories/load.cc
@@ -3,6 +3,7 @@
 #include <cppunit/TestAssert.h>
 
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 #include "harness/caller.h"
@@ -219,11 +220,36 @@
   CPPUNIT_ASSERT_EQUAL(std::string("admitted ;released cancelled;"), how);
 }
 
+/** Load reports of an endpoint that has drained must not lower the mean. */
+void DrainedEndpointCountsInNoMean() {
+  FleetPlan plan;
+  plan.endpoints = {{"draft-1", "drafting", true},
+                    {"draft-2", "drafting", true}};
+  plan.settings = {{"load_max_age", 60000}, {"load_exchange_interval", 20}};
+  plan.engine_arguments = {"--step-ms=20"};
+  LocalFleet fleet(std::move(plan));
+  const auto known_at = [&](std::size_t endpoint) {
+    const auto status = LocalFleet::StatusOf(fleet.EndpointOperator(endpoint));
+    return status.is_object() ? status.at("load").value("mean_known", 0) : 0;
+  };
+  CPPUNIT_ASSERT(WaitUntil([&] { return known_at(1) == 2; }));
+  fleet.EndpointProcess(0).Signal(SIGTERM);
+  CPPUNIT_ASSERT_EQUAL(0, fleet.EndpointProcess(0).WaitForExit(kCallerTimeout));
+  CPPUNIT_ASSERT(WaitUntil([&] { return known_at(1) == 1; }));
+  constexpr std::size_t kCalls = 8;
+  Callers callers;
+  callers.Send(fleet, 0, kParishCredential, "chat", kCalls);
+  callers.Join();
+  CPPUNIT_ASSERT_EQUAL(kCalls, callers.finished.load());
+}
+
 const Story kStory("load", [] {
   return Section(
       "given real processes",
       {Section("when endpoints of a service exchange loads",
-               {Then("each knows those of its own service and forgets the dead",
+               {Then("one that has drained counts in no mean",
+                     DrainedEndpointCountsInNoMean),
+                Then("each knows those of its own service and forgets the dead",
                      LoadsAreExchanged),
                 Then("no admission is above the bound under concurrent load",
                      BoundHoldsUnderConcurrentLoad)}),
