--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   libdocopt-dev libcppunit-dev nlohmann-json3-dev libxxhash-dev \
   librapidcheck-dev libssl-dev
 
-.PHONY: deps build check format lint pages demo measure slopes sweep clean
+.PHONY: deps build check format lint pages demo measure slopes sweep latency clean
 
 # Installs what is missing; asks the package manager for nothing else.
 deps:
@@ -57,5 +57,9 @@
 	$(BUILD)/buckthornpath help settings > docs/SETTINGS.md
 	$(BUILD)/buckthornpath help profiles > docs/PROFILES.md
 
+# Latency added to a direct call, and time from silence to resumed stream.
+latency: build
+	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) $(BUILD)/test/latency
+
 clean:
 	rm -rf $(BUILD)
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -2,6 +2,7 @@
 
 #include "harness/local_fleet.h"
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -31,14 +32,37 @@
   kGossipPort
 };
 
-/** A network of loopback for each process, so that tests run side by side. */
-std::string LoopbackNetwork() {
+constexpr int kClaimPort = kPort - 1;
+constexpr int kNetworks = 60000;
+
+}  // namespace
+
+NetworkClaim::NetworkClaim() {
   static int count = 0;
-  const int number = (getpid() * 8 + count++) % 60000;
-  return "127." + std::to_string(1 + number / 250) + "." +
-         std::to_string(number % 250) + ".";
+  while (this->socket < 0 && count < kNetworks) {
+    const int number = (getpid() * 8 + count++) % kNetworks;
+    this->network = "127." + std::to_string(1 + number / 250) + "." +
+                    std::to_string(number % 250) + ".";
+    const SocketAddress address =
+        ParseSocketAddress(this->network + "1:" + std::to_string(kClaimPort));
+    this->socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(this->socket, address.data(),
+             static_cast<socklen_t>(address.size())) == 0) {
+      return;
+    }
+    close(this->socket);
+    this->socket = -1;
+  }
+  if (this->socket < 0)
+    throw std::runtime_error("no network of loopback is free");
 }
 
+NetworkClaim::~NetworkClaim() {
+  close(this->socket);
+}
+
+namespace {
+
 nlohmann::json OrganisationDocument(const std::string& name,
                                     const std::string& credential) {
   return {{"name", name}, {"credential_sha256", Sha256Hex(credential)}};
@@ -108,9 +132,7 @@
 }
 
 LocalFleet::LocalFleet(FleetPlan plan)
-    : plan(std::move(plan)),
-      network(LoopbackNetwork()),
-      published(StandardDocuments()) {
+    : plan(std::move(plan)), published(StandardDocuments()) {
   std::string name =
       (std::filesystem::temp_directory_path() / "buckthornpath-XXXXXX")
           .string();
@@ -183,7 +205,7 @@
 }
 
 std::string LocalFleet::Address(int host, int port) const {
-  return this->network + std::to_string(host) + ":" +
+  return this->claim.Network() + std::to_string(host) + ":" +
          std::to_string(kPort + port);
 }
 
--- a/test/harness/local_fleet.h
+++ b/test/harness/local_fleet.h
@@ -49,6 +49,22 @@
  */
 std::map<std::string, nlohmann::json> StandardDocuments();
 
+/** A network of loopback that no other running test has. */
+class NetworkClaim {
+ public:
+  NetworkClaim();
+  ~NetworkClaim();
+  NetworkClaim(const NetworkClaim&) = delete;
+  NetworkClaim& operator=(const NetworkClaim&) = delete;
+
+  /** @return The first three numbers of its IP numbers, with a dot. */
+  const std::string& Network() const { return this->network; }
+
+ private:
+  std::string network;
+  int socket = -1;  ///< Bound for as long as the network is in use.
+};
+
 /** Platform, engines, endpoint processes and routers of one test. */
 class LocalFleet {
  public:
@@ -115,7 +131,7 @@
 
   FleetPlan plan;
   std::filesystem::path directory;
-  std::string network;  ///< First three numbers of the fleet's IP numbers.
+  NetworkClaim claim;
   std::map<std::string, nlohmann::json> published;
   std::uint64_t revision = 0;
   std::unique_ptr<ChildProcess> platform;
