A repeatable call moves after one attempt at reaching its lost endpoint

It waited for recovery_timeout before it moved. The story of the killed endpoint now sets that time beyond the caller's own and failed on the build before this change.

--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -121,8 +121,10 @@
       this->context.placement.Loads().NoteEnd(member.id);
     });
     co_await this->Attempt(member);
-    if (this->machine.MustRecover())
-      co_await this->Recover(member);
+    if (this->machine.MustRecover()) {
+      const bool can_move = this->attempt < decision.candidates.size();
+      co_await this->Recover(member, can_move);
+    }
     if (this->machine.IsAnswered())
       co_return;
     if (this->refusal)
@@ -193,7 +195,10 @@
   co_await dialogue.connection->Send(std::move(call));
 }
 
-asio::awaitable<void> CallSession::Recover(const Member& member) {
+asio::awaitable<void> CallSession::Recover(const Member& member,
+                                           bool can_move) {
+  const bool once =
+      can_move && this->request.profile.repeatable && !this->request.ticket;
   const auto limit = this->context.settings.recovery_timeout;
   const auto lost_at = std::chrono::steady_clock::now();
   this->last_heard = lost_at;
@@ -214,6 +219,8 @@
       fault = lost.what();
     }
     this->NoteLoss(member, fault);
+    if (once)
+      break;
     co_await SleepFor(kRecoveryPause);
   }
   this->machine.OnUnknown();
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -43,9 +43,10 @@
 
   /**
    * Sends the call again under the same ticket, for the rest of its answer,
-   * until the endpoint is heard of.
+   * until the endpoint is heard of. A repeatable call tries this once.
+   * @param can_move Whether another endpoint is left to try.
    */
-  asio::awaitable<void> Recover(const Member& member);
+  asio::awaitable<void> Recover(const Member& member, bool can_move);
 
   /** @throws DialogueLost */
   asio::awaitable<void> SendCall(EndpointDialogue& dialogue);
--- a/test/stories/outcomes.cc
+++ b/test/stories/outcomes.cc
@@ -247,7 +247,10 @@
 }
 
 void KilledEndpointIsReplaced() {
-  LocalFleet fleet(Plan());
+  FleetPlan plan = Plan();
+  // Longer than the caller waits: the call must not wait for it.
+  plan.settings["recovery_timeout"] = 300000;
+  LocalFleet fleet(std::move(plan));
   const HttpRequest request =
       ChatRequest(kParishCredential, "chat", "c", "a question", 200);
   const StreamedAnswer answer =
@@ -327,7 +330,7 @@
                 Then("it runs nothing after the expiry", WakesAfterExpiry),
                 Then("lost here and unreached there is unknown",
                      LostThenUnreachedIsUnknown),
-                Then("a repeatable stream goes on elsewhere",
+                Then("a repeatable stream goes on elsewhere at once",
                      KilledEndpointIsReplaced)}),
        Section("when the engine fails",
                {Then("a call that did not leave moves", EngineDownMoves),
