--- a/bench/load_run.cc
+++ b/bench/load_run.cc
@@ -40,7 +40,8 @@
   }
   plan.settings = {{"placement_policy", policy},
                    {"vm_list_interval", 1000},
-                   {"log_level", "warning"}};
+                   {"max_running", kEngineBatch},
+                   {"log_level", "info"}};
   plan.engine_arguments = EngineArguments();
   plan.documents = BenchDocuments();
   return plan;
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr int kMaxBatch = 8;
 constexpr std::chrono::milliseconds kStepTime{20};
 constexpr int kPrefillTokensPerSecond = 4000;
 constexpr int kCacheTokens = 60000;
@@ -127,7 +126,7 @@
 }
 
 std::vector<std::string> EngineArguments() {
-  return {"--max-batch=" + std::to_string(kMaxBatch),
+  return {"--max-batch=" + std::to_string(kEngineBatch),
           "--step-ms=" + std::to_string(kStepTime.count()),
           "--prefill-tokens-per-s=" + std::to_string(kPrefillTokensPerSecond),
           "--cache-tokens=" + std::to_string(kCacheTokens)};
@@ -135,7 +134,7 @@
 
 double CapacityPerSecond(const Deployment& deployment) {
   const std::chrono::duration<double> step = kStepTime;
-  const double tokens_per_second = kMaxBatch / step.count();
+  const double tokens_per_second = kEngineBatch / step.count();
   return static_cast<double>(deployment.model_replicas) * tokens_per_second /
          MeanAnswerTokens();
 }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -17,6 +17,9 @@
 
 namespace buckthornpath {
 
+/** Requests that an engine runs at once. */
+inline constexpr int kEngineBatch = 8;
+
 /** One of the users' deployments. */
 struct Deployment {
   std::string name;
