--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -94,7 +94,7 @@
   accepted.attempt = attempt;
   accepted.running = static_cast<std::int64_t>(this->Running());
   accepted.queued = static_cast<std::int64_t>(this->Queued());
-  CountControlBytes("out", EncodedSize(accepted));
+  CountControlBytes("sent", EncodedSize(accepted));
   return accepted;
 }
 
@@ -115,7 +115,7 @@
     record->Refuse(std::move(leaving));
     return;
   }
-  CountControlBytes("in", EncodedSize(request.loads));
+  CountControlBytes("received", EncodedSize(request.loads));
   this->exchange.Note(request.loads);
   const EngineCall call{request, profile->second.RankValue(), record};
   WaitingCall waiting;
@@ -185,7 +185,7 @@
   refusal.retry_after = std::max(kBusyRetryAfter, decision.result.retry_after);
   if (!decision.check.IsWithin())
     refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
-  CountControlBytes("out", EncodedSize(refusal.loads));
+  CountControlBytes("sent", EncodedSize(refusal.loads));
   ProcessMetrics().Add("calls_refused_total",
                        RankLabel(call.rank) + ",reason=\"" + reason + "\"");
   LogLine(LogLevel::kInfo, "refused",
--- a/src/endpoint/load_exchange.cc
+++ b/src/endpoint/load_exchange.cc
@@ -152,7 +152,7 @@
   if (error)
     ProcessMetrics().Add("load_exchange_faults_total");
   else
-    CountControlBytes("out", sent + kDatagramHeaderBytes);
+    CountControlBytes("sent", sent + kDatagramHeaderBytes);
 }
 
 asio::awaitable<void> LoadExchange::SendAll() {
@@ -181,7 +181,7 @@
       co_await SleepFor(std::chrono::milliseconds(10));
       continue;
     }
-    CountControlBytes("in", size + kDatagramHeaderBytes);
+    CountControlBytes("received", size + kDatagramHeaderBytes);
     if (this->Read(data.data(), size))
       co_await this->Send(sender, true);
   }
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -191,7 +191,7 @@
   call.body = this->request.body;
   call.after = this->writer.LastReceived();
   call.loads = this->reports;
-  CountControlBytes("out", EncodedSize(call.loads));
+  CountControlBytes("sent", EncodedSize(call.loads));
   co_await dialogue.connection->Send(std::move(call));
 }
 
@@ -269,7 +269,7 @@
     co_return true;
   }
   if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
-    CountControlBytes("in", EncodedSize(*accepted));
+    CountControlBytes("received", EncodedSize(*accepted));
     this->writer.SetLocation(this->context.placement.NoteAdmitted(
         this->request, endpoint, accepted->running + accepted->queued));
   } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
@@ -287,7 +287,7 @@
   if (refused.reason == "endpoint_leaving")
     this->context.members.ReportLeaving(endpoint);
   this->refusal = refused;
-  CountControlBytes("in", EncodedSize(refused.loads));
+  CountControlBytes("received", EncodedSize(refused.loads));
   const Outcome outcome = ParseOutcome(refused.outcome);
   this->problem = {refused.reason, refused.detail, outcome, refused.retry_after,
                    ""};
--- a/src/wire/load_report_json.cc
+++ b/src/wire/load_report_json.cc
@@ -33,8 +33,9 @@
 }
 
 void CountControlBytes(const char* direction, std::size_t bytes) {
-  ProcessMetrics().Add("control_bytes_total",
-                       "direction=\"" + std::string(direction) + "\"", bytes);
+  ProcessMetrics().Add(
+      "control_bytes_total",
+      "direction=\"" + std::string(direction) + "\",kind=\"load\"", bytes);
 }
 
 }  // namespace buckthornpath
--- a/src/wire/load_report_json.h
+++ b/src/wire/load_report_json.h
@@ -22,7 +22,10 @@
 /** @return Bytes that the load takes in a message that a call is admitted. */
 std::size_t EncodedSize(const CallAccepted& accepted);
 
-/** Counts bytes between our processes that serve no caller directly. */
+/**
+ * Counts bytes that tell of load between our processes.
+ * @param direction "sent" or "received".
+ */
 void CountControlBytes(const char* direction, std::size_t bytes);
 
 }  // namespace buckthornpath
