Bad input: problem documents for unreadable requests, bounded CBOR

Cause: a read fault was answered without a type; a slow sender's connection was closed by Beast's timeout before its 408 could leave; a refused sender of a large body got a reset instead of its answer; connections had no bound; CBOR nested two million deep ended the process (stack overflow in the library's recursive parser); times near the end of the range overflowed; a frame that is too long was not counted.

Ruled out: tcp_stream's own timeouts for reads, which close the socket.

Seen failing (mutants): no read deadline; no connection bound; no checks of form, method and messages (four cases); unbounded nesting (story ended by signal 11); no range of times; long frame not counted. Not seen failing on its own: Linger (its mutant did not compile), an oversized body alone.

--- a/src/fleet/index_delta.cc
+++ b/src/fleet/index_delta.cc
@@ -4,6 +4,8 @@
 
 #include <map>
 
+#include "kernel/cbor.h"
+
 namespace buckthornpath {
 
 namespace {
@@ -43,7 +45,7 @@
 
 Index ApplyIndexDelta(const Index& from, const std::string& delta) {
   try {
-    const json parsed = json::from_cbor(delta);
+    const json parsed = ParseCbor(delta);
     std::map<std::string, IndexEntry> entries = ByName(from);
     for (const json& item : parsed.at(1)) {
       const auto name = item.at(0).get<std::string>();
--- a/src/kernel/http_server.cc
+++ b/src/kernel/http_server.cc
@@ -2,17 +2,18 @@
 
 #include "kernel/http_server.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-
-#include <nlohmann/json.hpp>
+#include <vector>
 
 #include "kernel/log.h"
+#include "kernel/metrics.h"
 
 namespace buckthornpath {
 
@@ -133,38 +134,81 @@
   bool complete = false;
 };
 
-/** Counts one exchange among the open ones while it lives. */
-class ExchangeMark {
+/** Counts an exchange or a connection among the open ones while it lives. */
+class OpenMark {
  public:
-  explicit ExchangeMark(std::atomic<std::size_t>& count) : count(count) {
+  explicit OpenMark(std::atomic<std::size_t>& count) : count(count) {
     ++this->count;
   }
-  ~ExchangeMark() { --this->count; }
-  ExchangeMark(const ExchangeMark&) = delete;
-  ExchangeMark& operator=(const ExchangeMark&) = delete;
+  ~OpenMark() { --this->count; }
+  OpenMark(const OpenMark&) = delete;
+  OpenMark& operator=(const OpenMark&) = delete;
 
  private:
   std::atomic<std::size_t>& count;
 };
 
-/** @return A problem document for a fault that no handler answered. */
-HttpResponse PlainProblem(unsigned status,
-                          const char* title,
-                          const char* outcome) {
-  const nlohmann::json body = {
-      {"status", status}, {"title", title}, {"outcome", outcome}};
-  return {status, {{"Content-Type", "application/problem+json"}}, body.dump()};
+/** Longest time and most bytes that a refused peer may still send. */
+constexpr std::chrono::milliseconds kLingerTime{2000};
+constexpr std::size_t kLingerBytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t kLingerPieceBytes = std::size_t{64} * 1024;
+
+unsigned StatusOfFault(HttpFault fault) {
+  constexpr std::array<unsigned, 6> kStatuses = {400, 431, 413, 408, 429, 500};
+  return kStatuses.at(static_cast<std::size_t>(fault));
 }
 
-/** @return The status that answers a request which could not be read. */
-unsigned StatusOfReadError(beast::error_code error) {
-  if (error == http::error::header_limit)
-    return 431;
-  if (error == http::error::body_limit)
-    return 413;
-  if (error == beast::error::timeout)
-    return 408;
-  return 400;
+/** @return The fault that kept a request from being read. */
+HttpFault FaultOfReadError(beast::error_code error) {
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return HttpFault::kHeaderTooLarge;
+  }
+  return error == http::error::body_limit ? HttpFault::kBodyTooLarge
+                                          : HttpFault::kMalformed;
+}
+
+/**
+ * Ends the reads of a socket once its time is over and leaves it open, so that
+ * the peer can still be answered.
+ */
+class ReadDeadline {
+ public:
+  ReadDeadline(asio::ip::tcp::socket& socket, std::chrono::milliseconds time)
+      : timer(socket.get_executor(), time) {
+    this->timer.async_wait(
+        [&socket, watched = std::weak_ptr<bool>(this->expired)](
+            const boost::system::error_code& error) {
+          const auto flag = watched.lock();
+          if (error || !flag)
+            return;
+          *flag = true;
+          beast::error_code ignored;
+          socket.cancel(ignored);
+        });
+  }
+
+  bool HasExpired() const { return *this->expired; }
+
+ private:
+  std::shared_ptr<bool> expired = std::make_shared<bool>(false);
+  asio::steady_timer timer;
+};
+
+/** Reads what a refused peer still sends, so that it reads its answer. */
+asio::awaitable<void> Linger(beast::tcp_stream& stream) {
+  beast::error_code ignored;
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream.expires_never();
+  const ReadDeadline deadline(stream.socket(), kLingerTime);
+  std::vector<char> piece(kLingerPieceBytes);
+  for (std::size_t total = 0; total < kLingerBytes;) {
+    auto [error, size] =
+        co_await stream.async_read_some(asio::buffer(piece), kAwaitResult);
+    if (error)
+      co_return;
+    total += size;
+  }
 }
 
 /** @return True if the peer is gone, so that no answer can reach it. */
@@ -184,7 +228,7 @@
         HttpHandler handler)
       : pool(pool),
         acceptor(pool.NewStrand(), address),
-        limits(limits),
+        limits(std::move(limits)),
         handler(std::move(handler)) {}
 
   asio::awaitable<void> AcceptAll() {
@@ -207,17 +251,22 @@
   /** Serves the requests of one connection, one after another. */
   asio::awaitable<void> Serve(beast::tcp_stream stream,
                               std::shared_ptr<State> self) {
+    const OpenMark mark(self->open);
+    if (self->open > self->limits.connections) {
+      co_await self->Refuse(stream, HttpFault::kTooManyConnections, false);
+      co_return;
+    }
     beast::flat_buffer buffer;
-    for (bool first = true;; first = false) {
-      if (!co_await self->AwaitRequest(stream, buffer, first))
+    while (true) {
+      if (!co_await self->AwaitRequest(stream, buffer))
         break;
-      const ExchangeMark mark(self->open_exchanges);
+      const OpenMark exchange_mark(self->open_exchanges);
       http::request_parser<http::string_body> parser;
       parser.header_limit(
           static_cast<std::uint32_t>(self->limits.header_bytes));
       parser.body_limit(self->limits.body_bytes);
       if (!co_await self->ReadRequest(stream, buffer, parser))
-        break;
+        co_return;
       const bool keep_alive = parser.get().keep_alive();
       BeastExchange exchange(stream, FromBeast(parser.release()), keep_alive,
                              self->draining);
@@ -234,12 +283,10 @@
    * @return False if the connection is to be closed.
    */
   asio::awaitable<bool> AwaitRequest(beast::tcp_stream& stream,
-                                     beast::flat_buffer& buffer,
-                                     bool first) {
+                                     beast::flat_buffer& buffer) {
     if (buffer.size() > 0)
       co_return true;
-    stream.expires_after(first ? this->limits.read_timeout
-                               : this->limits.idle_timeout);
+    stream.expires_after(this->limits.idle_timeout);
     auto [error, size] = co_await stream.async_read_some(
         buffer.prepare(this->limits.header_bytes), kAwaitResult);
     buffer.commit(size);
@@ -251,23 +298,41 @@
       beast::tcp_stream& stream,
       beast::flat_buffer& buffer,
       http::request_parser<http::string_body>& parser) {
-    stream.expires_after(this->limits.read_timeout);
+    stream.expires_never();
+    const ReadDeadline deadline(stream.socket(), this->limits.read_timeout);
     auto [error, size] =
         co_await http::async_read(stream, buffer, parser, kAwaitResult);
     if (!error)
       co_return true;
-    if (IsPeerGone(error))
-      co_return false;
-    BeastExchange exchange(stream, {}, false, this->draining);
     // A call named by its key may have run through another connection.
     const bool names_call = parser.get().count("Idempotency-Key") > 0;
-    HttpResponse problem =
-        PlainProblem(StatusOfReadError(error), "request cannot be read",
-                     names_call ? "unknown" : "not_run");
-    co_await exchange.Send(std::move(problem));
+    if (deadline.HasExpired()) {
+      co_await this->Refuse(stream, HttpFault::kTooSlow, names_call);
+    } else if (!IsPeerGone(error)) {
+      co_await this->Refuse(stream, FaultOfReadError(error), names_call);
+    }
     co_return false;
   }
 
+  /** @return The answer to a fault. */
+  HttpResponse FaultResponse(HttpFault fault, bool names_call) const {
+    if (this->limits.write_fault)
+      return this->limits.write_fault(fault, names_call);
+    return {StatusOfFault(fault), {}, ""};
+  }
+
+  /** Answers a request that was not read, and ends the connection. */
+  asio::awaitable<void> Refuse(beast::tcp_stream& stream,
+                               HttpFault fault,
+                               bool names_call) {
+    ProcessMetrics().Add(
+        "http_faults_total",
+        "status=\"" + std::to_string(StatusOfFault(fault)) + "\"");
+    BeastExchange exchange(stream, {}, false, this->draining);
+    co_await exchange.Send(this->FaultResponse(fault, names_call));
+    co_await Linger(stream);
+  }
+
   asio::awaitable<void> Handle(BeastExchange& exchange) {
     std::string fault;
     try {
@@ -281,8 +346,8 @@
             {{"target", exchange.request().target}, {"reason", fault}});
     if (exchange.Answered())
       co_return;
-    HttpResponse problem = PlainProblem(500, "internal error", "unknown");
-    co_await exchange.Send(std::move(problem));
+    co_await exchange.Send(
+        this->FaultResponse(HttpFault::kHandlerFailed, true));
   }
 
   WorkerPool& pool;
@@ -292,14 +357,17 @@
   std::atomic<bool> closed = false;
   std::atomic<bool> draining = false;
   std::atomic<std::size_t> open_exchanges = 0;
+  std::atomic<std::size_t> open = 0;
 };
 
 HttpServer::HttpServer(WorkerPool& pool,
                        const SocketAddress& address,
                        HttpLimits limits,
                        HttpHandler handler)
-    : state(
-          std::make_shared<State>(pool, address, limits, std::move(handler))) {}
+    : state(std::make_shared<State>(pool,
+                                    address,
+                                    std::move(limits),
+                                    std::move(handler))) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/src/kernel/http_server.h
+++ b/src/kernel/http_server.h
@@ -37,14 +37,34 @@
   virtual bool Answered() const = 0;
 };
 
+/** Why the server answers a request without its handler. */
+enum class HttpFault {
+  kMalformed,           ///< It cannot be parsed.
+  kHeaderTooLarge,      ///< Its header exceeds the limit.
+  kBodyTooLarge,        ///< Its body exceeds the limit.
+  kTooSlow,             ///< It did not arrive in time.
+  kTooManyConnections,  ///< The server serves as many as it may.
+  kHandlerFailed,       ///< The handler threw before it answered.
+};
+
+/**
+ * Makes the answer to a fault; a bare status if there is none. The flag says
+ * whether the request may name a call that has run through another connection.
+ */
+using HttpFaultWriter = std::function<HttpResponse(HttpFault, bool)>;
+
 using HttpHandler = std::function<asio::awaitable<void>(HttpExchange&)>;
 
 /** Bounds on what a peer may send and how slowly. */
 struct HttpLimits {
   std::size_t header_bytes = std::size_t{16} * 1024;
   std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
+  std::size_t connections = 65536;  ///< Most connections open at once.
+  /** Longest time from the first byte of a request to its last. */
   std::chrono::milliseconds read_timeout = std::chrono::seconds(10);
+  /** Longest time without a request. */
   std::chrono::milliseconds idle_timeout = std::chrono::seconds(120);
+  HttpFaultWriter write_fault;
 };
 
 /** Accepts connections and hands each request to a handler. */
--- a/src/kernel/json_types.h
+++ b/src/kernel/json_types.h
@@ -28,8 +28,12 @@
   static void to_json(json& out, const std::chrono::milliseconds& time) {
     out = time.count();
   }
+  /** @throws json::out_of_range If sums of such times could overflow. */
   static void from_json(const json& in, std::chrono::milliseconds& time) {
+    constexpr std::chrono::hours kLongest{24 * 365 * 100};
     time = std::chrono::milliseconds(in.get<std::int64_t>());
+    if (time > kLongest || time < -kLongest)
+      throw json::out_of_range::create(401, "time out of range", nullptr);
   }
 };
 
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -32,6 +32,8 @@
   std::string log_level;
   std::int64_t worker_count = 0;
   std::int64_t max_body_bytes = 0;
+  std::int64_t max_header_bytes = 0;
+  std::int64_t max_connections = 0;
   std::int64_t max_running = 0;
   std::int64_t max_queued = 0;
   std::int64_t outcome_entries = 0;
@@ -44,6 +46,7 @@
   std::chrono::milliseconds configuration_wait{};
   std::chrono::milliseconds gossip_interval{};
   std::chrono::milliseconds connect_timeout{};
+  std::chrono::milliseconds read_timeout{};
   std::chrono::milliseconds heartbeat_interval{};
   std::chrono::milliseconds silence_timeout{};
   std::chrono::milliseconds recovery_timeout{};
--- a/src/router/caller_request.cc
+++ b/src/router/caller_request.cc
@@ -2,9 +2,12 @@
 
 #include "router/caller_request.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "router/request_form.h"
+
 namespace buckthornpath {
 
 namespace {
@@ -72,13 +75,23 @@
   return sequence;
 }
 
+/** @return True for a list, not empty, of objects with a role. */
+bool AreMessages(const nlohmann::json& messages) {
+  return messages.is_array() && !messages.empty() &&
+         std::all_of(messages.begin(), messages.end(),
+                     [](const nlohmann::json& message) {
+                       return message.is_object() && message.contains("role") &&
+                              message["role"].is_string();
+                     });
+}
+
 void ReadChatCall(const HttpRequest& http, CallerRequest& request) {
   if (!request.service.IsModel()) {
     Refuse("request_malformed", "the profile's service is no model");
   }
   const auto body = nlohmann::json::parse(http.body, nullptr, false);
   const bool has_messages = body.is_object() && body.contains("messages") &&
-                            body["messages"].is_array();
+                            AreMessages(body["messages"]);
   if (!has_messages) {
     Refuse("request_malformed", "the body must be JSON with 'messages'");
   }
@@ -121,7 +134,7 @@
                                const TicketMint& mint,
                                CallerRequest request) {
   if (http.method != "GET" && http.method != "DELETE") {
-    Refuse("request_malformed", "a request is read by GET, ended by DELETE");
+    Refuse("method_not_allowed", "a request is read by GET, ended by DELETE");
   }
   request.action =
       http.method == "GET" ? CallerAction::kResume : CallerAction::kCancel;
@@ -142,6 +155,11 @@
 CallerRequest ReadCallerRequest(const HttpRequest& http,
                                 const Configuration& configuration,
                                 const TicketMint& mint) {
+  const std::string fault = FaultOfForm(http);
+  if (!fault.empty())
+    Refuse("request_malformed", fault);
+  if (!IsMethodAllowed(http))
+    Refuse("method_not_allowed", "method " + http.method);
   CallerRequest request;
   request.organisation = Authenticate(http, configuration);
   const std::string_view path = http.Path();
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -1,5 +1,6 @@
 /** @file router_role.cc The role on an entry VM. */
 
+#include <array>
 #include <atomic>
 #include <memory>
 
@@ -14,6 +15,20 @@
 
 namespace {
 
+/** @return The problem document for a request that was not read. */
+HttpResponse FaultProblem(HttpFault fault, bool names_call) {
+  constexpr std::array<const char*, 6> kTypes = {
+      "request_malformed", "header_too_large",     "body_too_large",
+      "request_too_slow",  "too_many_connections", "internal_error"};
+  Problem problem;
+  problem.type = kTypes.at(static_cast<std::size_t>(fault));
+  if (fault == HttpFault::kTooManyConnections)
+    problem.retry_after = std::chrono::seconds(1);
+  if (names_call)
+    problem.outcome = Outcome::kUnknown;
+  return ProblemResponse(problem);
+}
+
 class RouterRole final : public Role {
  public:
   explicit RouterRole(const RoleContext& context)
@@ -61,6 +76,10 @@
   static HttpLimits LimitsOf(const Settings& settings) {
     HttpLimits limits;
     limits.body_bytes = static_cast<std::size_t>(settings.max_body_bytes);
+    limits.header_bytes = static_cast<std::size_t>(settings.max_header_bytes);
+    limits.connections = static_cast<std::size_t>(settings.max_connections);
+    limits.read_timeout = settings.read_timeout;
+    limits.write_fault = FaultProblem;
     return limits;
   }
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -2,6 +2,7 @@
 
 #include "wire/codec.h"
 
+#include "kernel/cbor.h"
 #include "kernel/json_types.h"
 #include "wire/load_report_json.h"
 
@@ -73,7 +74,7 @@
 
 Message DecodeMessage(std::string_view bytes) {
   try {
-    const json parsed = json::from_cbor(bytes.begin(), bytes.end());
+    const json parsed = ParseCbor(bytes);
     return DecodeAlternative(parsed.at(0).get<std::size_t>(), parsed.at(1));
   } catch (const json::exception& error) {
     throw MalformedMessage(error.what());
--- a/src/wire/dialogue_connection.cc
+++ b/src/wire/dialogue_connection.cc
@@ -37,6 +37,11 @@
     throw DialogueLost(std::string(step) + ": " + error.message());
 }
 
+void CountMalformed(const char* reason) {
+  ProcessMetrics().Add("malformed_messages_total");
+  LogLine(LogLevel::kWarning, "malformed_message", {{"reason", reason}});
+}
+
 asio::awaitable<void> Expire(std::chrono::milliseconds time) {
   co_await SleepFor(time);
 }
@@ -124,8 +129,10 @@
   co_await this->Fill(kHeaderBytes);
   const std::uint32_t length = boost::endian::load_big_u32(
       reinterpret_cast<const unsigned char*>(this->pending.data()));
-  if (length > kMaxFrameBytes)
+  if (length > kMaxFrameBytes) {
+    CountMalformed("frame too long");
     throw DialogueLost("receive: frame too long");
+  }
   co_await this->Fill(kHeaderBytes + length);
   std::string bytes = this->pending.substr(kHeaderBytes, length);
   this->pending.erase(0, kHeaderBytes + length);
@@ -151,9 +158,7 @@
     try {
       co_return DecodeMessage(bytes);
     } catch (const MalformedMessage& error) {
-      ProcessMetrics().Add("malformed_messages_total");
-      LogLine(LogLevel::kWarning, "malformed_message",
-              {{"reason", error.what()}});
+      CountMalformed(error.what());
     }
   }
 }
--- a/src/wire/gossip_codec.cc
+++ b/src/wire/gossip_codec.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "kernel/cbor.h"
 #include "wire/codec.h"
 
 namespace buckthornpath {
@@ -123,7 +124,7 @@
   if (CRYPTO_memcmp(code.data(), bytes.data(), kCodeBytes) != 0)
     throw MalformedMessage("datagram is not authentic");
   try {
-    const json parsed = json::from_cbor(body.begin(), body.end());
+    const json parsed = ParseCbor(body);
     return {parsed.at(0).get<std::uint64_t>(),
             ReadMessage(parsed.at(1).get<std::size_t>(), parsed.at(2))};
   } catch (const json::exception& error) {
--- a/src/wire/ticket.cc
+++ b/src/wire/ticket.cc
@@ -11,6 +11,7 @@
 #include <array>
 #include <stdexcept>
 
+#include "kernel/cbor.h"
 #include "kernel/json_types.h"
 
 namespace buckthornpath {
@@ -107,7 +108,7 @@
   if (!bytes)
     return std::nullopt;
   try {
-    return FromJson(nlohmann::json::from_cbor(*bytes));
+    return FromJson(ParseCbor(*bytes));
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- /dev/null
+++ b/test/harness/byte_connection.cc
@@ -0,0 +1,64 @@
+/** @file byte_connection.cc Sends bytes that no client library would send. */
+
+#include "harness/byte_connection.h"
+
+#include <cstdlib>
+#include <iterator>
+#include <stdexcept>
+
+#include "harness/caller.h"
+
+namespace buckthornpath {
+
+ByteConnection::ByteConnection(const SocketAddress& address) {
+  this->stream.expires_after(kCallerTimeout);
+  this->stream.connect(address);
+  if (!this->stream)
+    throw std::runtime_error("no connection");
+}
+
+void ByteConnection::Send(std::string_view bytes) {
+  this->stream.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+  this->stream.flush();
+}
+
+void ByteConnection::EndSending() {
+  boost::system::error_code ignored;
+  this->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                                 ignored);
+}
+
+std::string ByteConnection::ReadToEnd() {
+  this->stream.clear();
+  return {std::istreambuf_iterator<char>(this->stream), {}};
+}
+
+std::string ByteConnection::ReadSome() {
+  this->stream.clear();
+  const int first = this->stream.get();
+  if (first == std::char_traits<char>::eof())
+    return "";
+  std::string bytes(1, static_cast<char>(first));
+  const auto more = this->stream.rdbuf()->in_avail();
+  if (more > 0) {
+    std::string rest(static_cast<std::size_t>(more), '\0');
+    this->stream.read(rest.data(), more);
+    bytes += rest;
+  }
+  return bytes;
+}
+
+RawAnswer ParseRawAnswer(const std::string& bytes) {
+  RawAnswer answer;
+  constexpr std::size_t kStatusPlace = 9;  // After "HTTP/1.1 ".
+  const auto end = bytes.find("\r\n\r\n");
+  if (end == std::string::npos)
+    return answer;
+  answer.head = bytes.substr(0, end);
+  answer.body = bytes.substr(end + 4);
+  answer.status = static_cast<unsigned>(
+      std::strtoul(answer.head.c_str() + kStatusPlace, nullptr, 10));
+  return answer;
+}
+
+}  // namespace buckthornpath
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -197,6 +197,11 @@
       this->Address(kFirstRouterHost + static_cast<int>(index), kOperatorPort));
 }
 
+SocketAddress LocalFleet::EndpointDialogue(std::size_t index) const {
+  return ParseSocketAddress(this->Address(
+      kFirstEndpointHost + static_cast<int>(index), kDialoguePort));
+}
+
 SocketAddress LocalFleet::EndpointOperator(std::size_t index) const {
   return ParseSocketAddress(this->Address(
       kFirstEndpointHost + static_cast<int>(index), kOperatorPort));
--- a/test/harness/local_fleet.h
+++ b/test/harness/local_fleet.h
@@ -62,6 +62,9 @@
   /** @return Address for operators of a router. */
   SocketAddress RouterOperator(std::size_t index) const;
 
+  /** @return Address for routers of an endpoint process. */
+  SocketAddress EndpointDialogue(std::size_t index) const;
+
   /** @return Address for operators of an endpoint process. */
   SocketAddress EndpointOperator(std::size_t index) const;
 
