--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   libdocopt-dev libcppunit-dev nlohmann-json3-dev libxxhash-dev \
   librapidcheck-dev libssl-dev
 
-.PHONY: deps build check format lint demo measure slopes sweep clean
+.PHONY: deps build check format lint pages demo measure slopes sweep clean
 
 # Installs what is missing; asks the package manager for nothing else.
 deps:
@@ -46,7 +46,16 @@
 # Generated fault schedules, judged by the checker.
 sweep: build
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
-	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200)
+	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200) $(FAULT)
+
+# A fleet on loopback that serves returning chats and says what it did.
+demo: build
+	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) demo/run.sh
+
+# Reference pages from the tables of fields; a test compares them.
+pages: build
+	$(BUILD)/buckthornpath help settings > docs/SETTINGS.md
+	$(BUILD)/buckthornpath help profiles > docs/PROFILES.md
 
 clean:
 	rm -rf $(BUILD)
--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -45,7 +45,7 @@
                                const FleetState& fleet)
     : context(context),
       fleet(fleet),
-      admission(context, fleet.Store()),
+      admission(context, fleet.Store(), fleet.Members()),
       mint(context.settings.ticket_secret),
       incarnation(fleet.ThisIncarnation()),
       outcomes(EndpointId(context.settings.vm),
@@ -55,6 +55,7 @@
                ParseSocketAddress(context.settings.dialogue_address)) {}
 
 void DialogueServer::Start() {
+  this->admission.Start();
   this->context.pool.Spawn(this->AcceptAll());
 }
 
@@ -95,6 +96,9 @@
         co_await this->HandleCall(*connection, strand, std::move(*call));
       } else if (auto* resume = std::get_if<ResumeRequest>(&message)) {
         co_await this->HandleResume(*connection, strand, std::move(*resume));
+      } else if (auto* cancel = std::get_if<CancelRequest>(&message)) {
+        CallRefused state = this->Cancel(*cancel);
+        co_await connection->Send(std::move(state));
       } else {
         ProcessMetrics().Add("unexpected_messages_total");
       }
@@ -110,10 +114,12 @@
   const auto ticket = this->mint.Decode(request.ticket);
   CallRefused refusal;
   if (!ticket || ticket->organisation.str() != request.organisation) {
-    refusal = this->admission.Refusal("not_run", "ticket_refused");
+    // Another organisation's call may run under this ticket.
+    refusal = this->admission.Refusal("unknown", "ticket_refused");
   } else {
     const TicketLookup lookup =
         this->outcomes.Open(request.ticket, *ticket, this->Age());
+    const bool is_own = lookup.record && lookup.record->Bind(request);
     if (lookup.answer == TicketAnswer::kNew) {
       if (const char* reason = this->fleet.WhyRefused()) {
         lookup.record->Refuse(this->admission.Refusal("not_run", reason));
@@ -121,14 +127,14 @@
         this->admission.Submit(request, lookup.record);
       }
     }
-    if (lookup.record) {
+    if (is_own) {
       co_await this->SendAnswer(connection, strand, lookup.record,
                                 request.attempt, request.after);
       co_return;
     }
     refusal = this->admission.Refusal(
         lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
-        lookup.reason);
+        lookup.record ? "ticket_reused" : lookup.reason);
   }
   refusal.attempt = request.attempt;
   co_await connection.Send(refusal);
@@ -158,6 +164,29 @@
   co_await connection.Send(refusal);
 }
 
+CallRefused DialogueServer::Cancel(const CancelRequest& request) {
+  const auto ticket = this->mint.Decode(request.ticket);
+  if (!ticket || ticket->organisation.str() != request.organisation) {
+    return this->admission.Refusal("unknown", "ticket_refused");
+  }
+  const TicketLookup lookup =
+      this->outcomes.Cancel(request.ticket, *ticket, this->Age());
+  if (!lookup.record) {
+    return this->admission.Refusal(
+        lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
+        lookup.reason);
+  }
+  const CallView view = lookup.record->View(0);
+  switch (view.state) {
+    case CallState::kFinished:
+      return this->admission.Refusal("ran", "finished");
+    case CallState::kRefused:
+      return view.refused;
+    default:
+      return this->admission.Refusal("unknown", "stopping");
+  }
+}
+
 asio::awaitable<void> DialogueServer::SendAnswer(
     DialogueConnection& connection,
     const Strand& strand,
--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -32,6 +32,7 @@
   std::size_t InFlight() const {
     return this->admission.Running() + this->admission.Queued() + this->sending;
   }
+  Admission& Calls() { return this->admission; }
   const Admission& Calls() const { return this->admission; }
   std::size_t Outcomes() const { return this->outcomes.Size(); }
   Incarnation ThisIncarnation() const { return this->incarnation; }
@@ -48,6 +49,9 @@
                                      const Strand& strand,
                                      ResumeRequest request);
 
+  /** Stops a call. @return What is known of it now. */
+  CallRefused Cancel(const CancelRequest& request);
+
   /** Sends the answer of a call as it comes, after a sequence number. */
   asio::awaitable<void> SendAnswer(DialogueConnection& connection,
                                    const Strand& strand,
--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -32,6 +32,7 @@
     status["role"] = "endpoint";
     status["running"] = this->server.Calls().Running();
     status["queued"] = this->server.Calls().Queued();
+    status["load"] = this->server.Calls().Status();
     status["outcomes"] = this->server.Outcomes();
     return status;
   }
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -24,6 +24,7 @@
   const ConfigurationStore& Store() const { return this->store; }
   ConfigurationPtr InForce() const { return this->store.InForce(); }
   MemberList& Members() { return this->members; }
+  const MemberList& Members() const { return this->members; }
 
   /** @return The life of this process. */
   Incarnation ThisIncarnation() const { return this->incarnation; }
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -14,6 +14,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "wire/codec.h"
+#include "wire/load_report_json.h"
 
 namespace buckthornpath {
 
@@ -41,12 +42,6 @@
 constexpr std::size_t kBurstPieces = 16;
 constexpr std::chrono::milliseconds kPiecePause{500};
 
-void CountBytes(const char* direction, std::size_t bytes) {
-  ProcessMetrics().Add("control_bytes_total",
-                       "direction=\"" + std::string(direction) + "\"",
-                       bytes + kHeaderBytes);
-}
-
 GossipAddress ToGossipAddress(const SocketAddress& address) {
   return {address.address(), address.port()};
 }
@@ -104,7 +99,7 @@
         asio::buffer(buffer), from, kAwaitResult);
     if (error)
       continue;
-    CountBytes("received", size);
+    CountControlBytes("in", size + kHeaderBytes);
     try {
       this->Handle(from, this->codec.Decode({buffer.data(), size}));
     } catch (const MalformedMessage& fault) {
@@ -119,7 +114,7 @@
   const std::string bytes = this->codec.Encode(datagram);
   boost::system::error_code ignored;
   this->socket->send_to(asio::buffer(bytes), peer, 0, ignored);
-  CountBytes("sent", bytes.size());
+  CountControlBytes("out", bytes.size() + kHeaderBytes);
 }
 
 GossipExchange Gossip::MakeExchange(bool is_answer) {
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -28,6 +28,7 @@
   std::string gossip_seeds;
   std::string ticket_secret;
   std::string placement_policy;
+  std::string start_order;
   std::string log_level;
   std::int64_t worker_count = 0;
   std::int64_t max_body_bytes = 0;
@@ -36,6 +37,8 @@
   std::int64_t outcome_entries = 0;
   std::int64_t outcome_bytes = 0;
   std::int64_t max_attempts = 0;
+  std::int64_t max_moves = 0;
+  std::int64_t retry_budget_percent = 0;
   std::int64_t chat_memory_entries = 0;
   std::chrono::milliseconds vm_list_interval{};
   std::chrono::milliseconds configuration_wait{};
@@ -47,6 +50,8 @@
   std::chrono::milliseconds ticket_lifetime{};
   std::chrono::milliseconds answer_retention{};
   std::chrono::milliseconds load_report_age{};
+  std::chrono::milliseconds load_exchange_interval{};
+  std::chrono::milliseconds load_max_age{};
   std::chrono::milliseconds drain_timeout{};
 };
 
@@ -54,7 +59,8 @@
 std::span<const FieldRow<Settings>> SettingRows();
 
 /**
- * Reads settings from JSON with comments.
+ * Reads settings from JSON with comments. Addresses must be IP numbers with
+ * ports.
  * @throws DocumentRefused With every fault, if there is any.
  */
 Settings ParseSettings(const std::string& text);
@@ -65,6 +71,10 @@
  */
 Settings LoadSettings(const std::string& path);
 
+/** @return What a role lacks in settings that are in order by themselves. */
+std::vector<DocumentFault> FaultsForRole(const Settings& settings,
+                                         const std::string& role);
+
 }  // namespace buckthornpath
 
 #endif  // SRC_KERNEL_SETTINGS_H_
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -7,6 +7,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/role.h"
+#include "router/call_cancel.h"
 #include "router/call_session.h"
 
 namespace buckthornpath {
@@ -20,6 +21,7 @@
         fleet(context),
         mint(context.settings.ticket_secret),
         placement(context.settings, this->fleet.Members(), this->mint),
+        retries(context.settings),
         server(
             context.pool,
             ParseSocketAddress(context.settings.caller_address),
@@ -62,6 +64,9 @@
       co_await this->ServeCounted(exchange);
     } catch (const RequestRefused& refusal) {
       refused = refusal.Reason();
+      // Only its endpoint process knows what became of a named call.
+      if (NamesCall(exchange.request()))
+        refused->outcome = Outcome::kUnknown;
     }
     if (!refused)
       co_return;
@@ -79,8 +84,9 @@
     const auto begun = std::chrono::steady_clock::now();
     CallerRequest request = ReadCallerRequest(
         exchange.request(), *this->fleet.InForce(), this->mint);
-    const SessionContext session{this->context.settings, this->placement,
-                                 this->mint, this->fleet.Members()};
+    const SessionContext session{
+        this->context.settings, this->placement, this->mint,
+        this->retries,          this->pool,      this->fleet.Members()};
     if (request.action == CallerAction::kMintTicket) {
       HttpResponse response;
       response.status = 201;
@@ -91,6 +97,10 @@
       co_await exchange.Send(std::move(response));
       co_return;
     }
+    if (request.action == CallerAction::kCancel) {
+      co_await CancelCall(session, request, exchange);
+      co_return;
+    }
     const std::string label = "rank=\"" + request.profile.rank + "\"";
     ProcessMetrics().Add("requests_total", label);
     CallSession call(session, std::move(request), exchange);
@@ -102,7 +112,9 @@
   RoleContext context;
   FleetState fleet;
   TicketMint mint;
+  DialoguePool pool;
   Placement placement;
+  RetryLimiter retries;
   std::atomic<std::size_t> in_flight = 0;
   std::atomic<bool> draining = false;
   HttpServer server;
