--- a/bench/slope/fleet_slope.cc
+++ b/bench/slope/fleet_slope.cc
@@ -66,6 +66,7 @@
 std::vector<double> Measure(const std::vector<SocketAddress>& addresses,
                             const std::function<void()>& task) {
   std::vector<double> before;
+  before.reserve(addresses.size());
   for (const SocketAddress& address : addresses)
     before.push_back(ControlBytes(address));
   const auto begun = std::chrono::steady_clock::now();
--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -20,7 +20,7 @@
 constexpr std::chrono::milliseconds kExpiryInterval{20};
 
 /** Reports of other endpoints in a refusal. */
-constexpr std::size_t kReportsPerRefusal = 4;
+constexpr std::size_t kReportsPerRefusal = 2;
 
 constexpr double kPercent = 100.0;
 
@@ -94,6 +94,7 @@
   accepted.attempt = attempt;
   accepted.running = static_cast<std::int64_t>(this->Running());
   accepted.queued = static_cast<std::int64_t>(this->Queued());
+  CountControlBytes("out", EncodedSize(accepted));
   return accepted;
 }
 
@@ -182,7 +183,8 @@
                            const std::string& reason) {
   CallRefused refusal = this->Refusal("not_run", reason);
   refusal.retry_after = std::max(kBusyRetryAfter, decision.result.retry_after);
-  refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
+  if (!decision.check.IsWithin())
+    refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
   CountControlBytes("out", EncodedSize(refusal.loads));
   ProcessMetrics().Add("calls_refused_total",
                        RankLabel(call.rank) + ",reason=\"" + reason + "\"");
@@ -350,6 +352,14 @@
   }
 }
 
+std::vector<std::string> Admission::HeldTickets() const {
+  const OrderedLock lock(this->mutex);
+  std::vector<std::string> tickets;
+  for (const auto& [handle, call] : this->held)
+    tickets.push_back(call.call.request.ticket);
+  return tickets;
+}
+
 nlohmann::json Admission::Status() const {
   const OrderedLock lock(this->mutex);
   const LoadMean mean =
--- a/src/endpoint/admission.h
+++ b/src/endpoint/admission.h
@@ -53,6 +53,9 @@
   /** @return Calls at the engine. */
   std::size_t Running() const { return this->running; }
 
+  /** @return Tickets of the calls that wait or run here. */
+  std::vector<std::string> HeldTickets() const;
+
   /** @return Calls admitted and not yet at the engine. */
   std::size_t Queued() const { return this->queued; }
 
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -145,6 +145,7 @@
             ? this->request.ticket_text
             : MintTicket(this->context, this->request, dialogue, member);
     this->writer.SetRequestId(this->ticket);
+    this->context.in_flight.SetName(this->ticket);
     this->machine.OnDispatch();
     dispatched = true;
     this->dialogue = NextDialogueNumber();
@@ -261,6 +262,7 @@
     co_return true;
   }
   if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
+    CountControlBytes("in", EncodedSize(*accepted));
     this->writer.SetLocation(this->context.placement.NoteAdmitted(
         this->request, endpoint, accepted->running + accepted->queued));
   } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "kernel/in_flight_calls.h"
 #include "kernel/settings.h"
 #include "router/answer_writer.h"
 #include "router/caller_request.h"
@@ -20,9 +21,10 @@
   const Settings& settings;
   Placement& placement;
   const TicketMint& mint;
+  MemberList& members;
   RetryLimiter& retries;
   DialoguePool& pool;
-  MemberList& members;
+  InFlightCalls::Mark& in_flight;  ///< Named after the call's ticket.
 };
 
 /** One call: chooses endpoints, hands over, streams back and recovers. */
--- a/src/router/router_role.cc
+++ b/src/router/router_role.cc
@@ -36,14 +36,23 @@
   void BeginDrain() override {
     this->draining = true;
     this->fleet.Leave();
+    this->server.BeginDrain();
   }
 
-  std::size_t InFlight() const override { return this->in_flight; }
+  std::vector<std::string> InFlight() const override {
+    return this->in_flight.Names();
+  }
+
+  void StopAccepting() override { this->server.Close(); }
+
+  std::size_t OpenExchanges() const override {
+    return this->server.OpenExchanges();
+  }
 
   nlohmann::json Status() const override {
     nlohmann::json status = this->fleet.Status();
     status["role"] = "router";
-    status["in_flight"] = this->in_flight.load();
+    status["in_flight"] = this->in_flight.Size();
     status["draining"] = this->draining.load();
     return status;
   }
@@ -56,9 +65,6 @@
   }
 
   asio::awaitable<void> Serve(HttpExchange& exchange) {
-    ++this->in_flight;
-    const std::shared_ptr<void> leave(nullptr,
-                                      [this](void*) { --this->in_flight; });
     std::optional<Problem> refused;
     try {
       co_await this->ServeCounted(exchange);
@@ -75,6 +81,8 @@
   }
 
   asio::awaitable<void> ServeCounted(HttpExchange& exchange) {
+    // Counted before the check, so that a drain sees every call let through.
+    InFlightCalls::Mark mark(this->in_flight, exchange.request().target);
     if (this->draining || !this->fleet.IsReady()) {
       Problem problem;
       problem.type = this->draining ? "router_draining" : "no_configuration";
@@ -84,9 +92,13 @@
     const auto begun = std::chrono::steady_clock::now();
     CallerRequest request = ReadCallerRequest(
         exchange.request(), *this->fleet.InForce(), this->mint);
-    const SessionContext session{
-        this->context.settings, this->placement, this->mint,
-        this->retries,          this->pool,      this->fleet.Members()};
+    const SessionContext session{this->context.settings,
+                                 this->placement,
+                                 this->mint,
+                                 this->fleet.Members(),
+                                 this->retries,
+                                 this->pool,
+                                 mark};
     if (request.action == CallerAction::kMintTicket) {
       HttpResponse response;
       response.status = 201;
@@ -115,7 +127,7 @@
   DialoguePool pool;
   Placement placement;
   RetryLimiter retries;
-  std::atomic<std::size_t> in_flight = 0;
+  InFlightCalls in_flight;
   std::atomic<bool> draining = false;
   HttpServer server;
 };
--- a/test/stories/membership.cc
+++ b/test/stories/membership.cc
@@ -150,6 +150,7 @@
               const std::map<std::string, std::string>& documents) {
   Index index;
   index.stamp.revision = revision;
+  index.entries.reserve(documents.size());
   for (const auto& [name, digest] : documents)
     index.entries.push_back({name, Revision{revision}, digest});
   index.stamp.digest = DigestOf(index);
