--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -121,8 +121,10 @@
       this->context.placement.Loads().NoteEnd(member.id);
     });
     co_await this->Attempt(member);
-    if (this->machine.MustRecover())
-      co_await this->Recover(member);
+    if (this->machine.MustRecover()) {
+      const bool can_move = this->attempt < decision.candidates.size();
+      co_await this->Recover(member, can_move);
+    }
     if (this->machine.IsAnswered())
       co_return;
     if (this->refusal)
@@ -189,11 +191,14 @@
   call.body = this->request.body;
   call.after = this->writer.LastReceived();
   call.loads = this->reports;
-  CountControlBytes("out", EncodedSize(call.loads));
+  CountControlBytes("sent", EncodedSize(call.loads));
   co_await dialogue.connection->Send(std::move(call));
 }
 
-asio::awaitable<void> CallSession::Recover(const Member& member) {
+asio::awaitable<void> CallSession::Recover(const Member& member,
+                                           bool can_move) {
+  const bool once =
+      can_move && this->request.profile.repeatable && !this->request.ticket;
   const auto limit = this->context.settings.recovery_timeout;
   const auto lost_at = std::chrono::steady_clock::now();
   this->last_heard = lost_at;
@@ -214,6 +219,8 @@
       fault = lost.what();
     }
     this->NoteLoss(member, fault);
+    if (once)
+      break;
     co_await SleepFor(kRecoveryPause);
   }
   this->machine.OnUnknown();
@@ -262,7 +269,7 @@
     co_return true;
   }
   if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
-    CountControlBytes("in", EncodedSize(*accepted));
+    CountControlBytes("received", EncodedSize(*accepted));
     this->writer.SetLocation(this->context.placement.NoteAdmitted(
         this->request, endpoint, accepted->running + accepted->queued));
   } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
@@ -280,7 +287,7 @@
   if (refused.reason == "endpoint_leaving")
     this->context.members.ReportLeaving(endpoint);
   this->refusal = refused;
-  CountControlBytes("in", EncodedSize(refused.loads));
+  CountControlBytes("received", EncodedSize(refused.loads));
   const Outcome outcome = ParseOutcome(refused.outcome);
   this->problem = {refused.reason, refused.detail, outcome, refused.retry_after,
                    ""};
