--- a/src/fleet/platform_read.cc
+++ b/src/fleet/platform_read.cc
@@ -2,7 +2,7 @@
 
 #include "fleet/platform_read.h"
 
-#include "kernel/metrics.h"
+#include "wire/load_report_json.h"
 
 namespace buckthornpath {
 
@@ -25,14 +25,12 @@
                                            HttpRequest request,
                                            std::chrono::milliseconds timeout) {
   request.headers.Set("User-Agent", "buckthornpathd/" + reader);
-  ProcessMetrics().Add(
-      "control_bytes_total", "direction=\"sent\"",
-      kLineBytes + request.target.size() + SizeOf(request.headers));
+  CountControlBytes(
+      "out", kLineBytes + request.target.size() + SizeOf(request.headers));
   HttpResponse response =
       co_await HttpFetch(service, std::move(request), timeout);
-  ProcessMetrics().Add(
-      "control_bytes_total", "direction=\"received\"",
-      kLineBytes + SizeOf(response.headers) + response.body.size());
+  CountControlBytes(
+      "in", kLineBytes + SizeOf(response.headers) + response.body.size());
   co_return response;
 }
 
