--- a/test/stories/bad_messages.cc
+++ b/test/stories/bad_messages.cc
@@ -86,7 +86,7 @@
 
 void DeepNestingIsRefused() {
   CPPUNIT_ASSERT_THROW(DecodeMessage(DeepCbor()), MalformedMessage);
-  CPPUNIT_ASSERT_THROW(DecodeMessage("\x82\x00" + DeepCbor()),
+  CPPUNIT_ASSERT_THROW(DecodeMessage(std::string("\x82\x00", 2) + DeepCbor()),
                        MalformedMessage);
 }
 
