--- a/test/stories/fake_engine.cc
+++ b/test/stories/fake_engine.cc
@@ -1,7 +1,6 @@
 /** @file fake_engine.cc The fake model engine behaves as tests assume. */
 
 #include <cppunit/TestAssert.h>
-#include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
@@ -24,9 +23,7 @@
 class LoneEngine {
  public:
   explicit LoneEngine(std::vector<std::string> arguments)
-      : address(ParseSocketAddress(
-            "127." + std::to_string(100 + getpid() % 100) + "." +
-            std::to_string(getpid() / 100 % 250) + ".7:7000")) {
+      : address(ParseSocketAddress(this->claim.Network() + "7:7000")) {
     arguments.push_back("--address=" + FormatSocketAddress(this->address));
     this->process =
         std::make_unique<ChildProcess>("fake_engine", arguments, "/dev/null");
@@ -55,6 +52,7 @@
     return CallHttp(this->address, request).status;
   }
 
+  const NetworkClaim claim;
   const SocketAddress address;
 
  private:
