--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -42,6 +42,7 @@
     return this->admission.Running() + this->admission.Queued() +
            this->handling;
   }
+
   Admission& Calls() { return this->admission; }
   const Admission& Calls() const { return this->admission; }
   std::size_t Outcomes() const { return this->outcomes.Size(); }
