Orders to engines: models assigned by a pure function, fenced and paced

Documents models/NAME (share, minimum replicas, version, adapters) and the live replicas give each replica's model by AssignModels(); the endpoint process orders its own engine only, with a fencing number above the engine's highest and not below the clock; loads start at places drawn from the revision.

Ruled out: epochs in whole seconds (an engine that tells no highest number saw a number fall when a process was restarted within a second: story model_orders, "an ignoring engine sees numbers rise", failed on it); retrying after a 409 (an old process would climb over the new one).

The story shutdown publishes a load bound of 1000 %: since admission checks the bound, an endpoint left alone refused calls (endpoint_over_bound, not_run), which is the bound's work and no cut by a drain.

--- a/include/buckthornpath/strong_id_type.h
+++ b/include/buckthornpath/strong_id_type.h
@@ -32,6 +32,7 @@
 using OrganisationId = StrongId<struct OrganisationIdTag>;
 using EndpointId = StrongId<struct EndpointIdTag>;
 using ServiceName = StrongId<struct ServiceNameTag>;
+using ModelName = StrongId<struct ModelNameTag>;
 using ProfileName = StrongId<struct ProfileNameTag>;
 using ChatId = StrongId<struct ChatIdTag>;
 using RequestId = StrongId<struct RequestIdTag>;
--- /dev/null
+++ b/src/decision/model_assignment.cc
@@ -0,0 +1,181 @@
+/** @file model_assignment.cc Which model each replica of a service holds. */
+
+#include "buckthornpath/model_assignment.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <numeric>
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::size_t kNoModel = static_cast<std::size_t>(-1);
+
+/** How well a model and a replica fit; the same for ever. */
+struct PairScore {
+  XXH64_hash_t score = 0;
+  std::size_t model = 0;
+  std::size_t replica = 0;
+};
+
+/** Every pair of model and replica, best first. */
+std::vector<PairScore> RankedPairs(const std::vector<ModelDemand>& models,
+                                   const std::vector<ReplicaSite>& replicas) {
+  std::vector<PairScore> pairs;
+  pairs.reserve(models.size() * replicas.size());
+  for (std::size_t m = 0; m < models.size(); ++m) {
+    const std::string& model = models[m].name.str();
+    const XXH64_hash_t seed = XXH3_64bits(model.data(), model.size());
+    for (std::size_t r = 0; r < replicas.size(); ++r) {
+      const std::string& id = replicas[r].id.str();
+      pairs.push_back({XXH3_64bits_withSeed(id.data(), id.size(), seed), m, r});
+    }
+  }
+  std::sort(
+      pairs.begin(), pairs.end(), [](const PairScore& a, const PairScore& b) {
+        if (a.score != b.score)
+          return a.score > b.score;
+        return a.model != b.model ? a.model < b.model : a.replica < b.replica;
+      });
+  return pairs;
+}
+
+std::size_t CountDomains(const std::vector<ReplicaSite>& replicas) {
+  std::vector<FailureDomainId> domains;
+  for (const ReplicaSite& replica : replicas)
+    domains.push_back(replica.failure_domain);
+  std::sort(domains.begin(), domains.end());
+  return static_cast<std::size_t>(std::unique(domains.begin(), domains.end()) -
+                                  domains.begin());
+}
+
+/** Gives out replicas to models, best pairs first, within counts. */
+class Matching {
+ public:
+  Matching(const std::vector<ModelDemand>& models,
+           const std::vector<ReplicaSite>& replicas)
+      : replicas(replicas),
+        wanted(ReplicaCounts(models, replicas.size())),
+        domains(std::max<std::size_t>(CountDomains(replicas), 1)),
+        in_domain(models.size()),
+        model_of(replicas.size(), kNoModel) {}
+
+  /** @param spread Whether a model takes only its share of each domain. */
+  void GiveOut(const std::vector<PairScore>& pairs, bool spread) {
+    for (const PairScore& pair : pairs) {
+      if (this->model_of[pair.replica] != kNoModel ||
+          this->taken[pair.model] >= this->wanted[pair.model]) {
+        continue;
+      }
+      const FailureDomainId& domain =
+          this->replicas[pair.replica].failure_domain;
+      std::size_t& here = this->in_domain[pair.model][domain];
+      if (spread && here >= this->DomainLimit(pair.model))
+        continue;
+      ++here;
+      ++this->taken[pair.model];
+      this->model_of[pair.replica] = pair.model;
+    }
+  }
+
+  std::size_t ModelOf(std::size_t replica) const {
+    return this->model_of[replica];
+  }
+
+ private:
+  std::size_t DomainLimit(std::size_t model) const {
+    return (this->wanted[model] + this->domains - 1) / this->domains;
+  }
+
+  const std::vector<ReplicaSite>& replicas;
+  std::vector<std::size_t> wanted;
+  std::size_t domains;
+  std::vector<std::map<FailureDomainId, std::size_t>> in_domain;
+  std::map<std::size_t, std::size_t> taken;
+  std::vector<std::size_t> model_of;
+};
+
+}  // namespace
+
+std::vector<std::size_t> ReplicaCounts(const std::vector<ModelDemand>& models,
+                                       std::size_t replicas) {
+  std::vector<std::size_t> counts(models.size(), 0);
+  std::size_t left = replicas;
+  double shares = 0;
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    counts[i] = std::min(models[i].minimum_replicas, left);
+    left -= counts[i];
+    shares += models[i].share;
+  }
+  if (models.empty() || shares <= 0)
+    return counts;
+  std::vector<double> remainders(models.size());
+  std::size_t given = 0;
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    const double part = static_cast<double>(left) * models[i].share / shares;
+    const double whole = std::floor(part);
+    remainders[i] = part - whole;
+    counts[i] += static_cast<std::size_t>(whole);
+    given += static_cast<std::size_t>(whole);
+  }
+  std::vector<std::size_t> order(models.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  std::stable_sort(order.begin(), order.end(),
+                   [&](std::size_t a, std::size_t b) {
+                     return remainders[a] > remainders[b];
+                   });
+  for (std::size_t i = 0; given < left; ++i, ++given)
+    ++counts[order[i % order.size()]];
+  return counts;
+}
+
+std::vector<ModelChoice> AssignModels(std::vector<ModelDemand> models,
+                                      std::vector<ReplicaSite> replicas) {
+  if (models.empty())
+    return {};
+  std::sort(models.begin(), models.end(),
+            [](const auto& a, const auto& b) { return a.name < b.name; });
+  std::sort(replicas.begin(), replicas.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  const std::vector<PairScore> pairs = RankedPairs(models, replicas);
+  Matching matching(models, replicas);
+  matching.GiveOut(pairs, /*spread=*/true);
+  matching.GiveOut(pairs, /*spread=*/false);
+  std::vector<ModelChoice> choices;
+  choices.reserve(replicas.size());
+  for (std::size_t r = 0; r < replicas.size(); ++r) {
+    const std::size_t model = matching.ModelOf(r);
+    choices.push_back(
+        {replicas[r].id, model == kNoModel ? ModelName() : models[model].name});
+  }
+  return choices;
+}
+
+ModelName ChoiceFor(const std::vector<ModelChoice>& choices,
+                    const EndpointId& endpoint) {
+  for (const ModelChoice& choice : choices) {
+    if (choice.endpoint == endpoint)
+      return choice.model;
+  }
+  return {};
+}
+
+std::vector<EndpointId> ChangedReplicas(const std::vector<ModelChoice>& before,
+                                        const std::vector<ModelChoice>& after) {
+  std::map<EndpointId, ModelName> known;
+  for (const ModelChoice& choice : before)
+    known[choice.endpoint] = choice.model;
+  std::vector<EndpointId> changed;
+  for (const ModelChoice& choice : after) {
+    const auto found = known.find(choice.endpoint);
+    if (found == known.end() || found->second != choice.model)
+      changed.push_back(choice.endpoint);
+  }
+  return changed;
+}
+
+}  // namespace buckthornpath
--- a/src/endpoint/endpoint_role.cc
+++ b/src/endpoint/endpoint_role.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "endpoint/dialogue_server.h"
+#include "endpoint/model_order_loop.h"
 #include "fleet/fleet_state.h"
 #include "kernel/role.h"
 
@@ -13,15 +14,21 @@
 class EndpointRole final : public Role {
  public:
   explicit EndpointRole(const RoleContext& context)
-      : fleet(context), server(context, this->fleet) {}
+      : fleet(context),
+        server(context, this->fleet),
+        orders(context,
+               this->fleet,
+               static_cast<std::uint32_t>(this->server.ThisIncarnation())) {}
 
   void Start() override {
     this->fleet.Start();
     this->server.Start();
+    this->orders.Start();
   }
 
   void BeginDrain() override {
     this->server.BeginDrain();
+    this->orders.Stop();
     this->fleet.Leave();
   }
 
@@ -32,7 +39,7 @@
   void StopAccepting() override { this->server.StopAccepting(); }
 
   std::size_t OpenExchanges() const override {
-    return this->server.OpenExchanges();
+    return this->server.OpenExchanges() + (this->orders.IsGiving() ? 1 : 0);
   }
 
   nlohmann::json Status() const override {
@@ -42,12 +49,14 @@
     status["queued"] = this->server.Calls().Queued();
     status["load"] = this->server.Calls().Status();
     status["outcomes"] = this->server.Outcomes();
+    status["orders"] = this->orders.Status();
     return status;
   }
 
  private:
   FleetState fleet;
   DialogueServer server;
+  ModelOrderLoop orders;
 };
 
 const RoleFactory kEndpointRole(
--- /dev/null
+++ b/src/endpoint/model_order_client.h
@@ -0,0 +1,27 @@
+/** @file model_order_client.h Asks a model engine for its state and gives it
+ * orders. */
+
+#ifndef SRC_ENDPOINT_MODEL_ORDER_CLIENT_H_
+#define SRC_ENDPOINT_MODEL_ORDER_CLIENT_H_
+
+#include "endpoint/model_order_type.h"
+#include "kernel/boot_clock.h"
+#include "kernel/socket_address.h"
+#include "kernel/worker_pool.h"
+
+namespace buckthornpath {
+
+/** @throws HttpError If the engine does not answer or has no such resource. */
+asio::awaitable<EngineState> FetchEngineState(SocketAddress engine);
+
+/**
+ * Gives an order, unless its lifetime has ended by then.
+ * @param decided When the order was decided; the lifetime counts from there.
+ */
+asio::awaitable<OrderReply> GiveOrder(SocketAddress engine,
+                                      ModelOrder order,
+                                      BootClock::time_point decided);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_ENDPOINT_MODEL_ORDER_CLIENT_H_
--- a/src/fleet/published.cc
+++ b/src/fleet/published.cc
@@ -73,6 +73,21 @@
   return kOrganisationRows;
 }
 
+std::vector<std::string> PublishedModel::AdapterNames() const {
+  std::vector<std::string> names;
+  std::istringstream text(this->adapters);
+  for (std::string name; std::getline(text, name, ',');) {
+    if (!name.empty())
+      names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::span<const FieldRow<PublishedModel>> PublishedModelRows() {
+  return kPublishedModelRows;
+}
+
 std::span<const FieldRow<Service>> ServiceRows() {
   return kServiceRows;
 }
@@ -113,6 +128,9 @@
   } else if (kind == "services") {
     configuration.services[ServiceName(name)] =
         ReadNamed(object, ServiceRows(), name);
+  } else if (kind == "models") {
+    configuration.models[ModelName(name)] =
+        ReadNamed(object, PublishedModelRows(), name);
   } else {
     throw DocumentRefused("", "unknown kind of document '" + kind + "'");
   }
--- a/src/fleet/published_type.h
+++ b/src/fleet/published_type.h
@@ -42,10 +42,25 @@
   std::string name;
   std::string kind;  ///< "model" or "plain".
   std::string model;
+  std::int64_t loads_per_minute = 1;  ///< Limit of the weight store.
 
   bool IsModel() const { return this->kind == "model"; }
 };
 
+/** A model that some replicas of a service are to hold. */
+struct PublishedModel {
+  std::string name;
+  std::string service;
+  std::string model;  ///< Name that engines know it by.
+  std::string version;
+  std::string adapters;  ///< Names separated by commas.
+  std::int64_t share = 1;
+  std::int64_t minimum_replicas = 0;
+
+  /** @return Names of the adapters in their order. */
+  std::vector<std::string> AdapterNames() const;
+};
+
 /** One line of the published index. */
 struct IndexEntry {
   std::string name;  ///< Such as "profiles/counter".
@@ -70,6 +85,7 @@
   std::map<ProfileName, Profile> profiles;
   std::map<OrganisationId, Organisation> organisations;
   std::map<ServiceName, Service> services;
+  std::map<ModelName, PublishedModel> models;
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
@@ -77,6 +93,7 @@
 std::span<const FieldRow<Profile>> ProfileRows();
 std::span<const FieldRow<Organisation>> OrganisationRows();
 std::span<const FieldRow<Service>> ServiceRows();
+std::span<const FieldRow<PublishedModel>> PublishedModelRows();
 
 /**
  * Reads the published index.
--- a/src/kernel/lock_order.h
+++ b/src/kernel/lock_order.h
@@ -21,6 +21,7 @@
   kLoadView,        ///< Load that other endpoint processes reported.
   kOutcomeTable,    ///< Calls known to an endpoint process.
   kOutcomeRecord,   ///< One call's answer.
+  kModelOrders,     ///< What is shown of an engine's model.
   kMetrics,         ///< Counters and quantiles.
 };
 
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -55,6 +55,9 @@
   std::chrono::milliseconds load_report_age{};
   std::chrono::milliseconds load_exchange_interval{};
   std::chrono::milliseconds load_max_age{};
+  std::chrono::milliseconds order_interval{};
+  std::chrono::milliseconds assignment_settle{};
+  std::chrono::milliseconds order_lifetime{};
   std::chrono::milliseconds drain_timeout{};
 };
 
--- a/src/table/published_table.h
+++ b/src/table/published_table.h
@@ -41,7 +41,26 @@
     {"kind", &Service::kind, "", Required{}, 1, 8, "model|plain",
      "Whether model engines or plain services stand behind it."},
     {"model", &Service::model, "", "", 0, 128, "",
-     "Model that the engines hold."},
+     "Model that the engines hold if no model document names the service."},
+    {"loads_per_minute", &Service::loads_per_minute, "", 30, 1, 100000, "",
+     "Most loads that the weight store allows the service to begin."},
+};
+
+inline constexpr FieldRow<PublishedModel> kPublishedModelRows[] = {
+    {"name", &PublishedModel::name, "", Required{}, 1, 64, "",
+     "Name of the document."},
+    {"service", &PublishedModel::service, "", Required{}, 1, 64, "",
+     "Service whose replicas hold the model."},
+    {"model", &PublishedModel::model, "", Required{}, 1, 128, "",
+     "Name by which the engines know the model."},
+    {"version", &PublishedModel::version, "", "", 0, 64, "",
+     "Version that the replicas hold."},
+    {"adapters", &PublishedModel::adapters, "", "", 0, 1024, "",
+     "Adapters loaded beside it, separated by commas."},
+    {"share", &PublishedModel::share, "", 1, 0, 1000000, "",
+     "Share of the service's replicas, relative to its other models."},
+    {"minimum_replicas", &PublishedModel::minimum_replicas, "", 0, 0, 100000, "",
+     "Replicas that it keeps before the others are shared out."},
 };
 // clang-format on
 
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -92,6 +92,12 @@
      "Endpoint: time between two load datagrams to others of the service."},
     {"load_max_age", &Settings::load_max_age, "ms", 3000, 50, 600000, "",
      "Endpoint: age above which another endpoint's load counts no longer."},
+    {"order_interval", &Settings::order_interval, "ms", 1000, 20, 60000, "",
+     "Endpoint: time between two looks at what the engine holds."},
+    {"assignment_settle", &Settings::assignment_settle, "ms", 5000, 0, 600000, "",
+     "Endpoint: time that a changed choice of model must stand before it is ordered."},
+    {"order_lifetime", &Settings::order_lifetime, "ms", 5000, 100, 60000, "",
+     "Endpoint: time after which an order that has not been given is void."},
     {"drain_timeout", &Settings::drain_timeout, "ms", 600000, 100, 86400000, "",
      "Longest wait for running calls when the process drains."},
 };
--- a/test/fakes/fake_engine.cc
+++ b/test/fakes/fake_engine.cc
@@ -12,6 +12,7 @@
 #include "fakes/engine_faults.h"
 #include "fakes/fake_program.h"
 #include "fakes/generation.h"
+#include "fakes/order_book.h"
 #include "wire/event_stream.h"
 
 namespace buckthornpath {
@@ -25,6 +26,7 @@
   fake_engine --address=<address> [options]
 
 Options:
+  --ignore-fencing            Takes orders whatever their fencing number.
   --address=<address>         IP number and port.
   --max-batch=<n>             Most requests in one step [default: 64].
   --prefill-tokens-per-s=<n>  Prompt tokens computed [default: 500000].
@@ -51,7 +53,8 @@
              BatchRates rates,
              std::size_t cache_tokens,
              CacheEventLog events,
-             const std::string& history)
+             const std::string& history,
+             bool checks_fencing)
       : pool(pool),
         events(std::move(events)),
         cache(cache_tokens,
@@ -61,7 +64,8 @@
               }),
         batch(pool, rates, this->cache),
         max_batch(rates.max_batch),
-        history(history) {}
+        history(history),
+        orders(checks_fencing, this->history) {}
 
   asio::awaitable<void> Serve(HttpExchange& exchange) {
     const HttpRequest& request = exchange.request();
@@ -84,6 +88,10 @@
       return JsonResponse(
           this->events.After(after, std::chrono::steady_clock::now()));
     }
+    if (path == "/v1/state")
+      return this->orders.State();
+    if (path == "/v1/orders")
+      return this->orders.TakeOrder(request);
     if (path == "/control")
       return this->Control(request);
     if (request.method == "DELETE" &&
@@ -218,6 +226,7 @@
   EngineBatch batch;
   std::size_t max_batch;
   HistoryFile history;
+  OrderBook orders;
   EngineFaults faults;
   std::uint64_t unnamed = 0;
 };
@@ -239,7 +248,8 @@
   FakeEngine engine(
       pool, rates, number("--cache-tokens"),
       CacheEventLog(time("--event-delay-ms"), number("--event-gap-every")),
-      options["--history"] ? options["--history"].asString() : "");
+      options["--history"] ? options["--history"].asString() : "",
+      !options["--ignore-fencing"].asBool());
   HttpServer server(
       pool, ParseSocketAddress(options["--address"].asString()), {},
       [&](HttpExchange& exchange) { return engine.Serve(exchange); });
--- /dev/null
+++ b/test/fakes/order_book.cc
@@ -0,0 +1,45 @@
+/** @file order_book.cc Orders that a fake model engine takes. */
+
+#include "fakes/order_book.h"
+
+#include <algorithm>
+
+namespace buckthornpath {
+
+HttpResponse OrderBook::TakeOrder(const HttpRequest& request) {
+  const auto order = nlohmann::json::parse(request.body, nullptr, false);
+  if (!order.is_object() || order.value("action", "") != "load" ||
+      !order.contains("fencing")) {
+    return StatusResponse(400);
+  }
+  const std::lock_guard lock(this->mutex);
+  const auto fencing = order["fencing"].get<std::uint64_t>();
+  const bool accepted = !this->checks_fencing || fencing > this->highest;
+  this->met = true;
+  this->history.Write({{"event", "engine_order"},
+                       {"fencing", fencing},
+                       {"order", order},
+                       {"accepted", accepted}});
+  if (!accepted)
+    return JsonResponse({{"highest", this->highest}}, 409);
+  if (this->checks_fencing)
+    this->highest = fencing;
+  this->model = order.value("model", "");
+  this->version = order.value("version", "");
+  this->adapters = order.value("adapters", std::vector<std::string>());
+  return JsonResponse({{"fencing", fencing}});
+}
+
+HttpResponse OrderBook::State() {
+  const std::lock_guard lock(this->mutex);
+  nlohmann::json state = {{"model", this->model},
+                          {"version", this->version},
+                          {"adapters", this->adapters},
+                          {"role", "serve"},
+                          {"highest_fencing", this->highest}};
+  if (this->met)
+    state["checks_fencing"] = this->checks_fencing;
+  return JsonResponse(state);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/stories/model_assignment.cc
@@ -0,0 +1,170 @@
+/** @file model_assignment.cc Which model each replica holds, and when it may
+ * load it. */
+
+#include "buckthornpath/model_assignment.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <random>
+
+#include "endpoint/model_order_fencing.h"
+#include "endpoint/model_order_schedule.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::size_t kDomains = 7;
+
+std::vector<ReplicaSite> Replicas(std::size_t count) {
+  std::vector<ReplicaSite> replicas;
+  for (std::size_t i = 0; i < count; ++i) {
+    replicas.push_back(
+        {EndpointId("vm-" + std::to_string(i)),
+         FailureDomainId("domain-" + std::to_string(i % kDomains))});
+  }
+  return replicas;
+}
+
+std::vector<ModelDemand> ThreeModels() {
+  return {{ModelName("large"), 5, 0},
+          {ModelName("small"), 3, 0},
+          {ModelName("tags"), 0, 4}};
+}
+
+std::map<ModelName, std::size_t> CountsOf(
+    const std::vector<ModelChoice>& choices) {
+  std::map<ModelName, std::size_t> counts;
+  for (const ModelChoice& choice : choices)
+    ++counts[choice.model];
+  return counts;
+}
+
+void CountsFollowShares() {
+  const auto counts = ReplicaCounts(ThreeModels(), 84);
+  CPPUNIT_ASSERT((std::vector<std::size_t>{50, 30, 4} == counts));
+  for (std::size_t n = 0; n < 200; ++n) {
+    const auto any = ReplicaCounts(ThreeModels(), n);
+    CPPUNIT_ASSERT_EQUAL(
+        n, std::accumulate(any.begin(), any.end(), std::size_t{0}));
+  }
+}
+
+void SameForEveryOrderOfInputs() {
+  auto models = ThreeModels();
+  auto replicas = Replicas(60);
+  const auto expected = AssignModels(models, replicas);
+  std::minstd_rand random(7);
+  for (int round = 0; round < 20; ++round) {
+    std::shuffle(models.begin(), models.end(), random);
+    std::shuffle(replicas.begin(), replicas.end(), random);
+    CPPUNIT_ASSERT(expected == AssignModels(models, replicas));
+  }
+  const auto counts = CountsOf(expected);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{35}, counts.at(ModelName("large")));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{21}, counts.at(ModelName("small")));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{4}, counts.at(ModelName("tags")));
+}
+
+void ModelsAreSpreadOverDomains() {
+  const auto replicas = Replicas(84);
+  std::map<ModelName, std::map<FailureDomainId, std::size_t>> held;
+  for (const ModelChoice& choice : AssignModels(ThreeModels(), replicas)) {
+    const auto site =
+        std::find_if(replicas.begin(), replicas.end(),
+                     [&](const auto& r) { return r.id == choice.endpoint; });
+    ++held[choice.model][site->failure_domain];
+  }
+  for (const auto& [domain, count] : held[ModelName("tags")])
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count);
+  for (const auto& [domain, count] : held[ModelName("large")])
+    CPPUNIT_ASSERT(count <= 9);
+}
+
+void FewMoveWhenOneLeaves() {
+  const auto replicas = Replicas(84);
+  const auto before = AssignModels(ThreeModels(), replicas);
+  std::size_t moved = 0;
+  std::size_t most = 0;
+  for (std::size_t gone = 0; gone < replicas.size(); ++gone) {
+    auto rest = replicas;
+    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(gone));
+    const auto changed =
+        ChangedReplicas(before, AssignModels(ThreeModels(), rest));
+    moved += changed.size();
+    most = std::max(most, changed.size());
+  }
+  // On average fewer than three of 83 replicas load another model.
+  CPPUNIT_ASSERT(moved < 3 * replicas.size());
+  CPPUNIT_ASSERT(most <= 16);
+}
+
+void FencingNumbersRise() {
+  using std::chrono::system_clock;
+  const auto now = system_clock::time_point(std::chrono::seconds(1800000000));
+  FencingSequence first(FencingNumber{0}, now);
+  FencingNumber highest{0};
+  for (int i = 0; i < 1000; ++i) {
+    const FencingNumber next = first.Next().value();
+    CPPUNIT_ASSERT(next > highest);
+    highest = next;
+  }
+  CPPUNIT_ASSERT(static_cast<std::uint64_t>(highest) < (1ULL << 53U));
+  for (const int hours : {-1000000, -1, 0, 1}) {
+    FencingSequence later(highest, now + std::chrono::hours(hours));
+    const FencingNumber next = later.Next().value();
+    CPPUNIT_ASSERT(next > highest);
+    CPPUNIT_ASSERT(first.Next().value() < next);
+  }
+  // An engine that forgot its highest number is fenced by the clock.
+  FencingSequence after_engine_restart(FencingNumber{0},
+                                       now + std::chrono::seconds(1));
+  CPPUNIT_ASSERT(after_engine_restart.Next().value() > highest);
+}
+
+void LoadsKeepThePace() {
+  std::vector<EndpointId> changed;
+  for (const ReplicaSite& replica : Replicas(40))
+    changed.push_back(replica.id);
+  constexpr std::int64_t kPerMinute = 10;
+  std::vector<std::chrono::milliseconds> starts;
+  std::minstd_rand random(11);
+  for (const EndpointId& id : changed) {
+    const double jitter = std::uniform_real_distribution<>()(random);
+    starts.push_back(LoadDelay({Revision{3}, kPerMinute}, changed, id, jitter));
+  }
+  std::sort(starts.begin(), starts.end());
+  for (std::size_t i = kPerMinute; i + 1 < starts.size(); ++i) {
+    // One more than the limit never begins within a minute less the jitter.
+    CPPUNIT_ASSERT(starts[i + 1] - starts[i - kPerMinute + 1] >=
+                   std::chrono::seconds(57));
+  }
+  CPPUNIT_ASSERT(starts.back() < std::chrono::minutes(4));
+}
+
+const Story kStory("model_assignment", [] {
+  return Section(
+      "given three models and the replicas of a service",
+      {Section(
+           "when replicas are assigned",
+           {Then("their counts follow minimums and shares", CountsFollowShares),
+            Then("every process comes to the same result",
+                 SameForEveryOrderOfInputs),
+            Then("each model is spread over failure domains",
+                 ModelsAreSpreadOverDomains),
+            Then("few replicas move when one leaves", FewMoveWhenOneLeaves)}),
+       Section(
+           "when replicas load",
+           {Then("they keep the pace of the weight store", LoadsKeepThePace)}),
+       Section("when processes follow one another beside an engine",
+               {Then("fencing numbers rise, whatever the clock says",
+                     FencingNumbersRise)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
--- a/test/stories/shutdown.cc
+++ b/test/stories/shutdown.cc
@@ -35,6 +35,13 @@
                     {"draft-2", "drafting", true},
                     {"ledger-1", "ledger", false},
                     {"ledger-2", "ledger", false}};
+  // So wide a bound that the endpoint that stays may take all calls.
+  for (const char* name : {"chat", "statement"}) {
+    nlohmann::json profile =
+        StandardDocuments().at(std::string("profiles/") + name);
+    profile["load_multiple_percent"] = 1000;
+    plan.documents[std::string("profiles/") + name] = profile;
+  }
   return plan;
 }
 
