--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,10 @@
 	  --out=$(BUILD)/measure.json $(MEASURE)
 
 # Generated fault schedules, judged by the checker.
+# Measures what grows with the fleet; docs/CAPACITY.md reckons from it.
+slopes: build
+	$(BUILD)/test/slopes --out=docs/capacity/points.json
+
 sweep: build
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
 	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200) $(FAULT)
