--- a/src/decision/model_assignment.cc
+++ b/src/decision/model_assignment.cc
@@ -46,6 +46,7 @@
 
 std::size_t CountDomains(const std::vector<ReplicaSite>& replicas) {
   std::vector<FailureDomainId> domains;
+  domains.reserve(replicas.size());
   for (const ReplicaSite& replica : replicas)
     domains.push_back(replica.failure_domain);
   std::sort(domains.begin(), domains.end());
--- a/test/harness/raw_connection.cc
+++ b/test/harness/raw_connection.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
+#include <sstream>
 
 namespace buckthornpath {
 
@@ -42,14 +43,14 @@
 }
 
 std::string FormatRequest(const HttpRequest& request) {
-  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n" +
-                     "Host: test\r\n" +
-                     "Content-Length: " + std::to_string(request.body.size()) +
-                     "\r\n";
-  for (const auto& [name, value] : request.headers.Fields()) {
-    text += name + ": " + value + "\r\n";
-  }
-  return text + "\r\n" + request.body;
+  std::ostringstream text;
+  text << request.method << " " << request.target << " HTTP/1.1\r\n"
+       << "Host: test\r\n"
+       << "Content-Length: " << request.body.size() << "\r\n";
+  for (const auto& [name, value] : request.headers.Fields())
+    text << name << ": " << value << "\r\n";
+  text << "\r\n" << request.body;
+  return text.str();
 }
 
 }  // namespace buckthornpath
