--- a/bench/load_run.cc
+++ b/bench/load_run.cc
@@ -183,9 +183,9 @@
 class Ticker {
  public:
   Ticker(std::chrono::milliseconds interval, std::function<void()> step)
-      : thread([this, interval, step] {
+      : step(std::move(step)), thread([this, interval] {
           while (!this->stopped) {
-            step();
+            this->step();
             std::this_thread::sleep_for(interval);
           }
         }) {}
@@ -199,6 +199,7 @@
   Ticker& operator=(const Ticker&) = delete;
 
  private:
+  std::function<void()> step;
   std::atomic<bool> stopped = false;
   std::thread thread;
 };
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -24,7 +24,7 @@
   if (values.empty())
     return 0.0;
   const auto index = static_cast<std::size_t>(
-      quantile * static_cast<double>(values.size() - 1) + 0.5);
+      std::lround(quantile * static_cast<double>(values.size() - 1)));
   std::nth_element(values.begin(),
                    values.begin() + static_cast<std::ptrdiff_t>(index),
                    values.end());
--- a/bench/workload.cc
+++ b/bench/workload.cc
@@ -70,39 +70,39 @@
 }  // namespace
 
 const std::vector<Deployment>& Deployments() {
-  static const std::vector<Deployment> deployments = {{"kingston", 20, 3},
-                                                      {"dalea", 12, 3}};
-  return deployments;
+  static const std::vector<Deployment> kDeployments = {{"kingston", 20, 3},
+                                                       {"dalea", 12, 3}};
+  return kDeployments;
 }
 
 const std::vector<BenchOrganisation>& BenchOrganisations() {
-  static const std::vector<BenchOrganisation> organisations = {
+  static const std::vector<BenchOrganisation> kOrganisations = {
       {"hospital", 50.0, true, 80}, {"chain", 20.0, true, 40},
       {"parish-1", 1.0, false, 4},  {"parish-2", 1.0, false, 4},
       {"parish-3", 1.0, false, 4},  {"parish-4", 1.0, false, 4},
       {"parish-5", 1.0, false, 4},  {"parish-6", 1.0, false, 4},
       {"parish-7", 1.0, false, 4},  {"parish-8", 1.0, false, 4}};
-  return organisations;
+  return kOrganisations;
 }
 
 const std::array<BenchRank, kRankCount>& BenchRanks() {
   using std::chrono::milliseconds;
-  static const std::array<BenchRank, kRankCount> ranks = {
+  static const std::array<BenchRank, kRankCount> kRanks = {
       {{Rank::kUrgent, "bench-counter", 16, milliseconds(770), 50, 0.3},
        {Rank::kStandard, "bench-chat", 24, milliseconds(3000), 30, 0.4},
        {Rank::kBulk, "bench-draft", 64, milliseconds(30000), 15, 0.3}}};
-  return ranks;
+  return kRanks;
 }
 
 const std::vector<Phase>& Phases() {
-  static const std::vector<Phase> phases = {
+  static const std::vector<Phase> kPhases = {
       {"alone", false, 1.0, std::nullopt, false},
       {"quiet", true, 1.0, std::nullopt, false},
       {"surge", true, kSurgeFactor, std::nullopt, false},
       {"flood_bulk", true, 1.0, Rank::kBulk, false},
       {"flood_urgent", true, 1.0, Rank::kUrgent, false},
       {"flap", true, 1.0, std::nullopt, true}};
-  return phases;
+  return kPhases;
 }
 
 std::map<std::string, nlohmann::json> BenchDocuments() {
--- a/test/stories/membership.cc
+++ b/test/stories/membership.cc
@@ -127,8 +127,10 @@
 
 /** News in any order leaves the same belief. */
 void OrderDoesNotMatter() {
+  constexpr int kItems = 6;
   std::vector<MemberNews> news;
-  for (int i = 0; i < 6; ++i) {
+  news.reserve(kItems);
+  for (int i = 0; i < kItems; ++i) {
     news.push_back(News("peer", *rc::gen::inRange(1, 4),
                         static_cast<MemberStatus>(*rc::gen::inRange(0, 4)),
                         *rc::gen::inRange(1, 3)));
