Control bytes are counted by kind and direction in one place

Change: kernel/control_traffic.h with kinds load, gossip, platform; the measurement runs gossip at its default of 1 s.

--- a/bench/load_run.cc
+++ b/bench/load_run.cc
@@ -40,6 +40,7 @@
   }
   plan.settings = {{"placement_policy", policy},
                    {"vm_list_interval", 1000},
+                   {"gossip_interval", 1000},
                    {"max_running", kEngineBatch},
                    {"log_level", "info"}};
   plan.engine_arguments = EngineArguments();
--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "endpoint/call_cost.h"
+#include "kernel/control_traffic.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "wire/load_report_json.h"
@@ -94,7 +95,8 @@
   accepted.attempt = attempt;
   accepted.running = static_cast<std::int64_t>(this->Running());
   accepted.queued = static_cast<std::int64_t>(this->Queued());
-  CountControlBytes("sent", EncodedSize(accepted));
+  CountControlBytes(ControlKind::kLoad, ControlDirection::kSent,
+                    EncodedSize(accepted));
   return accepted;
 }
 
@@ -115,7 +117,8 @@
     record->Refuse(std::move(leaving));
     return;
   }
-  CountControlBytes("received", EncodedSize(request.loads));
+  CountControlBytes(ControlKind::kLoad, ControlDirection::kReceived,
+                    EncodedSize(request.loads));
   this->exchange.Note(request.loads);
   const EngineCall call{request, profile->second.RankValue(), record};
   WaitingCall waiting;
@@ -185,7 +188,8 @@
   refusal.retry_after = std::max(kBusyRetryAfter, decision.result.retry_after);
   if (!decision.check.IsWithin())
     refusal.loads = this->exchange.LeastLoaded(kReportsPerRefusal);
-  CountControlBytes("sent", EncodedSize(refusal.loads));
+  CountControlBytes(ControlKind::kLoad, ControlDirection::kSent,
+                    EncodedSize(refusal.loads));
   ProcessMetrics().Add("calls_refused_total",
                        RankLabel(call.rank) + ",reason=\"" + reason + "\"");
   LogLine(LogLevel::kInfo, "refused",
--- a/src/endpoint/load_exchange.cc
+++ b/src/endpoint/load_exchange.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kernel/control_traffic.h"
 #include "kernel/json_types.h"
 #include "kernel/metrics.h"
 #include "wire/load_report_json.h"
@@ -152,7 +153,8 @@
   if (error)
     ProcessMetrics().Add("load_exchange_faults_total");
   else
-    CountControlBytes("sent", sent + kDatagramHeaderBytes);
+    CountControlBytes(ControlKind::kLoad, ControlDirection::kSent,
+                      sent + kDatagramHeaderBytes);
 }
 
 asio::awaitable<void> LoadExchange::SendAll() {
@@ -181,7 +183,8 @@
       co_await SleepFor(std::chrono::milliseconds(10));
       continue;
     }
-    CountControlBytes("received", size + kDatagramHeaderBytes);
+    CountControlBytes(ControlKind::kLoad, ControlDirection::kReceived,
+                      size + kDatagramHeaderBytes);
     if (this->Read(data.data(), size))
       co_await this->Send(sender, true);
   }
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -11,6 +11,7 @@
 
 #include "fleet/index_delta.h"
 #include "fleet/uptime.h"
+#include "kernel/control_traffic.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "wire/codec.h"
@@ -99,7 +100,8 @@
         asio::buffer(buffer), from, kAwaitResult);
     if (error)
       continue;
-    CountControlBytes("in", size + kHeaderBytes);
+    CountControlBytes(ControlKind::kGossip, ControlDirection::kReceived,
+                      size + kHeaderBytes);
     try {
       this->Handle(from, this->codec.Decode({buffer.data(), size}));
     } catch (const MalformedMessage& fault) {
@@ -114,7 +116,8 @@
   const std::string bytes = this->codec.Encode(datagram);
   boost::system::error_code ignored;
   this->socket->send_to(asio::buffer(bytes), peer, 0, ignored);
-  CountControlBytes("out", bytes.size() + kHeaderBytes);
+  CountControlBytes(ControlKind::kGossip, ControlDirection::kSent,
+                    bytes.size() + kHeaderBytes);
 }
 
 GossipExchange Gossip::MakeExchange(bool is_answer) {
--- a/src/fleet/platform_read.cc
+++ b/src/fleet/platform_read.cc
@@ -2,6 +2,7 @@
 
 #include "fleet/platform_read.h"
 
+#include "kernel/control_traffic.h"
 #include "wire/load_report_json.h"
 
 namespace buckthornpath {
@@ -26,11 +27,13 @@
                                            std::chrono::milliseconds timeout) {
   request.headers.Set("User-Agent", "buckthornpathd/" + reader);
   CountControlBytes(
-      "out", kLineBytes + request.target.size() + SizeOf(request.headers));
+      ControlKind::kPlatform, ControlDirection::kSent,
+      kLineBytes + request.target.size() + SizeOf(request.headers));
   HttpResponse response =
       co_await HttpFetch(service, std::move(request), timeout);
   CountControlBytes(
-      "in", kLineBytes + SizeOf(response.headers) + response.body.size());
+      ControlKind::kPlatform, ControlDirection::kReceived,
+      kLineBytes + SizeOf(response.headers) + response.body.size());
   co_return response;
 }
 
--- /dev/null
+++ b/src/kernel/control_traffic.cc
@@ -0,0 +1,31 @@
+/** @file control_traffic.cc Counts the bytes that a process spends on control.
+ */
+
+#include "kernel/control_traffic.h"
+
+#include <array>
+
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr std::array<const char*, 3> kKindNames = {"load", "gossip",
+                                                   "platform"};
+constexpr std::array<const char*, 2> kDirectionNames = {"sent", "received"};
+
+}  // namespace
+
+void CountControlBytes(ControlKind kind,
+                       ControlDirection direction,
+                       std::size_t bytes) {
+  std::string labels = "direction=\"";
+  labels.append(kDirectionNames.at(static_cast<std::size_t>(direction)))
+      .append("\",kind=\"")
+      .append(kKindNames.at(static_cast<std::size_t>(kind)))
+      .append("\"");
+  ProcessMetrics().Add("control_bytes_total", labels, bytes);
+}
+
+}  // namespace buckthornpath
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 
+#include "kernel/control_traffic.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "router/candidate_walk.h"
@@ -191,7 +192,8 @@
   call.body = this->request.body;
   call.after = this->writer.LastReceived();
   call.loads = this->reports;
-  CountControlBytes("sent", EncodedSize(call.loads));
+  CountControlBytes(ControlKind::kLoad, ControlDirection::kSent,
+                    EncodedSize(call.loads));
   co_await dialogue.connection->Send(std::move(call));
 }
 
@@ -269,7 +271,8 @@
     co_return true;
   }
   if (const auto* accepted = std::get_if<CallAccepted>(&message)) {
-    CountControlBytes("received", EncodedSize(*accepted));
+    CountControlBytes(ControlKind::kLoad, ControlDirection::kReceived,
+                      EncodedSize(*accepted));
     this->writer.SetLocation(this->context.placement.NoteAdmitted(
         this->request, endpoint, accepted->running + accepted->queued));
   } else if (const auto* refused = std::get_if<CallRefused>(&message)) {
@@ -287,7 +290,8 @@
   if (refused.reason == "endpoint_leaving")
     this->context.members.ReportLeaving(endpoint);
   this->refusal = refused;
-  CountControlBytes("received", EncodedSize(refused.loads));
+  CountControlBytes(ControlKind::kLoad, ControlDirection::kReceived,
+                    EncodedSize(refused.loads));
   const Outcome outcome = ParseOutcome(refused.outcome);
   this->problem = {refused.reason, refused.detail, outcome, refused.retry_after,
                    ""};
--- a/src/wire/load_report_json.cc
+++ b/src/wire/load_report_json.cc
@@ -32,10 +32,4 @@
   return nlohmann::json::to_cbor(fields).size() - 1;
 }
 
-void CountControlBytes(const char* direction, std::size_t bytes) {
-  ProcessMetrics().Add(
-      "control_bytes_total",
-      "direction=\"" + std::string(direction) + "\",kind=\"load\"", bytes);
-}
-
 }  // namespace buckthornpath
--- a/src/wire/load_report_json.h
+++ b/src/wire/load_report_json.h
@@ -22,12 +22,6 @@
 /** @return Bytes that the load takes in a message that a call is admitted. */
 std::size_t EncodedSize(const CallAccepted& accepted);
 
-/**
- * Counts bytes that tell of load between our processes.
- * @param direction "sent" or "received".
- */
-void CountControlBytes(const char* direction, std::size_t bytes);
-
 }  // namespace buckthornpath
 
 #endif  // SRC_WIRE_LOAD_REPORT_JSON_H_
