--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -100,6 +100,68 @@
   }
 }
 
+std::optional<Ticket> DialogueServer::OwnTicket(
+    const std::string& text,
+    const std::string& organisation) const {
+  std::optional<Ticket> ticket = this->mint.Decode(text);
+  if (ticket && ticket->organisation.str() != organisation)
+    ticket.reset();
+  return ticket;
+}
+
+CallRefused DialogueServer::RefusalOf(const TicketLookup& lookup) const {
+  return this->admission.Refusal(
+      lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
+      lookup.record ? "ticket_reused" : lookup.reason);
+}
+
+DialogueServer::Verdict DialogueServer::Judge(const CallRequest& request) {
+  const auto ticket = this->OwnTicket(request.ticket, request.organisation);
+  if (!ticket) {
+    // Another organisation's call may run under this ticket.
+    return {nullptr, this->admission.Refusal("unknown", "ticket_refused")};
+  }
+  const TicketLookup lookup =
+      this->outcomes.Open(request.ticket, *ticket, this->Age());
+  const bool is_own = lookup.record && lookup.record->Bind(request);
+  if (lookup.answer == TicketAnswer::kNew) {
+    if (const char* reason = this->fleet.WhyRefused()) {
+      lookup.record->Refuse(this->admission.Refusal("not_run", reason));
+    } else {
+      this->admission.Submit(request, lookup.record);
+    }
+  }
+  if (is_own)
+    return {lookup.record, {}};
+  return {nullptr, this->RefusalOf(lookup)};
+}
+
+DialogueServer::Verdict DialogueServer::Judge(const ResumeRequest& request) {
+  const auto ticket = this->OwnTicket(request.ticket, request.organisation);
+  if (!ticket)
+    return {nullptr, this->admission.Refusal("unknown", "ticket_refused")};
+  const TicketLookup lookup =
+      this->outcomes.Close(request.ticket, *ticket, this->Age());
+  if (lookup.record)
+    return {lookup.record, {}};
+  return {nullptr, this->RefusalOf(lookup)};
+}
+
+template <class Request>
+asio::awaitable<void> DialogueServer::Handle(DialogueConnection& connection,
+                                             const Strand& strand,
+                                             Request request) {
+  Verdict verdict = this->Judge(request);
+  if (verdict.record) {
+    const InFlightCalls::Mark mark(this->answers, request.ticket);
+    co_await this->SendAnswer(connection, strand, verdict.record,
+                              request.attempt, request.after);
+    co_return;
+  }
+  verdict.refusal.attempt = request.attempt;
+  co_await connection.Send(std::move(verdict.refusal));
+}
+
 asio::awaitable<void> DialogueServer::Serve(
     std::shared_ptr<DialogueConnection> connection,
     Strand strand) {
@@ -118,9 +180,9 @@
       timeout = kIdleTimeout;
       mark = std::make_unique<HandlingMark>(this->handling);
       if (auto* call = std::get_if<CallRequest>(&message)) {
-        co_await this->HandleCall(*connection, strand, std::move(*call));
+        co_await this->Handle(*connection, strand, std::move(*call));
       } else if (auto* resume = std::get_if<ResumeRequest>(&message)) {
-        co_await this->HandleResume(*connection, strand, std::move(*resume));
+        co_await this->Handle(*connection, strand, std::move(*resume));
       } else if (auto* cancel = std::get_if<CancelRequest>(&message)) {
         CallRefused state = this->Cancel(*cancel);
         co_await connection->Send(std::move(state));
@@ -134,76 +196,14 @@
   }
 }
 
-asio::awaitable<void> DialogueServer::HandleCall(DialogueConnection& connection,
-                                                 const Strand& strand,
-                                                 CallRequest request) {
-  const auto ticket = this->mint.Decode(request.ticket);
-  CallRefused refusal;
-  if (!ticket || ticket->organisation.str() != request.organisation) {
-    // Another organisation's call may run under this ticket.
-    refusal = this->admission.Refusal("unknown", "ticket_refused");
-  } else {
-    const TicketLookup lookup =
-        this->outcomes.Open(request.ticket, *ticket, this->Age());
-    const bool is_own = lookup.record && lookup.record->Bind(request);
-    if (lookup.answer == TicketAnswer::kNew) {
-      if (const char* reason = this->fleet.WhyRefused()) {
-        lookup.record->Refuse(this->admission.Refusal("not_run", reason));
-      } else {
-        this->admission.Submit(request, lookup.record);
-      }
-    }
-    if (is_own) {
-      const InFlightCalls::Mark mark(this->answers, request.ticket);
-      co_await this->SendAnswer(connection, strand, lookup.record,
-                                request.attempt, request.after);
-      co_return;
-    }
-    refusal = this->admission.Refusal(
-        lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
-        lookup.record ? "ticket_reused" : lookup.reason);
-  }
-  refusal.attempt = request.attempt;
-  co_await connection.Send(refusal);
-}
-
-asio::awaitable<void> DialogueServer::HandleResume(
-    DialogueConnection& connection,
-    const Strand& strand,
-    ResumeRequest request) {
-  const auto ticket = this->mint.Decode(request.ticket);
-  CallRefused refusal;
-  if (!ticket || ticket->organisation.str() != request.organisation) {
-    refusal = this->admission.Refusal("unknown", "ticket_refused");
-  } else {
-    const TicketLookup lookup =
-        this->outcomes.Close(request.ticket, *ticket, this->Age());
-    if (lookup.record) {
-      const InFlightCalls::Mark mark(this->answers, request.ticket);
-      co_await this->SendAnswer(connection, strand, lookup.record,
-                                request.attempt, request.after);
-      co_return;
-    }
-    refusal = this->admission.Refusal(
-        lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
-        lookup.reason);
-  }
-  refusal.attempt = request.attempt;
-  co_await connection.Send(refusal);
-}
-
 CallRefused DialogueServer::Cancel(const CancelRequest& request) {
-  const auto ticket = this->mint.Decode(request.ticket);
-  if (!ticket || ticket->organisation.str() != request.organisation) {
+  const auto ticket = this->OwnTicket(request.ticket, request.organisation);
+  if (!ticket)
     return this->admission.Refusal("unknown", "ticket_refused");
-  }
   const TicketLookup lookup =
       this->outcomes.Cancel(request.ticket, *ticket, this->Age());
-  if (!lookup.record) {
-    return this->admission.Refusal(
-        lookup.answer == TicketAnswer::kNotRun ? "not_run" : "unknown",
-        lookup.reason);
-  }
+  if (!lookup.record)
+    return this->RefusalOf(lookup);
   this->admission.Cancel(request.ticket);
   const CallView view = lookup.record->View(0);
   switch (view.state) {
--- a/src/endpoint/dialogue_server.h
+++ b/src/endpoint/dialogue_server.h
@@ -53,12 +53,30 @@
   asio::awaitable<void> Serve(std::shared_ptr<DialogueConnection> connection,
                               Strand strand);
 
-  asio::awaitable<void> HandleCall(DialogueConnection& connection,
-                                   const Strand& strand,
-                                   CallRequest request);
-  asio::awaitable<void> HandleResume(DialogueConnection& connection,
-                                     const Strand& strand,
-                                     ResumeRequest request);
+  /** What is to be sent for a request: a call's answer or a refusal. */
+  struct Verdict {
+    std::shared_ptr<CallRecord> record;  ///< Null for a refusal.
+    CallRefused refusal;
+  };
+
+  /** @return The ticket, if it is genuine and the organisation's own. */
+  std::optional<Ticket> OwnTicket(const std::string& text,
+                                  const std::string& organisation) const;
+
+  /** @return What the table's answer means without a record. */
+  CallRefused RefusalOf(const TicketLookup& lookup) const;
+
+  /** Finds a call or submits it for admission. */
+  Verdict Judge(const CallRequest& request);
+
+  /** Finds a call; one that never arrived is closed for good. */
+  Verdict Judge(const ResumeRequest& request);
+
+  /** Judges a request and sends what follows from it. */
+  template <class Request>
+  asio::awaitable<void> Handle(DialogueConnection& connection,
+                               const Strand& strand,
+                               Request request);
 
   /** Stops a call. @return What is known of it now. */
   CallRefused Cancel(const CancelRequest& request);
