--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 BUILD ?= build
 PACKAGES = g++ cmake ninja-build ccache perl clang-format clang-tidy \
-  libboost1.81-dev libboost-log1.81-dev libboost-thread1.81-dev libnng-dev \
+  libboost1.81-dev libboost-log1.81-dev libboost-thread1.81-dev \
   libdocopt-dev libcppunit-dev nlohmann-json3-dev libxxhash-dev \
   librapidcheck-dev libssl-dev
 
--- a/test/harness/caller.cc
+++ b/test/harness/caller.cc
@@ -75,6 +75,17 @@
   return response;
 }
 
+void SendHttp(const SocketAddress& address,
+              const std::string& method,
+              const std::string& target,
+              const std::string& body) {
+  HttpRequest request;
+  request.method = method;
+  request.target = target;
+  request.body = body;
+  CallHttp(address, request);
+}
+
 StreamedAnswer CallStream(const SocketAddress& address,
                           const HttpRequest& request,
                           const std::function<bool(std::size_t)>& on_chunk,
--- a/test/harness/caller.h
+++ b/test/harness/caller.h
@@ -20,6 +20,12 @@
                       const HttpRequest& request,
                       std::chrono::milliseconds timeout = kCallerTimeout);
 
+/** Sends a request of its parts; the response is not looked at. */
+void SendHttp(const SocketAddress& address,
+              const std::string& method,
+              const std::string& target,
+              const std::string& body);
+
 /** What a caller made of a streamed answer. */
 struct StreamedAnswer {
   unsigned status = 0;
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -78,16 +78,6 @@
           {"repeatable", repeatable}};
 }
 
-void Put(const SocketAddress& address,
-         const std::string& target,
-         const std::string& body) {
-  HttpRequest request;
-  request.method = "PUT";
-  request.target = target;
-  request.body = body;
-  CallHttp(address, request);
-}
-
 /** @return True if a process answers HTTP at an address. */
 bool Answers(const SocketAddress& address) {
   try {
@@ -343,14 +333,14 @@
   nlohmann::json documents = nlohmann::json::array();
   for (const auto& [name, document] : this->published) {
     const std::string text = document.dump();
-    Put(service, "/v1/values/" + name, text);
+    SendHttp(service, "PUT", "/v1/values/" + name, text);
     documents.push_back({{"name", name},
                          {"revision", this->revision},
                          {"digest", DocumentDigest(text)}});
   }
   const nlohmann::json index = {{"revision", this->revision},
                                 {"documents", documents}};
-  Put(service, "/v1/values/index", index.dump());
+  SendHttp(service, "PUT", "/v1/values/index", index.dump());
 }
 
 void LocalFleet::PublishVms(const std::map<std::string, std::string>& states) {
@@ -378,7 +368,8 @@
           this->Address(kFirstRouterHost + static_cast<int>(i), kGossipPort)},
          {"state", "live"}});
   }
-  Put(this->VmListService(), "/v1/vms", nlohmann::json{{"vms", vms}}.dump());
+  SendHttp(this->VmListService(), "PUT", "/v1/vms",
+           nlohmann::json{{"vms", vms}}.dump());
 }
 
 std::vector<nlohmann::json> LocalFleet::EngineHistory() const {
--- a/test/stories/configuration.cc
+++ b/test/stories/configuration.cc
@@ -63,19 +63,8 @@
 
 const std::vector<std::size_t> kAll = {0, 1, 2, 3, 4};
 
-void Send(const SocketAddress& service,
-          const std::string& method,
-          const std::string& target,
-          const std::string& body) {
-  HttpRequest request;
-  request.method = method;
-  request.target = target;
-  request.body = body;
-  CallHttp(service, request);
-}
-
 void SetFaults(const LocalFleet& fleet, const nlohmann::json& faults) {
-  Send(fleet.ConfigurationService(), "POST", "/control", faults.dump());
+  SendHttp(fleet.ConfigurationService(), "POST", "/control", faults.dump());
 }
 
 /** Everyone but those named cannot reach the configuration service. */
@@ -106,14 +95,14 @@
   nlohmann::json entries = nlohmann::json::array();
   for (const auto& [name, document] : documents) {
     const std::string text = document.dump();
-    Send(fleet.ConfigurationService(), "PUT", "/v1/values/" + name, text);
+    SendHttp(fleet.ConfigurationService(), "PUT", "/v1/values/" + name, text);
     entries.push_back({{"name", name},
                        {"revision", revision},
                        {"digest", DocumentDigest(text)}});
   }
   const std::string index =
       nlohmann::json{{"revision", revision}, {"documents", entries}}.dump();
-  Send(fleet.ConfigurationService(), "PUT", "/v1/values/index", index);
+  SendHttp(fleet.ConfigurationService(), "PUT", "/v1/values/index", index);
   return ParseIndex(index).stamp;
 }
 
@@ -131,8 +120,8 @@
         vms.push_back(vm);
     }
     for (const std::string& name : part) {
-      Send(fleet.VmListService(), "PUT", "/v1/vms?reader=" + name,
-           nlohmann::json{{"vms", vms}}.dump());
+      SendHttp(fleet.VmListService(), "PUT", "/v1/vms?reader=" + name,
+               nlohmann::json{{"vms", vms}}.dump());
     }
   }
 }
@@ -143,7 +132,7 @@
   read.target = "/v1/vms";
   const std::string whole = CallHttp(fleet.VmListService(), read).body;
   for (const std::string& name : kNames)
-    Send(fleet.VmListService(), "PUT", "/v1/vms?reader=" + name, whole);
+    SendHttp(fleet.VmListService(), "PUT", "/v1/vms?reader=" + name, whole);
 }
 
 void WaitForPeers(const LocalFleet& fleet,
@@ -403,8 +392,8 @@
 void NoConfigurationNoService() {
   LocalFleet fleet(Plan());
   SetFaults(fleet, {{"configuration_outage", true}});
-  Send(fleet.VmListService(), "PUT", "/v1/vms?reader=router-0",
-       R"({"vms":[]})");
+  SendHttp(fleet.VmListService(), "PUT", "/v1/vms?reader=router-0",
+           R"({"vms":[]})");
   fleet.RouterProcess(0).Kill();
   fleet.RestartRouter(0);
   StreamedAnswer answer;
--- a/test/stories/leaving.cc
+++ b/test/stories/leaving.cc
@@ -31,21 +31,10 @@
   return plan;
 }
 
-void Send(const SocketAddress& service,
-          const std::string& method,
-          const std::string& target,
-          const std::string& body) {
-  HttpRequest request;
-  request.method = method;
-  request.target = target;
-  request.body = body;
-  CallHttp(service, request);
-}
-
 /** The VM list cannot be read by those named. */
 void HideList(const LocalFleet& fleet, const std::vector<std::string>& from) {
-  Send(fleet.ConfigurationService(), "POST", "/control",
-       nlohmann::json{{"vm_list_outage_for", from}}.dump());
+  SendHttp(fleet.ConfigurationService(), "POST", "/control",
+           nlohmann::json{{"vm_list_outage_for", from}}.dump());
 }
 
 bool StatusIs(const SocketAddress& address, const char* name) {
