A deadline to the first byte leaves time for that byte

Ruled out: a fixed allowance, as the time depends on prompt and engine. Change: FirstByteTime learns the time from start to first byte (mean and mean deviation, Jacobson 1988); the latest start is the deadline less that, at most half of it. Seen failing first: story load, 'a call that cannot send its first byte in time never runs', with the allowance taken out (its first form, with a step of 400 ms, passed there and was tightened to 300 ms).

--- a/src/endpoint/admission.cc
+++ b/src/endpoint/admission.cc
@@ -126,11 +126,11 @@
   waiting.organisation = OrganisationId(request.organisation);
   waiting.weight = WeightOf(*in_force, request.organisation);
   waiting.cost = EstimateCost(request.body);
-  waiting.deadline = this->Age() + profile->second.deadline;
   Decision decision;
   {
     const OrderedLock lock(this->mutex);
     this->AdoptShares(*in_force);
+    waiting.deadline = this->LatestStart(profile->second.deadline);
     decision = this->Decide(waiting, profile->second.load_multiple_percent,
                             {call, EngineDriver::Find(service->second.kind)});
   }
@@ -160,6 +160,14 @@
   return check;
 }
 
+std::chrono::milliseconds Admission::LatestStart(
+    std::chrono::milliseconds deadline) const {
+  // At most half, so that a slow spell does not refuse every call.
+  const auto to_first_byte =
+      std::min(deadline / 2, this->first_byte_time.Estimate());
+  return this->Age() + deadline - to_first_byte;
+}
+
 Admission::Decision Admission::Decide(const WaitingCall& waiting,
                                       std::int64_t multiple_percent,
                                       HeldCall call) {
@@ -264,6 +272,7 @@
 }
 
 asio::awaitable<void> Admission::Run(CallHandle handle, HeldCall call) {
+  const BootClock::time_point run_at = BootClock::now();
   if (call.call.record->TryStart()) {
     const SocketAddress engine =
         ParseSocketAddress(this->context.settings.engine_address);
@@ -275,9 +284,12 @@
       call.call.record->Refuse(std::move(failed));
     }
   }
+  const auto first_byte = call.call.record->FirstChunkAt();
   std::uint64_t sequence = 0;
   {
     const OrderedLock lock(this->mutex);
+    if (first_byte)
+      this->first_byte_time.Note(*first_byte - run_at);
     this->queue.Finish(handle, this->Age());
     this->Release(handle);
     sequence = ++this->last_sequence;
--- a/src/endpoint/admission.h
+++ b/src/endpoint/admission.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "buckthornpath/admission_queue.h"
+#include "buckthornpath/first_byte_time.h"
 #include "endpoint/engine_driver.h"
 #include "endpoint/load_exchange.h"
 #include "fleet/configuration_store.h"
@@ -94,6 +95,14 @@
     std::string evicted_ticket;
   };
 
+  /**
+   * @param deadline Longest time from now to a call's first byte.
+   * @return Latest start that leaves time for the first byte.
+   * @pre The mutex is held.
+   */
+  std::chrono::milliseconds LatestStart(
+      std::chrono::milliseconds deadline) const;
+
   /** Counts a new call against the bound. @pre The mutex is held. */
   LoadCheck CheckLoad(std::int64_t multiple_percent) const;
 
@@ -140,6 +149,7 @@
   LoadExchange exchange;
   mutable OrderedMutex mutex{LockRank::kAdmission};
   AdmissionQueue queue;
+  FirstByteTime first_byte_time;
   std::map<CallHandle, HeldCall> held;
   std::uint64_t last_sequence = 0;
   Revision shares_revision{};
--- a/src/endpoint/call_record.cc
+++ b/src/endpoint/call_record.cc
@@ -96,10 +96,17 @@
   }
   this->bytes += cost;
   this->answer_bytes += data.size();
+  if (!this->first_chunk_at)
+    this->first_chunk_at = BootClock::now();
   this->chunks.push_back(std::move(data));
   this->WakeAll();
 }
 
+std::optional<BootClock::time_point> CallRecord::FirstChunkAt() const {
+  const OrderedLock lock(this->mutex);
+  return this->first_chunk_at;
+}
+
 void CallRecord::Finish(std::uint32_t status, std::string content_type) {
   const OrderedLock lock(this->mutex);
   if (!this->machine.Finish())
--- a/src/endpoint/call_record.h
+++ b/src/endpoint/call_record.h
@@ -106,6 +106,9 @@
   /** Adds a piece of the answer; ends the call if there is no room for it. */
   void Append(std::string data);
 
+  /** @return Time of the first piece of the answer, if there is one. */
+  std::optional<BootClock::time_point> FirstChunkAt() const;
+
   /** Ends the call with a whole answer. */
   void Finish(std::uint32_t status, std::string content_type);
 
@@ -139,6 +142,7 @@
   const BootClock::time_point start_by;
   const std::shared_ptr<AnswerMemory> memory;
   std::vector<std::string> chunks;
+  std::optional<BootClock::time_point> first_chunk_at;
   std::size_t bytes = 0;  ///< Taken from the memory.
   std::size_t answer_bytes = 0;
   CallFinished finished;
--- a/test/stories/load.cc
+++ b/test/stories/load.cc
@@ -185,6 +185,31 @@
   CPPUNIT_ASSERT_EQUAL(callers.finished.load(), fleet.EngineHistory().size());
 }
 
+/** A call that could start, but not send its first byte, in time. */
+void LateFirstByteIsRefused() {
+  FleetPlan plan;
+  plan.endpoints = {{"draft-1", "drafting", true}};
+  plan.settings = {{"max_running", 1}};
+  plan.engine_arguments = {"--step-ms=300"};
+  nlohmann::json hasty = StandardDocuments().at("profiles/counter");
+  hasty["deadline"] = 1000;
+  plan.documents["profiles/counter"] = hasty;
+  const LocalFleet fleet(plan);
+  Callers first;
+  first.Send(fleet, 0, kParishCredential, "chat", 1, false, 1);
+  first.Join();
+  first.Send(fleet, 0, kParishCredential, "chat", 1, false, 2);
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.EngineHistory().size() == 2; }));
+  const StreamedAnswer late =
+      CallStream(fleet.Router(0),
+                 ChatRequest(kParishCredential, "counter", "c", "now", 1));
+  CPPUNIT_ASSERT_EQUAL(std::string("not_run"), late.outcome);
+  CPPUNIT_ASSERT_EQUAL(std::string("urn:buckthornpath:problem:deadline_unmet"),
+                       late.type);
+  first.Join();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.EngineHistory().size());
+}
+
 void CancelledCallLeavesTheQueue() {
   const LocalFleet fleet(FloodPlan());
   HttpRequest mint =
@@ -261,6 +286,8 @@
                  UrgentFloodLeavesBulkItsShare),
             Then("calls that cannot meet their deadline never run",
                  LateWorkIsRefused),
+            Then("a call that cannot send its first byte in time never runs",
+                 LateFirstByteIsRefused),
             Then("a cancelled call leaves the queue and never runs",
                  CancelledCallLeavesTheQueue)}),
        Section("when a hospital asks 50 times what a parish asks",
