--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -109,9 +109,7 @@
                    ""};
   CandidateWalk walk(this->context.settings, decision.candidates,
                      this->context.retries);
-  // g++ 12 destroys a variable of a coroutine's loop condition twice.
-  std::optional<Member> next = walk.Next();
-  for (; next; next = walk.Next()) {
+  for (std::optional<Member> next = walk.Next(); next; next = walk.Next()) {
     const Member& member = *next;
     this->reports = walk.Reports();
     this->refusal.reset();
