One piece for what stood twice: CountMark, blocking calls; dead code out

Cause: reading the whole change again. Three classes counted themselves while they live (HTTP server, dialogue server, configuration client); RunTask() and the blocking call stood in the command line and in the test harness; the story configuration split its fleet in two places; SumEndpointMetric() was not used. Change: kernel/count_mark.h, kernel/blocking_call.*, SplitInTwo(). Behaviour and assertions are as before.

--- a/bench/node_scrape.cc
+++ b/bench/node_scrape.cc
@@ -38,15 +38,6 @@
   return sum;
 }
 
-double SumEndpointMetric(const LocalFleet& fleet,
-                         const Deployment& deployment,
-                         const std::string& name) {
-  double sum = 0.0;
-  for (std::size_t i = 0; i < deployment.model_replicas; ++i)
-    sum += SumMetric(ReadMetrics(fleet.EndpointOperator(i)), name);
-  return sum;
-}
-
 ControlBytes ScrapeControlBytes(const LocalFleet& fleet,
                                 std::size_t routers,
                                 const Deployment& deployment) {
--- a/bench/node_scrape.h
+++ b/bench/node_scrape.h
@@ -27,11 +27,6 @@
 /** @return The sum of a metric's values in the text format. */
 double SumMetric(const std::string& text, const std::string& name);
 
-/** @return Sum of a metric over the model endpoints. */
-double SumEndpointMetric(const LocalFleet& fleet,
-                         const Deployment& deployment,
-                         const std::string& name);
-
 }  // namespace buckthornpath
 
 #endif  // BENCH_NODE_SCRAPE_H_
--- a/src/cli/http_call.h
+++ b/src/cli/http_call.h
@@ -5,22 +5,12 @@
 
 #include <chrono>
 
-#include "kernel/http_type.h"
-#include "kernel/socket_address.h"
-#include "kernel/worker_pool.h"
+#include "kernel/blocking_call.h"
 
 namespace buckthornpath {
 
 inline constexpr std::chrono::milliseconds kOperatorTimeout{3000};
 
-/** Runs a task to its end on this thread; rethrows its exception. */
-void RunTask(asio::awaitable<void> task);
-
-/** Sends a request and waits for the whole response. @throws HttpError */
-HttpResponse CallAddress(const SocketAddress& address,
-                         HttpRequest request,
-                         std::chrono::milliseconds timeout);
-
 }  // namespace buckthornpath
 
 #endif  // SRC_CLI_HTTP_CALL_H_
--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kernel/count_mark.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -23,19 +24,7 @@
 /** Longest time from the hello to the first message of a router. */
 constexpr std::chrono::milliseconds kFirstMessageTimeout{5000};
 
-/** Counts itself among the messages being handled while it lives. */
-class HandlingMark {
- public:
-  explicit HandlingMark(std::atomic<std::size_t>& count) : count(count) {
-    ++this->count;
-  }
-  ~HandlingMark() { --this->count; }
-  HandlingMark(const HandlingMark&) = delete;
-  HandlingMark& operator=(const HandlingMark&) = delete;
-
- private:
-  std::atomic<std::size_t>& count;
-};
+using HandlingMark = CountMark<std::atomic<std::size_t>>;
 
 OutcomeLimits LimitsOf(const Settings& settings) {
   return {static_cast<std::size_t>(settings.outcome_entries),
--- a/src/fleet/configuration_client.cc
+++ b/src/fleet/configuration_client.cc
@@ -5,6 +5,7 @@
 #include "fleet/index_delta.h"
 #include "fleet/platform_read.h"
 #include "fleet/uptime.h"
+#include "kernel/count_mark.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -33,18 +34,6 @@
   bool& flag;
 };
 
-/** Counts itself while it lives. */
-class CountMark {
- public:
-  explicit CountMark(int& count) : count(count) { ++this->count; }
-  ~CountMark() { --this->count; }
-  CountMark(const CountMark&) = delete;
-  CountMark& operator=(const CountMark&) = delete;
-
- private:
-  int& count;
-};
-
 std::string DeltaName(const IndexStamp& from, const IndexStamp& to) {
   return "index/" + std::to_string(from.revision) + "-" +
          std::to_string(from.digest) + "/" + std::to_string(to.revision) + "-" +
@@ -194,7 +183,7 @@
       co_await this->Read(target, wait + kReadTimeout);
   if (response.status == 304)
     co_return;
-  const CountMark mark(this->fetching);
+  const CountMark<int> mark(this->fetching);
   this->asked_at = Uptime();
   co_await this->TakeFromService(response.body);
   this->known_version = response.headers.Find("X-Version").value_or("");
@@ -266,7 +255,7 @@
   if (this->is_adopting)
     co_return;
   this->is_adopting = true;
-  const CountMark mark(this->fetching);
+  const CountMark<int> mark(this->fetching);
   while (this->announced) {
     const auto [from, wanted] = *this->announced;
     this->announced.reset();
--- a/src/cli/http_call.cc
+++ b/src/kernel/blocking_call.cc
@@ -1,6 +1,6 @@
-/** @file http_call.cc HTTP calls of the command-line tool. */
+/** @file blocking_call.cc HTTP calls for programs without a worker pool. */
 
-#include "cli/http_call.h"
+#include "kernel/blocking_call.h"
 
 #include <boost/asio/co_spawn.hpp>
 
--- a/src/kernel/http_server.cc
+++ b/src/kernel/http_server.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 #include <vector>
 
+#include "kernel/count_mark.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -134,19 +135,7 @@
   bool complete = false;
 };
 
-/** Counts an exchange or a connection among the open ones while it lives. */
-class OpenMark {
- public:
-  explicit OpenMark(std::atomic<std::size_t>& count) : count(count) {
-    ++this->count;
-  }
-  ~OpenMark() { --this->count; }
-  OpenMark(const OpenMark&) = delete;
-  OpenMark& operator=(const OpenMark&) = delete;
-
- private:
-  std::atomic<std::size_t>& count;
-};
+using OpenMark = CountMark<std::atomic<std::size_t>>;
 
 /** Longest time and most bytes that a refused peer may still send. */
 constexpr std::chrono::milliseconds kLingerTime{2000};
--- a/test/harness/caller.cc
+++ b/test/harness/caller.cc
@@ -2,11 +2,10 @@
 
 #include "harness/caller.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "kernel/blocking_call.h"
 #include "kernel/http_client.h"
 #include "wire/event_stream.h"
 
@@ -16,17 +15,6 @@
 
 constexpr std::chrono::milliseconds kPollInterval{5};
 
-/** Runs a task to its end on this thread. */
-void RunTask(asio::awaitable<void> task) {
-  asio::io_context io;
-  std::exception_ptr fault;
-  asio::co_spawn(io, std::move(task),
-                 [&](const std::exception_ptr& thrown) { fault = thrown; });
-  io.run();
-  if (fault)
-    std::rethrow_exception(fault);
-}
-
 void ReadEndOrError(const ServerSentEvent& event, StreamedAnswer& answer) {
   const auto end = nlohmann::json::parse(event.data);
   answer.outcome = end.value("outcome", "");
@@ -68,11 +56,7 @@
 HttpResponse CallHttp(const SocketAddress& address,
                       const HttpRequest& request,
                       std::chrono::milliseconds timeout) {
-  HttpResponse response;
-  RunTask([&]() -> asio::awaitable<void> {
-    response = co_await HttpFetch(address, request, timeout);
-  }());
-  return response;
+  return CallAddress(address, request, timeout);
 }
 
 void SendHttp(const SocketAddress& address,
--- a/test/stories/configuration.cc
+++ b/test/stories/configuration.cc
@@ -339,14 +339,22 @@
   CheckNeverFell(fleet);
 }
 
-void PartsSettleOnTheHighest() {
-  LocalFleet fleet(Plan());
-  const std::vector<std::vector<std::string>> parts = {
-      {"router-0", "draft-1"}, {"router-1", "draft-2", "ledger-1"}};
-  Split(fleet, parts);
+/** The fleet's parts when it is split; see SplitInTwo(). */
+const std::vector<std::vector<std::string>> kParts = {
+    {"router-0", "draft-1"},
+    {"router-1", "draft-2", "ledger-1"}};
+
+/** Splits the fleet; only the first part reaches the service. */
+void SplitInTwo(LocalFleet& fleet) {
+  Split(fleet, kParts);
   WaitForPeers(fleet, {0, 2}, 1);
   WaitForPeers(fleet, {1, 3, 4}, 2);
-  LetOnlyReach(fleet, parts[0]);
+  LetOnlyReach(fleet, kParts[0]);
+}
+
+void PartsSettleOnTheHighest() {
+  LocalFleet fleet(Plan());
+  SplitInTwo(fleet);
   PutIndex(fleet, 5, 20000);
   CPPUNIT_ASSERT(WaitUntil([&] { return AllAt(fleet, {0, 2}, 5); }));
   CPPUNIT_ASSERT(AllAt(fleet, {1, 3, 4}, 1));
@@ -359,15 +367,10 @@
 
 void RacingOperatorsAreResolvedAlike() {
   LocalFleet fleet(Plan());
-  const std::vector<std::vector<std::string>> parts = {
-      {"router-0", "draft-1"}, {"router-1", "draft-2", "ledger-1"}};
-  Split(fleet, parts);
-  WaitForPeers(fleet, {0, 2}, 1);
-  WaitForPeers(fleet, {1, 3, 4}, 2);
-  LetOnlyReach(fleet, parts[0]);
+  SplitInTwo(fleet);
   const IndexStamp first = PutIndex(fleet, 7, 20000);
   CPPUNIT_ASSERT(WaitUntil([&] { return AllAt(fleet, {0, 2}, 7); }));
-  LetOnlyReach(fleet, parts[1]);
+  LetOnlyReach(fleet, kParts[1]);
   const IndexStamp second = PutIndex(fleet, 7, 21000);
   CPPUNIT_ASSERT(WaitUntil([&] { return AllAt(fleet, {1, 3, 4}, 7); }));
   SetFaults(fleet, {{"configuration_outage", true}});
