--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 
 #include "daemon/drain.h"
 #include "daemon/operator_port.h"
@@ -21,12 +22,14 @@
 
 Usage:
   buckthornpathd --role=<name> --settings=<file>
+  buckthornpathd --role=<name> --settings-variable=<name>
   buckthornpathd --list-roles
   buckthornpathd (-h | --help)
 
 Options:
   --role=<name>      What the process does.
   --settings=<file>  Settings in JSON with comments.
+  --settings-variable=<name>  Environment variable that holds that file's path.
   --list-roles       Prints the roles and ends.
 )";
 
@@ -67,6 +70,18 @@
   std::quick_exit(static_cast<int>(drain.Result()));
 }
 
+/** @throws DocumentRefused If the variable that names the file is not set. */
+std::string SettingsPath(const std::map<std::string, docopt::value>& options) {
+  const docopt::value& file = options.at("--settings");
+  if (file)
+    return file.asString();
+  const std::string variable = options.at("--settings-variable").asString();
+  const char* path = std::getenv(variable.c_str());
+  if (path == nullptr)
+    throw DocumentRefused(variable, "is not set in the environment");
+  return path;
+}
+
 ExitCode Main(const std::vector<std::string>& arguments) {
   auto options = docopt::docopt(kUsage, arguments);
   if (options["--list-roles"].asBool()) {
@@ -81,7 +96,7 @@
     std::cerr << "no role '" << name << "'; see --list-roles\n";
     return ExitCode::kFault;
   }
-  const Settings settings = LoadSettings(options["--settings"].asString());
+  const Settings settings = LoadSettings(SettingsPath(options));
   std::vector<DocumentFault> faults = FaultsForRole(settings, name);
   if (!faults.empty())
     throw DocumentRefused(std::move(faults));
--- /dev/null
+++ b/src/gateway/endpoint_connection.cc
@@ -0,0 +1,126 @@
+/** @file endpoint_connection.cc One HTTP connection to an endpoint. */
+
+#include "gateway/endpoint_connection.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "gateway/wake_signal.h"
+#include "kernel/socket_option.h"
+
+namespace buckthornpath {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/** Bytes asked for with one read; an event of a stream is far smaller. */
+constexpr std::size_t kReadBytes = std::size_t{4} * 1024;
+
+/** Largest header of an answer. */
+constexpr std::uint32_t kHeaderBytes = std::uint32_t{64} * 1024;
+
+}  // namespace
+
+asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::Connect(
+    SocketAddress address,
+    std::chrono::milliseconds timeout) {
+  asio::steady_timer timer(this->executor, timeout);
+  timer.async_wait([this](const ErrorCode& error) {
+    if (!error)
+      this->Close();
+  });
+  const auto [error] = co_await this->socket.async_connect(address, kAwaitTuple);
+  timer.cancel();
+  if (error)
+    co_return error;
+  if (!this->socket.is_open())
+    co_return asio::error::operation_aborted;
+  SetConnectionOptions(this->socket);
+  co_return ErrorCode();
+}
+
+asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::Send(
+    const ForwardRequest& request) {
+  const auto [error, size] =
+      co_await http::async_write(this->socket, request, kAwaitTuple);
+  co_return error;
+}
+
+asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::ReadHead(
+    bool is_head_request) {
+  this->parser.emplace();
+  this->parser->header_limit(kHeaderBytes);
+  this->parser->body_limit(boost::none);
+  this->parser->eager(true);
+  this->parser->skip(is_head_request);
+  while (!this->parser->is_header_done()) {
+    const ErrorCode error = co_await this->Advance();
+    if (error)
+      co_return error;
+  }
+  co_return ErrorCode();
+}
+
+asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::ReadBody(
+    std::string& piece) {
+  // What came with the head is passed on before more is waited for.
+  if (this->parser->get().body().empty() && !this->parser->is_done()) {
+    const ErrorCode error = co_await this->Advance();
+    if (error)
+      co_return error;
+  }
+  piece = std::exchange(this->parser->get().body(), std::string());
+  co_return ErrorCode();
+}
+
+EndpointConnection::ErrorCode EndpointConnection::ParseBuffered() {
+  ErrorCode error;
+  const std::size_t used = this->parser->put(this->buffer.data(), error);
+  this->buffer.consume(used);
+  return error == http::error::need_more ? ErrorCode() : error;
+}
+
+asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::Advance() {
+  if (this->buffer.size() > 0) {
+    const std::size_t before = this->buffer.size();
+    const ErrorCode error = this->ParseBuffered();
+    if (error || this->buffer.size() != before || this->parser->is_done())
+      co_return error;
+  }
+  const auto [error, size] = co_await this->socket.async_read_some(
+      this->buffer.prepare(kReadBytes), kAwaitTuple);
+  this->buffer.commit(size);
+  if (error == asio::error::eof && this->parser->is_header_done()) {
+    ErrorCode end_error;
+    this->parser->put_eof(end_error);
+    co_return end_error;
+  }
+  if (error)
+    co_return error;
+  co_return this->ParseBuffered();
+}
+
+bool EndpointConnection::IsReusable() const {
+  return this->socket.is_open() && this->parser && this->parser->is_done() &&
+         this->parser->keep_alive() && !this->parser->need_eof() &&
+         this->buffer.size() == 0;
+}
+
+bool EndpointConnection::IsQuiet() {
+  char byte = 0;
+  const ssize_t size = ::recv(this->socket.native_handle(), &byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void EndpointConnection::Close() {
+  ErrorCode ignored;
+  this->socket.close(ignored);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/forward_session.cc
@@ -0,0 +1,596 @@
+/** @file forward_session.cc One request on its way to an endpoint and back. */
+
+#include "gateway/forward_session.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <cstdio>
+
+#include "kernel/json_types.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+/** Longest wait for a connection: several round trips within a region. */
+constexpr milliseconds kConnectTimeout{300};
+
+/** Idle time above which a connection may have been dropped unseen; a request
+ * that must not be repeated does not risk it. */
+constexpr milliseconds kFreshConnection{1000};
+constexpr milliseconds kAnyIdleTime{std::chrono::hours(1)};
+
+/** Endpoints that may prove unreachable before a request is turned away. */
+constexpr int kMostUnreachable = 3;
+
+/** Answers to earlier requests that are skipped on a kept connection. */
+constexpr int kMostForeignAnswers = 2;
+
+/** Part of its time left that a request may spend waiting for room. */
+constexpr int kWaitingPart = 2;
+
+/** Shortest time left with which a request is still sent. */
+constexpr milliseconds kLeastTimeLeft{20};
+
+/** Time after the limit at which an answer is given up; the endpoint ends its
+ * own work at the limit and says so. */
+constexpr milliseconds kLimitMargin{100};
+
+/** Time kept back from the caller's patience for the way to the caller. */
+constexpr milliseconds kReturnMargin{5};
+
+/** Pauses of a stream, in its longest pause that is in time, after which the
+ * stream goes on elsewhere. */
+constexpr int kStalledPauses = 4;
+constexpr milliseconds kLeastStall{700};
+
+/** Bounds of the time after which a caller is asked to return. */
+constexpr milliseconds kLeastRetryAfter{50};
+constexpr int kRetryAfterPart = 3;
+
+/** Urgency between two priorities; the platform knows ten urgencies. */
+constexpr int kUrgencyStep = 3;
+constexpr int kLeastUrgent = 9;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+bool IsSuccess(unsigned status) {
+  return status / 100 == 2;
+}
+
+bool IsServerFailure(unsigned status) {
+  return status / 100 == 5;
+}
+
+std::string HostOf(const CallerMessage& message) {
+  std::string host(message[http::field::host]);
+  if (const std::size_t colon = host.rfind(':'); colon != std::string::npos)
+    host.resize(colon);
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return host;
+}
+
+/** @return Hash of what should stay with one service. */
+std::uint64_t AffinityOf(const CallerFacts& facts) {
+  if (facts.parts.size() >= 2)
+    return XXH3_64bits(&facts.parts[facts.parts.size() - 2].id,
+                       sizeof(std::uint64_t));
+  return XXH3_64bits(facts.request_id.data(), facts.request_id.size());
+}
+
+std::string FormatSeconds(milliseconds time) {
+  std::array<char, 32> text{};
+  const double seconds = std::chrono::duration<double>(time).count();
+  const int size =
+      std::snprintf(text.data(), text.size(), "%.3f", seconds);
+  return std::string(text.data(), static_cast<std::size_t>(size));
+}
+
+milliseconds Since(ForwardSession::Clock::time_point from,
+                   ForwardSession::Clock::time_point to) {
+  return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
+constexpr std::array<const char*, 6> kEndNames = {
+    "answered",     "no_room", "unreachable",
+    "not_executed", "failed",  "broken"};
+
+}  // namespace
+
+ForwardSession::ForwardSession(GatewayState& state, CallerExchange& exchange)
+    : state(state),
+      exchange(exchange),
+      table(state.table),
+      received_at(exchange.ReceivedAt()),
+      limit_timer(state.executor),
+      room(state.executor) {}
+
+ForwardSession::~ForwardSession() {
+  this->exchange.OnGone(nullptr);
+}
+
+asio::awaitable<void> ForwardSession::Run() {
+  const std::optional<unsigned> refusal = this->Classify();
+  if (refusal) {
+    co_await this->Refuse(*refusal, this->reason);
+  } else {
+    this->StartClock();
+    co_await this->Attempts();
+    this->limit_timer.cancel();
+  }
+  this->WriteLog();
+}
+
+std::optional<unsigned> ForwardSession::Classify() {
+  const CallerMessage& message = this->exchange.Message();
+  if (!this->table) {
+    this->reason = "no_configuration";
+    return kUnavailable;
+  }
+  try {
+    this->facts = this->state.adapter.ReadCaller(message.base());
+  } catch (const RequestMalformed& error) {
+    LogLine(LogLevel::kInfo, "request_malformed", {{"reason", error.what()}});
+    this->reason = "malformed";
+    return kBadRequest;
+  }
+  if (message.count(http::field::host) != 1) {
+    this->reason = "malformed";
+    return kBadRequest;
+  }
+  const std::string_view target(message.target().data(),
+                                message.target().size());
+  this->route =
+      this->table->Match(HostOf(message), target.substr(0, target.find('?')));
+  if (this->route == nullptr) {
+    this->reason = "no_route";
+    return kNotFound;
+  }
+  return this->FindOrganisation();
+}
+
+std::optional<unsigned> ForwardSession::FindOrganisation() {
+  this->priority = this->route->priority;
+  if (this->route->needs_key && this->table->UsesKeys()) {
+    const Organisation* found = this->table->FindByKey(this->facts.api_key);
+    if (found == nullptr) {
+      this->reason = "unknown_key";
+      return kUnauthorized;
+    }
+    this->organisation = found->id;
+    this->priority = found->priority.value_or(this->priority);
+  }
+  this->service = this->route->ServiceFor(AffinityOf(this->facts));
+  return std::nullopt;
+}
+
+void ForwardSession::StartClock() {
+  milliseconds limit = this->route->timeout;
+  if (this->facts.deadline)
+    limit = std::min(limit, *this->facts.deadline);
+  this->give_up_at = this->received_at + limit;
+  this->limit_timer.expires_at(this->give_up_at + kLimitMargin);
+  this->limit_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error)
+      return;
+    this->is_time_up = true;
+    this->Abort();
+  });
+  this->exchange.OnGone([this] { this->Abort(); });
+  this->state.LineOf(this->service).retries->CountFirstAttempt();
+}
+
+milliseconds ForwardSession::TimeLeft() const {
+  return Since(Clock::now(), this->give_up_at) - kReturnMargin;
+}
+
+void ForwardSession::Abort() {
+  this->is_aborted = true;
+  if (this->connection)
+    this->connection->Close();
+  this->room.Set();
+}
+
+asio::awaitable<void> ForwardSession::Attempts() {
+  AttemptEnd end = AttemptEnd::kNoRoom;
+  do {
+    end = co_await this->Attempt();
+  } while (end != AttemptEnd::kAnswered && this->MayTryAgain(end));
+  co_await this->Conclude(end);
+}
+
+bool ForwardSession::MayTryAgain(AttemptEnd end) {
+  if (this->is_aborted || this->exchange.IsGone() ||
+      this->TimeLeft() < kLeastTimeLeft) {
+    return false;
+  }
+  RetryBudget& budget = *this->state.LineOf(this->service).retries;
+  switch (end) {
+    case AttemptEnd::kUnreachable:
+      return ++this->unreachable < kMostUnreachable;
+    case AttemptEnd::kNotExecuted:
+      return this->attempts < this->route->max_attempts && budget.TryTake();
+    case AttemptEnd::kFailed:
+    case AttemptEnd::kBroken:
+      return this->route->MayRepeat() &&
+             this->attempts < this->route->max_attempts && budget.TryTake();
+    case AttemptEnd::kAnswered:
+    case AttemptEnd::kNoRoom:
+      return false;
+  }
+  return false;
+}
+
+EndpointHandle ForwardSession::ChooseEndpoint() const {
+  const EndpointQuery query{this->service, this->facts.parts, this->priority,
+                            this->excluded};
+  return this->state.board.Choose(
+      query, Clock::now(), [this](const EndpointBelief& endpoint) {
+        return this->state.HasConnectionFor(endpoint);
+      });
+}
+
+asio::awaitable<EndpointHandle> ForwardSession::FindRoom() {
+  EndpointHandle chosen = this->ChooseEndpoint();
+  if (chosen) {
+    this->unread_tokens = this->state.board.NoteStart(
+        *chosen, this->facts.parts, Clock::now());
+    co_return chosen;
+  }
+  ServiceLine& line = this->state.LineOf(this->service);
+  const milliseconds patience = this->TimeLeft() / kWaitingPart;
+  if (!this->state.board.HasUsable(this->service) ||
+      line.line.Forecast(this->priority, Clock::now()) > patience) {
+    co_return nullptr;
+  }
+  const WaitTicket ticket = line.line.Add(this->priority);
+  line.wake[ticket] = [this] {
+    this->offered = this->ChooseEndpoint();
+    if (!this->offered)
+      return false;
+    this->unread_tokens = this->state.board.NoteStart(
+        *this->offered, this->facts.parts, Clock::now());
+    ServiceLine& own = this->state.LineOf(this->service);
+    own.line.Remove(this->wait_ticket);
+    own.wake.erase(this->wait_ticket);
+    this->room.Set();
+    return true;
+  };
+  this->wait_ticket = ticket;
+  co_await this->room.WaitUntil(Clock::now() + patience);
+  line.line.Remove(ticket);
+  line.wake.erase(ticket);
+  co_return std::exchange(this->offered, nullptr);
+}
+
+asio::awaitable<bool> ForwardSession::OpenConnection(
+    const EndpointBelief& endpoint) {
+  const EndpointId& id = endpoint.Entry().id;
+  const milliseconds most_idle =
+      this->route->MayRepeat() ? kAnyIdleTime : kFreshConnection;
+  this->connection =
+      this->state.connections.TakeIdle(id, most_idle, Clock::now());
+  if (this->connection)
+    co_return true;
+  this->connection = this->state.connections.MakeNew(id);
+  ProcessMetrics().Add("endpoint_connections_total");
+  const auto error = co_await this->connection->Connect(
+      ParseSocketAddress(endpoint.Entry().address),
+      std::min(kConnectTimeout, std::max(this->TimeLeft(), kLeastTimeLeft)));
+  co_return !error;
+}
+
+asio::awaitable<AttemptEnd> ForwardSession::Attempt() {
+  const EndpointHandle endpoint = co_await this->FindRoom();
+  if (!endpoint)
+    co_return AttemptEnd::kNoRoom;
+  AttemptEnd end = AttemptEnd::kUnreachable;
+  bool is_open = false;
+  if (!this->is_aborted)
+    is_open = co_await this->OpenConnection(*endpoint);
+  if (is_open && !this->is_aborted)
+    end = co_await this->SendTo(*endpoint);
+  this->NoteEnd(*endpoint, end);
+  co_return end;
+}
+
+void ForwardSession::NoteEnd(EndpointBelief& endpoint, AttemptEnd end) {
+  const auto now = Clock::now();
+  const EndpointId id = endpoint.Entry().id;
+  this->attempt_log.push_back(
+      {{"endpoint", id},
+       {"end", kEndNames.at(static_cast<std::size_t>(end))},
+       {"running", endpoint.Running()},
+       {"after_ms", Since(this->received_at, now).count()}});
+  if (this->unread_tokens > 0)
+    this->state.board.NoteUnreadEnd(endpoint, this->unread_tokens);
+  this->unread_tokens = 0;
+  this->state.board.NoteEnd(endpoint);
+  constexpr std::array kVerdicts = {
+      EndpointVerdict::kServed,  EndpointVerdict::kFull,
+      EndpointVerdict::kUnreachable, EndpointVerdict::kFull,
+      EndpointVerdict::kFailed,  EndpointVerdict::kBroken};
+  // What the caller or the clock has ended says nothing of the endpoint.
+  if (!this->is_aborted) {
+    this->state.board.NoteVerdict(
+        endpoint, kVerdicts.at(static_cast<std::size_t>(end)), now);
+  }
+  if (end != AttemptEnd::kAnswered)
+    this->excluded.push_back(id);
+  if (this->connection) {
+    const bool is_whole = end != AttemptEnd::kBroken &&
+                          end != AttemptEnd::kUnreachable && !this->is_aborted;
+    this->state.connections.Return(id, std::move(this->connection), is_whole,
+                                   now);
+  }
+  this->state.LineOf(this->service).line.NoteDeparture(now);
+  this->state.OfferRoom(this->service);
+}
+
+ForwardRequest ForwardSession::MakeRequest(
+    const EndpointBelief& endpoint) const {
+  const CallerMessage& message = this->exchange.Message();
+  ForwardFacts forward;
+  forward.organisation = this->organisation;
+  forward.time_left = std::max(this->TimeLeft(), milliseconds(1));
+  forward.endpoint = endpoint.Entry().id;
+  forward.urgency = std::min(this->priority * kUrgencyStep, kLeastUrgent);
+  forward.is_model_request = !this->facts.parts.empty();
+  forward.resume_after = this->relay.LastId();
+  ForwardRequest request;
+  request.method_string(message.method_string());
+  request.target(message.target());
+  request.version(11);
+  this->state.adapter.WriteForward(message.base(), forward, request.base());
+  if (message.has_content_length() || message.chunked()) {
+    request.body() = message.body();
+    request.content_length(message.body().size());
+  }
+  return request;
+}
+
+asio::awaitable<AttemptEnd> ForwardSession::SendTo(EndpointBelief& endpoint) {
+  ++this->attempts;
+  const bool ran_before = this->may_have_run;
+  this->may_have_run = true;
+  this->sent_at = Clock::now();
+  this->relay.BeginRun();
+  const ForwardRequest request = this->MakeRequest(endpoint);
+  if (co_await this->connection->Send(request))
+    co_return AttemptEnd::kBroken;
+  if (!co_await this->ReadOwnHead())
+    co_return AttemptEnd::kBroken;
+  this->NoteAnswerHead(endpoint);
+  const AttemptEnd end = co_await this->TakeAnswer(endpoint);
+  if (end == AttemptEnd::kNotExecuted)
+    this->may_have_run = ran_before;
+  co_return end;
+}
+
+asio::awaitable<bool> ForwardSession::ReadOwnHead() {
+  const bool is_head = this->exchange.Message().method() == http::verb::head;
+  for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
+    if (co_await this->connection->ReadHead(is_head))
+      co_return false;
+    this->answer = this->state.adapter.ReadAnswer(this->connection->Head());
+    if (this->answer.request_id == this->facts.request_id)
+      co_return true;
+    // A late answer to an earlier request on this connection.
+    ProcessMetrics().Add("foreign_answers_total");
+    std::string ignored;
+    while (!this->connection->IsAnswerComplete()) {
+      if (co_await this->connection->ReadBody(ignored))
+        co_return false;
+    }
+  }
+  co_return false;
+}
+
+void ForwardSession::NoteAnswerHead(EndpointBelief& endpoint) {
+  const auto now = Clock::now();
+  this->state.board.NoteUnreadEnd(endpoint, this->unread_tokens);
+  this->unread_tokens = 0;
+  this->state.board.NoteHeard(endpoint, now);
+  if (this->answer.load)
+    this->state.board.NoteStated(endpoint, *this->answer.load, now);
+  this->connection->idle_time = this->answer.idle_time;
+  if (this->first_byte_at == Clock::time_point{})
+    this->first_byte_at = now;
+}
+
+asio::awaitable<AttemptEnd> ForwardSession::TakeAnswer(
+    EndpointBelief& endpoint) {
+  const unsigned status = this->connection->Head().result_int();
+  if (this->answer.not_executed || status == kMisdirected) {
+    const AttemptEnd end = co_await this->TakeWhole(status);
+    if (status == kMisdirected)
+      this->state.board.NoteMisdirected(endpoint, Clock::now());
+    // The endpoint has said so in the head; a spoiled body changes nothing.
+    (void)end;
+    co_return AttemptEnd::kNotExecuted;
+  }
+  const std::string_view type = this->connection->Head()[http::field::content_type];
+  if (IsSuccess(status) && !this->answer.is_genuine)
+    co_return AttemptEnd::kBroken;
+  if (IsSuccess(status) && type.starts_with("text/event-stream"))
+    co_return co_await this->RelayStream(status);
+  const AttemptEnd end = co_await this->TakeWhole(status);
+  if (end == AttemptEnd::kBroken || IsServerFailure(status))
+    co_return end == AttemptEnd::kBroken ? end : AttemptEnd::kFailed;
+  co_await this->SendHeld();
+  co_return AttemptEnd::kAnswered;
+}
+
+asio::awaitable<AttemptEnd> ForwardSession::TakeWhole(unsigned status) {
+  HeldAnswer whole;
+  whole.status = status;
+  whole.fields = this->CallerFields();
+  std::string piece;
+  do {
+    if (co_await this->connection->ReadBody(piece))
+      co_return AttemptEnd::kBroken;
+    whole.body += piece;
+  } while (!this->connection->IsAnswerComplete());
+  this->held = std::move(whole);
+  co_return AttemptEnd::kAnswered;
+}
+
+asio::awaitable<void> ForwardSession::SendHeld() {
+  this->final_status = this->held->status;
+  co_await this->exchange.Send(this->held->status, this->held->fields,
+                               std::move(this->held->body));
+  this->held.reset();
+}
+
+HeaderFieldList ForwardSession::CallerFields() const {
+  HeaderFieldList fields;
+  const HeaderFields& header = this->connection->Head();
+  for (const auto& field : header) {
+    const std::string name(field.name_string());
+    if (!IsConnectionField(header, field) &&
+        !this->state.adapter.IsInternal(name)) {
+      fields.emplace_back(name, std::string(field.value()));
+    }
+  }
+  return fields;
+}
+
+asio::awaitable<bool> ForwardSession::PassOn(unsigned status,
+                                             std::string_view piece) {
+  if (this->is_head_sent) {
+    co_await this->exchange.SendPiece(piece);
+  } else if (!piece.empty()) {
+    this->is_head_sent = true;
+    this->final_status = status;
+    const HeaderFieldList fields = this->CallerFields();
+    co_await this->exchange.BeginStream(status, fields, piece);
+  }
+  co_return !this->exchange.IsGone();
+}
+
+asio::awaitable<AttemptEnd> ForwardSession::RelayStream(unsigned status) {
+  const bool may_resume = this->route->MayRepeat();
+  asio::steady_timer stall(this->state.executor);
+  const milliseconds patience =
+      std::max(kLeastStall, this->route->gap_target * kStalledPauses);
+  std::string piece;
+  do {
+    if (may_resume) {
+      stall.expires_after(patience);
+      stall.async_wait([this](const boost::system::error_code& error) {
+        if (!error && this->connection)
+          this->connection->Close();
+      });
+    }
+    if (co_await this->connection->ReadBody(piece))
+      co_return AttemptEnd::kBroken;
+    if (may_resume)
+      piece = this->relay.Feed(piece);
+    if (!co_await this->PassOn(status, piece))
+      co_return AttemptEnd::kBroken;
+  } while (!this->connection->IsAnswerComplete());
+  stall.cancel();
+  if (!co_await this->PassOn(status, this->relay.Finish()))
+    co_return AttemptEnd::kBroken;
+  if (!this->is_head_sent) {
+    const HeaderFieldList fields = this->CallerFields();
+    co_await this->exchange.Send(status, fields, std::string());
+    this->final_status = status;
+    co_return AttemptEnd::kAnswered;
+  }
+  co_await this->exchange.EndStream();
+  co_return AttemptEnd::kAnswered;
+}
+
+asio::awaitable<void> ForwardSession::Conclude(AttemptEnd end) {
+  if (end == AttemptEnd::kAnswered)
+    co_return;
+  if (this->exchange.IsGone()) {
+    this->reason = "caller_left";
+    this->exchange.BreakOff();
+    co_return;
+  }
+  if (this->is_head_sent) {
+    this->reason = this->is_time_up ? "timeout" : "stream_broken";
+    this->exchange.BreakOff();
+    co_return;
+  }
+  if (this->held && end == AttemptEnd::kFailed) {
+    this->reason = "endpoint_failed";
+    co_await this->SendHeld();
+    co_return;
+  }
+  if (this->may_have_run) {
+    co_await this->Refuse(this->is_time_up ? kGatewayTimeout : kBadGateway,
+                          this->is_time_up ? "timeout" : "broken");
+    co_return;
+  }
+  co_await this->Refuse(kUnavailable,
+                        kEndNames.at(static_cast<std::size_t>(end)));
+}
+
+milliseconds ForwardSession::RetryAfter() const {
+  const auto line = this->state.lines.find(this->service);
+  if (line == this->state.lines.end())
+    return kLeastRetryAfter;
+  const milliseconds forecast =
+      line->second.line.Forecast(this->priority, Clock::now());
+  return std::clamp(forecast, kLeastRetryAfter,
+                    std::max(kLeastRetryAfter,
+                             this->TimeLeft() / kRetryAfterPart));
+}
+
+asio::awaitable<void> ForwardSession::Refuse(unsigned status,
+                                             const char* why) {
+  this->reason = why;
+  this->final_status = status;
+  HeaderFieldList fields = {{"Content-Type", "application/json"}};
+  if (status == kUnavailable)
+    fields.emplace_back("Retry-After", FormatSeconds(this->RetryAfter()));
+  nlohmann::json body = {{"reason", why}};
+  co_await this->exchange.Send(status, fields, body.dump());
+}
+
+void ForwardSession::WriteLog() const {
+  const auto now = Clock::now();
+  const std::string route_name = this->route ? this->route->name : "";
+  ProcessMetrics().Add("requests_total",
+                       "reason=\"" + std::string(this->reason) + "\"");
+  ProcessMetrics().Observe("request_seconds", "", now - this->received_at);
+  nlohmann::json line = {
+      {"request", this->facts.request_id},
+      {"route", route_name},
+      {"organisation", this->organisation},
+      {"service", this->service},
+      {"configuration", this->table ? this->table->Version() : 0},
+      {"priority", this->priority},
+      {"reason", this->reason},
+      {"status", this->final_status},
+      {"total_ms", Since(this->received_at, now).count()},
+      {"attempts", this->attempt_log}};
+  if (this->sent_at != Clock::time_point{})
+    line["sent_ms"] = Since(this->received_at, this->sent_at).count();
+  if (this->first_byte_at != Clock::time_point{})
+    line["first_byte_ms"] =
+        Since(this->received_at, this->first_byte_at).count();
+  LogLine(LogLevel::kInfo, "request", line);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/forward_session.h
@@ -0,0 +1,124 @@
+/** @file forward_session.h One request on its way to an endpoint and back. */
+
+#ifndef SRC_GATEWAY_FORWARD_SESSION_H_
+#define SRC_GATEWAY_FORWARD_SESSION_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/caller_connection.h"
+#include "gateway/event_relay.h"
+#include "gateway/gateway_state.h"
+
+namespace buckthornpath {
+
+/** How one attempt at an endpoint ended. */
+enum class AttemptEnd {
+  kAnswered,     ///< The caller has its whole answer.
+  kNoRoom,       ///< No endpoint had room in time; nothing was sent.
+  kUnreachable,  ///< No connection could be opened; nothing was sent.
+  kNotExecuted,  ///< The endpoint says that it did not run the request.
+  kFailed,       ///< The endpoint ran the request and answered a failure.
+  kBroken,       ///< The request was sent; no whole answer came.
+};
+
+/**
+ * Carries one request: finds its route and organisation, waits for room, sends
+ * it, and passes the answer on. A request that may run only once is sent again
+ * only if nothing of it was sent or its endpoint says that it did not run.
+ */
+class ForwardSession {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  ForwardSession(GatewayState& state, CallerExchange& exchange);
+  ~ForwardSession();
+
+  /** Answers the exchange. */
+  asio::awaitable<void> Run();
+
+ private:
+  /** A whole answer of an endpoint that was not passed on yet. */
+  struct HeldAnswer {
+    unsigned status = 0;
+    HeaderFieldList fields;
+    std::string body;
+  };
+
+  /** @return Status of a refusal, or nothing if the request may go on. */
+  std::optional<unsigned> Classify();
+  std::optional<unsigned> FindOrganisation();
+  void StartClock();
+
+  asio::awaitable<void> Attempts();
+  asio::awaitable<AttemptEnd> Attempt();
+  bool MayTryAgain(AttemptEnd end);
+
+  /** @return The endpoint to use, or null if the wait is over. */
+  asio::awaitable<EndpointHandle> FindRoom();
+  EndpointHandle ChooseEndpoint() const;
+  asio::awaitable<bool> OpenConnection(const EndpointBelief& endpoint);
+  ForwardRequest MakeRequest(const EndpointBelief& endpoint) const;
+
+  asio::awaitable<AttemptEnd> SendTo(EndpointBelief& endpoint);
+
+  /** Reads the head of the answer that belongs to this request. */
+  asio::awaitable<bool> ReadOwnHead();
+  asio::awaitable<AttemptEnd> TakeAnswer(EndpointBelief& endpoint);
+  asio::awaitable<AttemptEnd> TakeWhole(unsigned status);
+  asio::awaitable<void> SendHeld();
+  asio::awaitable<AttemptEnd> RelayStream(unsigned status);
+  asio::awaitable<bool> PassOn(unsigned status, std::string_view piece);
+  HeaderFieldList CallerFields() const;
+  void NoteAnswerHead(EndpointBelief& endpoint);
+  void NoteEnd(EndpointBelief& endpoint, AttemptEnd end);
+
+  asio::awaitable<void> Conclude(AttemptEnd end);
+  asio::awaitable<void> Refuse(unsigned status, const char* reason);
+  std::chrono::milliseconds RetryAfter() const;
+  std::chrono::milliseconds TimeLeft() const;
+
+  /** Ends what is in progress: the caller left or the time is up. */
+  void Abort();
+  void WriteLog() const;
+
+  GatewayState& state;
+  CallerExchange& exchange;
+  CallerFacts facts;
+  std::shared_ptr<const RoutingTable> table;  ///< In force when it came.
+  const Route* route = nullptr;
+  ServiceName service;
+  OrganisationId organisation;
+  int priority = 0;
+  Clock::time_point received_at;
+  Clock::time_point give_up_at;  ///< Final answer is due.
+  asio::steady_timer limit_timer;
+  WakeSignal room;
+  EndpointHandle offered;  ///< Endpoint that a wait has found.
+  WaitTicket wait_ticket{};
+  bool is_aborted = false;
+  bool is_time_up = false;
+  bool may_have_run = false;  ///< An endpoint may have begun to work on it.
+  bool is_head_sent = false;  ///< The caller has the head of an answer.
+  int attempts = 0;           ///< Endpoints that the request was sent to.
+  int unreachable = 0;
+  std::vector<EndpointId> excluded;
+  std::unique_ptr<EndpointConnection> connection;
+  std::int64_t unread_tokens = 0;
+  EventRelay relay;
+  AnswerFacts answer;  ///< Of the head that was read last.
+  std::optional<HeldAnswer> held;
+  unsigned final_status = 0;
+  const char* reason = "served";
+  Clock::time_point sent_at{};
+  Clock::time_point first_byte_at{};
+  nlohmann::json attempt_log = nlohmann::json::array();
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_GATEWAY_FORWARD_SESSION_H_
--- /dev/null
+++ b/src/gateway/gateway_role.cc
@@ -0,0 +1,200 @@
+/** @file gateway_role.cc The role that carries requests straight to endpoints.
+ */
+
+#include <algorithm>
+#include <list>
+#include <memory>
+#include <stdexcept>
+
+#include "gateway/caller_connection.h"
+#include "gateway/forward_session.h"
+#include "gateway/gateway_state.h"
+#include "gateway/peer_exchange.h"
+#include "gateway/publication_follower.h"
+#include "kernel/http_server.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "kernel/role.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+/** Time between looks for connections to close. */
+constexpr milliseconds kSweepInterval{500};
+
+/** Time from the start of a drain until the platform has taken the process
+ * out of rotation: two checks a second apart, and one that was under way. */
+constexpr milliseconds kRotationTime{2800};
+
+/** Connections waiting to be accepted. */
+constexpr int kBacklog = 1024;
+
+class GatewayRole final : public Role, public CallerServerContext {
+ public:
+  explicit GatewayRole(const RoleContext& context)
+      : state(context.settings, context.pool.context().get_executor()),
+        follower(this->state),
+        peers(this->state, this->follower, context.pool),
+        acceptor(this->state.executor),
+        ready_server(
+            context.pool,
+            ParseSocketAddress(context.settings.ready_address),
+            {},
+            [this](HttpExchange& exchange) { return this->AnswerReady(exchange); }) {
+    if (context.settings.worker_count != 1)
+      throw std::invalid_argument("worker_count must be 1 for a gateway");
+    const SocketAddress address =
+        ParseSocketAddress(context.settings.caller_address);
+    this->acceptor.open(address.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(address);
+    this->acceptor.listen(kBacklog);
+  }
+
+  void Start() override {
+    this->follower.Start();
+    this->peers.Start();
+    this->ready_server.Start();
+    WorkerPool::SpawnOn(this->state.executor, this->Accept());
+    WorkerPool::SpawnOn(this->state.executor, this->Sweep());
+  }
+
+  void BeginDrain() override {
+    this->state.is_draining = true;
+    this->drain_begun = Clock::now();
+  }
+
+  std::vector<std::string> InFlight() const override {
+    std::vector<std::string> names;
+    if (this->state.is_draining && !this->IsOutOfRotation())
+      names.emplace_back("in rotation");
+    for (const auto& connection : this->connections) {
+      if (connection->IsBusy())
+        names.emplace_back(connection->Message().target());
+    }
+    return names;
+  }
+
+  void StopAccepting() override {
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    this->peers.Leave();
+  }
+
+  std::size_t OpenExchanges() const override {
+    return static_cast<std::size_t>(
+        std::count_if(this->connections.begin(), this->connections.end(),
+                      [](const auto& entry) { return entry->IsBusy(); }));
+  }
+
+  nlohmann::json Status() const override {
+    return {{"role", "gateway"},
+            {"draining", this->state.is_draining},
+            {"configuration",
+             this->state.table ? this->state.table->Version() : 0},
+            {"endpoints", this->state.board.All().size()},
+            {"peers", this->peers.Size()},
+            {"store_reached", this->follower.IsStoreReached()},
+            {"connections", this->connections.size()}};
+  }
+
+  CallerLimits Limits() const override {
+    return this->state.table ? this->state.table->Limits() : CallerLimits{};
+  }
+
+  bool IsDraining() const override { return this->state.is_draining; }
+
+  asio::awaitable<void> Serve(CallerExchange& exchange) override {
+    ForwardSession session(this->state, exchange);
+    co_await session.Run();
+  }
+
+ private:
+  bool IsOutOfRotation() const {
+    return Clock::now() - this->drain_begun >= kRotationTime;
+  }
+
+  asio::awaitable<void> AnswerReady(HttpExchange& exchange) {
+    HttpResponse response;
+    const bool is_ready = !this->state.is_draining && this->state.table;
+    response.status = is_ready ? 200 : 503;
+    co_await exchange.Send(std::move(response));
+  }
+
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto [error, socket] = co_await this->acceptor.async_accept(kAwaitTuple);
+      if (error == asio::error::operation_aborted)
+        co_return;
+      if (error) {
+        LogLine(LogLevel::kWarning, "accept_failed",
+                {{"reason", error.message()}});
+        co_await SleepFor(kSweepInterval);
+        continue;
+      }
+      WorkerPool::SpawnOn(this->state.executor,
+                          this->ServeConnection(std::move(socket)));
+    }
+  }
+
+  asio::awaitable<void> ServeConnection(asio::ip::tcp::socket socket) {
+    const auto connection =
+        std::make_shared<CallerConnection>(std::move(socket), *this);
+    const auto place =
+        this->connections.insert(this->connections.end(), connection);
+    std::string fault;
+    try {
+      co_await connection->Run();
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    this->connections.erase(place);
+    if (!fault.empty()) {
+      LogLine(LogLevel::kError, "connection_failed", {{"reason", fault}});
+      connection->BreakOff();
+    }
+  }
+
+  asio::awaitable<void> Sweep() {
+    while (true) {
+      co_await SleepFor(kSweepInterval);
+      const auto now = Clock::now();
+      this->state.connections.Sweep(now);
+      const bool closes_idle =
+          this->state.is_draining && this->IsOutOfRotation();
+      for (const auto& connection : this->connections) {
+        connection->Sweep(now);
+        if (closes_idle)
+          connection->CloseIfIdle();
+      }
+      ProcessMetrics().Set("caller_connections", "",
+                           static_cast<double>(this->connections.size()));
+      ProcessMetrics().Set("published_age_seconds", "",
+                           std::chrono::duration<double>(this->follower.Age())
+                               .count());
+    }
+  }
+
+  GatewayState state;
+  PublicationFollower follower;
+  PeerExchange peers;
+  asio::ip::tcp::acceptor acceptor;
+  HttpServer ready_server;
+  std::list<std::shared_ptr<CallerConnection>> connections;
+  Clock::time_point drain_begun{};
+};
+
+const RoleFactory kGatewayRole(
+    "gateway",
+    "Carries callers' requests straight to published endpoints",
+    [](const RoleContext& context) {
+      return std::make_unique<GatewayRole>(context);
+    });
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/peer_exchange.cc
@@ -0,0 +1,291 @@
+/** @file peer_exchange.cc What gateways tell each other. */
+
+#include "gateway/peer_exchange.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "gateway/wake_signal.h"
+#include "kernel/cbor.h"
+#include "kernel/http_client.h"
+#include "kernel/json_types.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+/** Time between two datagrams to each peer while peers are few. */
+constexpr milliseconds kInterval{200};
+
+/** Peers above which the interval grows with their number, so that the
+ * datagrams that a process handles in a second stay the same. */
+constexpr std::size_t kFewPeers = 8;
+
+/** Silence after which a peer is no longer counted. */
+constexpr milliseconds kPeerLifetime{2500};
+
+/** Time between looks whether a peer holds something newer. */
+constexpr milliseconds kCatchUpInterval{250};
+
+/** Longest reading of all that a peer holds. */
+constexpr milliseconds kCatchUpTimeout{800};
+
+/** Longest datagram; fits a usual path without fragments where possible. */
+constexpr std::size_t kDatagramBytes = std::size_t{16} * 1024;
+
+/** Peers named in one datagram. */
+constexpr std::size_t kPeersNamed = 8;
+
+constexpr char kSnapshotPath[] = "/fleet/published";
+
+asio::ip::udp::endpoint UdpEndpoint(const std::string& address) {
+  const SocketAddress parsed = ParseSocketAddress(address);
+  return {parsed.address(), parsed.port()};
+}
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> list;
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    const std::size_t end = std::min(text.find(',', begin), text.size());
+    list.push_back(text.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  return list;
+}
+
+json EncodeItems(const PublishedItems& all) {
+  json items = json::array();
+  for (const PublishedItem& item : all.items) {
+    items.push_back({item.key,
+                     json::binary({item.value.begin(), item.value.end()}),
+                     item.revision});
+  }
+  return {{"revision", all.revision}, {"items", std::move(items)}};
+}
+
+/** @throws json::exception If the value is no such snapshot. */
+PublishedItems DecodeItems(const json& value) {
+  PublishedItems all;
+  all.revision = value.at("revision").get<std::uint64_t>();
+  for (const json& entry : value.at("items")) {
+    const auto& bytes = entry.at(1).get_binary();
+    all.items.push_back({entry.at(0).get<std::string>(),
+                         std::string(bytes.begin(), bytes.end()),
+                         entry.at(2).get<std::uint64_t>(), false});
+  }
+  return all;
+}
+
+}  // namespace
+
+PeerExchange::PeerExchange(GatewayState& state,
+                           PublicationFollower& follower,
+                           WorkerPool& pool)
+    : state(state),
+      follower(follower),
+      own_address(state.settings.gossip_address),
+      socket(state.executor, UdpEndpoint(this->own_address)),
+      server(pool,
+             ParseSocketAddress(this->own_address),
+             {},
+             [this](HttpExchange& exchange) { return this->Serve(exchange); }),
+      seeds(SplitList(state.settings.gossip_seeds)) {
+  std::erase(this->seeds, this->own_address);
+}
+
+void PeerExchange::Start() {
+  this->server.Start();
+  WorkerPool::SpawnOn(this->state.executor, this->Receive());
+  WorkerPool::SpawnOn(this->state.executor, this->Send());
+  WorkerPool::SpawnOn(this->state.executor, this->CatchUp());
+}
+
+milliseconds PeerExchange::Interval() const {
+  const std::size_t many = std::max(this->peers.size(), kFewPeers);
+  return kInterval * static_cast<std::int64_t>(many) /
+         static_cast<std::int64_t>(kFewPeers);
+}
+
+std::string PeerExchange::Datagram(bool leaving) const {
+  json uses = json::object();
+  for (const auto& [id, endpoint] : this->state.board.All()) {
+    if (endpoint->Own() != 0 || endpoint->OwnUnread() != 0)
+      uses[id.str()] = {endpoint->Own(), endpoint->OwnUnread()};
+  }
+  json named = json::array();
+  for (const auto& [address, peer] : this->peers) {
+    if (named.size() < kPeersNamed)
+      named.push_back(address);
+  }
+  const json datagram = {{"from", this->own_address},
+                         {"revision", this->follower.Held().Revision()},
+                         {"leaving", leaving},
+                         {"peers", std::move(named)},
+                         {"uses", std::move(uses)}};
+  std::string bytes;
+  json::to_cbor(datagram, bytes);
+  return bytes;
+}
+
+void PeerExchange::TellAll(bool leaving) {
+  std::vector<std::string> targets;
+  for (const auto& [address, peer] : this->peers)
+    targets.push_back(address);
+  for (const std::string& seed : this->seeds) {
+    if (!this->peers.contains(seed))
+      targets.push_back(seed);
+  }
+  const std::string bytes = this->Datagram(leaving);
+  for (const std::string& target : targets) {
+    boost::system::error_code error;
+    this->socket.send_to(asio::buffer(bytes), UdpEndpoint(target), 0, error);
+    if (error)
+      ProcessMetrics().Add("peer_send_faults_total");
+  }
+}
+
+void PeerExchange::Leave() {
+  this->TellAll(true);
+}
+
+asio::awaitable<void> PeerExchange::Send() {
+  while (true) {
+    this->TellAll(false);
+    this->DropSilent(Clock::now());
+    this->state.OfferRoomEverywhere();
+    co_await SleepFor(this->Interval());
+  }
+}
+
+void PeerExchange::DropSilent(Clock::time_point now) {
+  const milliseconds lifetime = kPeerLifetime + this->Interval() * 2;
+  std::vector<std::string> silent;
+  for (const auto& [address, peer] : this->peers) {
+    if (now - peer.heard_at > lifetime)
+      silent.push_back(address);
+  }
+  for (const std::string& address : silent)
+    this->Drop(address);
+}
+
+void PeerExchange::Drop(const std::string& address) {
+  LogLine(LogLevel::kInfo, "peer_lost", {{"peer", address}});
+  this->peers.erase(address);
+  this->NoteLoads(this->loads.Forget(address));
+  this->state.SetGateways(this->peers.size() + 1);
+}
+
+void PeerExchange::NoteLoads(const PeerLoads::Changed& changed) {
+  for (const EndpointId& id : changed) {
+    const EndpointUse sum = this->loads.Sum(id);
+    this->state.board.NotePeers(id, sum.requests, sum.unread_tokens);
+  }
+}
+
+asio::awaitable<void> PeerExchange::Receive() {
+  std::string buffer(kDatagramBytes, '\0');
+  while (true) {
+    asio::ip::udp::endpoint sender;
+    const auto [error, size] = co_await this->socket.async_receive_from(
+        asio::buffer(buffer), sender, kAwaitTuple);
+    if (error)
+      continue;
+    try {
+      this->Take(std::string_view(buffer).substr(0, size));
+    } catch (const json::exception& fault) {
+      LogLine(LogLevel::kWarning, "peer_message_unreadable",
+              {{"reason", fault.what()}});
+    } catch (const std::invalid_argument& fault) {
+      LogLine(LogLevel::kWarning, "peer_message_unreadable",
+              {{"reason", fault.what()}});
+    }
+  }
+}
+
+void PeerExchange::Take(std::string_view datagram) {
+  const json message = ParseCbor(datagram);
+  const auto from = message.at("from").get<std::string>();
+  ParseSocketAddress(from);
+  if (from == this->own_address)
+    return;
+  if (message.at("leaving").get<bool>()) {
+    if (this->peers.contains(from))
+      this->Drop(from);
+    return;
+  }
+  const auto [peer, added] = this->peers.try_emplace(from);
+  peer->second.heard_at = Clock::now();
+  peer->second.revision = message.at("revision").get<std::uint64_t>();
+  if (added) {
+    LogLine(LogLevel::kInfo, "peer_found", {{"peer", from}});
+    this->state.SetGateways(this->peers.size() + 1);
+  }
+  EndpointUses uses;
+  for (const auto& [id, use] : message.at("uses").items()) {
+    uses[EndpointId(id)] = {use.at(0).get<std::int64_t>(),
+                            use.at(1).get<std::int64_t>()};
+  }
+  this->NoteLoads(this->loads.Take(from, std::move(uses)));
+  for (const json& named : message.at("peers")) {
+    const auto address = named.get<std::string>();
+    if (address == this->own_address || this->peers.contains(address))
+      continue;
+    boost::system::error_code ignored;
+    const std::string bytes = this->Datagram(false);
+    this->socket.send_to(asio::buffer(bytes), UdpEndpoint(address), 0, ignored);
+  }
+}
+
+asio::awaitable<void> PeerExchange::CatchUp() {
+  while (true) {
+    co_await SleepFor(kCatchUpInterval);
+    const std::uint64_t own = this->follower.Held().Revision();
+    std::string newest;
+    std::uint64_t revision = own;
+    for (const auto& [address, peer] : this->peers) {
+      if (peer.revision > revision) {
+        newest = address;
+        revision = peer.revision;
+      }
+    }
+    if (newest.empty())
+      continue;
+    // The store's own answer usually comes first.
+    co_await SleepFor(kCatchUpInterval);
+    if (this->follower.Held().Revision() >= revision)
+      continue;
+    std::string fault;
+    try {
+      HttpRequest request;
+      request.target = kSnapshotPath;
+      const HttpResponse response = co_await HttpFetch(
+          ParseSocketAddress(newest), std::move(request), kCatchUpTimeout);
+      this->follower.TakeFromPeer(DecodeItems(ParseCbor(response.body)));
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    if (!fault.empty()) {
+      LogLine(LogLevel::kInfo, "peer_unread",
+              {{"peer", newest}, {"reason", fault}});
+    }
+  }
+}
+
+asio::awaitable<void> PeerExchange::Serve(HttpExchange& exchange) {
+  HttpResponse response;
+  if (exchange.request().Path() == kSnapshotPath) {
+    response.headers.Set("Content-Type", "application/cbor");
+    json::to_cbor(EncodeItems(this->follower.Held().All()), response.body);
+  } else {
+    response.status = 404;
+  }
+  co_await exchange.Send(std::move(response));
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/publication_follower.cc
@@ -0,0 +1,177 @@
+/** @file publication_follower.cc Keeps what is published in force. */
+
+#include "gateway/publication_follower.h"
+
+#include <algorithm>
+#include <random>
+
+#include "kernel/json_types.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Time that items stay which an outage may have removed: the platform lets
+ * their owners take two seconds to renew them. */
+constexpr milliseconds kLapseGrace{2300};
+
+/** Time between looks for items whose grace is over. */
+constexpr milliseconds kLapseInterval{200};
+
+/** Pause after a failed call, and its longest. */
+constexpr milliseconds kFirstPause{100};
+constexpr milliseconds kLongestPause{800};
+
+}  // namespace
+
+PublicationFollower::PublicationFollower(GatewayState& state)
+    : state(state),
+      source(state.adapter.MakeSource(state.settings)),
+      held(kLapseGrace) {}
+
+void PublicationFollower::Start() {
+  WorkerPool::SpawnOn(this->state.executor, this->Follow());
+  WorkerPool::SpawnOn(this->state.executor, this->SweepLapsed());
+}
+
+milliseconds PublicationFollower::Age() const {
+  return std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                                  this->confirmed_at);
+}
+
+asio::awaitable<void> PublicationFollower::Follow() {
+  std::mt19937_64 random{std::random_device{}()};
+  milliseconds pause = kFirstPause;
+  while (true) {
+    std::string fault;
+    try {
+      co_await this->Step();
+    } catch (const StoreHistoryLost& error) {
+      this->read_revision = 0;
+      LogLine(LogLevel::kInfo, "store_history_lost",
+              {{"reason", error.what()}});
+      continue;
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    this->NoteStore(fault.empty(), fault);
+    if (fault.empty()) {
+      pause = kFirstPause;
+      continue;
+    }
+    std::uniform_int_distribution<std::int64_t> spread(pause.count() / 2,
+                                                       pause.count());
+    co_await SleepFor(milliseconds(spread(random)));
+    pause = std::min(pause * 2, kLongestPause);
+  }
+}
+
+asio::awaitable<void> PublicationFollower::Step() {
+  if (this->read_revision == 0) {
+    const PublishedItems all = co_await this->source->ReadAll();
+    this->confirmed_at = Clock::now();
+    this->PutInForce(this->held.TakeAll(all, this->confirmed_at));
+    this->read_revision = all.revision;
+    co_return;
+  }
+  const PublishedItems changes = co_await this->source->ReadChanges(
+      this->read_revision, this->state.settings.configuration_wait);
+  this->confirmed_at = Clock::now();
+  this->PutInForce(this->held.TakeChanges(changes, this->confirmed_at));
+  this->read_revision = std::max(this->read_revision, changes.revision);
+}
+
+void PublicationFollower::NoteStore(bool reached, const std::string& fault) {
+  if (!reached) {
+    ProcessMetrics().Add("store_faults_total");
+    this->held.NoteOutage(Clock::now());
+    // Entries may have lapsed meanwhile without a change being seen.
+    this->read_revision = 0;
+  }
+  if (reached == this->is_store_reached)
+    return;
+  this->is_store_reached = reached;
+  LogLine(reached ? LogLevel::kInfo : LogLevel::kWarning,
+          reached ? "store_regained" : "store_lost", {{"reason", fault}});
+}
+
+asio::awaitable<void> PublicationFollower::SweepLapsed() {
+  while (true) {
+    co_await SleepFor(kLapseInterval);
+    const auto lapsed = this->held.TakeLapsed(Clock::now());
+    if (!lapsed.empty())
+      this->PutInForce(lapsed);
+  }
+}
+
+void PublicationFollower::TakeFromPeer(const PublishedItems& all) {
+  if (all.revision <= this->held.Revision())
+    return;
+  LogLine(LogLevel::kInfo, "published_by_peer", {{"revision", all.revision}});
+  this->confirmed_at = Clock::now();
+  this->PutInForce(this->held.TakeAll(all, this->confirmed_at));
+}
+
+void PublicationFollower::PutInForce(
+    const std::vector<PublishedItem>& changed) {
+  for (const PublishedItem& item : changed)
+    this->PutItemInForce(item);
+  if (!changed.empty())
+    this->state.OfferRoomEverywhere();
+}
+
+void PublicationFollower::PutItemInForce(const PublishedItem& item) {
+  const auto endpoint = this->state.adapter.EndpointOfKey(item.key);
+  if (item.removed) {
+    if (!endpoint)
+      return;
+    LogLine(LogLevel::kInfo, "endpoint_gone",
+            {{"endpoint", *endpoint}, {"revision", item.revision}});
+    this->state.board.Withdraw(*endpoint);
+    this->state.connections.Forget(*endpoint);
+    return;
+  }
+  const PublishedMeaning meaning = this->state.adapter.Decode(item);
+  if (const auto* unusable = std::get_if<UnusableItem>(&meaning)) {
+    if (!unusable->reason.empty()) {
+      LogLine(LogLevel::kWarning, "item_unusable",
+              {{"key", item.key}, {"reason", unusable->reason}});
+    }
+    // An entry that can no longer be read names no endpoint to use.
+    if (endpoint)
+      this->state.board.Withdraw(*endpoint);
+  } else if (const auto* table =
+                 std::get_if<std::shared_ptr<const RoutingTable>>(&meaning)) {
+    this->PutTableInForce(*table);
+  } else {
+    this->PutEndpointInForce(std::get<EndpointEntry>(meaning));
+  }
+}
+
+void PublicationFollower::PutTableInForce(
+    std::shared_ptr<const RoutingTable> table) {
+  if (this->state.table && this->state.table->Version() >= table->Version())
+    return;
+  LogLine(LogLevel::kInfo, "configuration_in_force",
+          {{"version", table->Version()}, {"routes", table->RouteCount()}});
+  this->state.table = std::move(table);
+}
+
+void PublicationFollower::PutEndpointInForce(const EndpointEntry& entry) {
+  const EndpointHandle known = this->state.board.Find(entry.id);
+  if (!known || known->Entry().leaving != entry.leaving) {
+    LogLine(LogLevel::kInfo, entry.leaving ? "endpoint_leaving" : "endpoint_up",
+            {{"endpoint", entry.id},
+             {"service", entry.service},
+             {"address", entry.address}});
+  }
+  this->state.board.Publish(entry);
+  if (entry.leaving)
+    this->state.connections.Forget(entry.id);
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/publication_state.cc
@@ -0,0 +1,109 @@
+/** @file publication_state.cc Published items as one process knows them. */
+
+#include "gateway/publication_state.h"
+
+#include <algorithm>
+#include <set>
+
+namespace buckthornpath {
+
+namespace {
+
+/** Removals remembered at most; older ones only matter to late peers. */
+constexpr std::size_t kMostRemovals = 4096;
+
+}  // namespace
+
+bool PublicationState::Take(const PublishedItem& item) {
+  const auto removal = this->removals.find(item.key);
+  if (removal != this->removals.end() && removal->second >= item.revision)
+    return false;
+  PublishedItem& held = this->items[item.key];
+  this->lapsing.erase(item.key);
+  if (held.revision >= item.revision)
+    return false;
+  held = item;
+  return true;
+}
+
+void PublicationState::Remove(const std::string& key,
+                              std::uint64_t at_revision,
+                              TimePoint now,
+                              std::vector<PublishedItem>& changed) {
+  const auto held = this->items.find(key);
+  if (held == this->items.end() || held->second.revision > at_revision)
+    return;
+  const bool may_be_lapse = this->outage_seen != TimePoint{} &&
+                            now - this->outage_seen < this->lapse_grace;
+  if (may_be_lapse) {
+    this->lapsing.try_emplace(key, this->outage_seen + this->lapse_grace);
+    return;
+  }
+  this->items.erase(held);
+  this->lapsing.erase(key);
+  if (this->removals.size() >= kMostRemovals)
+    this->removals.clear();
+  this->removals[key] = at_revision;
+  changed.push_back({key, "", at_revision, true});
+}
+
+std::vector<PublishedItem> PublicationState::TakeAll(const PublishedItems& all,
+                                                     TimePoint now) {
+  std::vector<PublishedItem> changed;
+  std::set<std::string> listed;
+  for (const PublishedItem& item : all.items) {
+    listed.insert(item.key);
+    if (this->Take(item))
+      changed.push_back(item);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, item] : this->items) {
+    if (!listed.contains(key))
+      missing.push_back(key);
+  }
+  for (const std::string& key : missing)
+    this->Remove(key, all.revision, now, changed);
+  this->revision = std::max(this->revision, all.revision);
+  return changed;
+}
+
+std::vector<PublishedItem> PublicationState::TakeChanges(
+    const PublishedItems& changes,
+    TimePoint now) {
+  std::vector<PublishedItem> changed;
+  for (const PublishedItem& item : changes.items) {
+    if (item.removed) {
+      this->Remove(item.key, item.revision, now, changed);
+    } else if (this->Take(item)) {
+      changed.push_back(item);
+    }
+  }
+  this->revision = std::max(this->revision, changes.revision);
+  return changed;
+}
+
+void PublicationState::NoteOutage(TimePoint now) {
+  this->outage_seen = now;
+}
+
+std::vector<PublishedItem> PublicationState::TakeLapsed(TimePoint now) {
+  std::vector<PublishedItem> changed;
+  std::vector<std::string> due;
+  for (const auto& [key, time] : this->lapsing) {
+    if (time <= now && now - this->outage_seen >= this->lapse_grace)
+      due.push_back(key);
+  }
+  for (const std::string& key : due)
+    this->Remove(key, this->revision, now, changed);
+  return changed;
+}
+
+PublishedItems PublicationState::All() const {
+  PublishedItems all;
+  all.revision = this->revision;
+  for (const auto& [key, item] : this->items)
+    all.items.push_back(item);
+  return all;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/wake_signal.h
@@ -0,0 +1,55 @@
+/** @file wake_signal.h Lets a coroutine wait for another one. */
+
+#ifndef SRC_GATEWAY_WAKE_SIGNAL_H_
+#define SRC_GATEWAY_WAKE_SIGNAL_H_
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+
+#include "kernel/worker_pool.h"
+
+namespace buckthornpath {
+
+/** Completion that returns the error instead of throwing it. */
+inline constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
+
+/** A flag that one coroutine awaits and others set. Not thread-safe. */
+class WakeSignal {
+ public:
+  explicit WakeSignal(const asio::any_io_executor& executor)
+      : timer(executor) {}
+
+  /** Wakes the waiting coroutine, or the next one to wait. */
+  void Set() {
+    this->is_set = true;
+    this->timer.cancel();
+  }
+
+  /** Waits until Set(). */
+  asio::awaitable<void> Wait() {
+    co_await this->WaitUntil(std::chrono::steady_clock::time_point::max());
+  }
+
+  /** @return False if the time came before Set(). */
+  asio::awaitable<bool> WaitUntil(
+      std::chrono::steady_clock::time_point deadline) {
+    if (!this->is_set) {
+      this->timer.expires_at(deadline);
+      co_await this->timer.async_wait(kAwaitTuple);
+    }
+    const bool was_set = this->is_set;
+    this->is_set = false;
+    co_return was_set;
+  }
+
+ private:
+  asio::steady_timer timer;
+  bool is_set = false;
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_GATEWAY_WAKE_SIGNAL_H_
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -9,6 +9,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "kernel/socket_option.h"
+
 namespace buckthornpath {
 
 namespace {
@@ -75,8 +77,7 @@
   auto [connect_error] = co_await stream.async_connect(address, kAwaitResult);
   if (connect_error)
     throw HttpNotSent("connect: " + connect_error.message());
-  beast::error_code ignored;
-  stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  SetConnectionOptions(stream.socket());
   const auto message = ToBeast(request, address);
   stream.expires_after(timeout);
   if (may_send && !may_send())
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -21,6 +21,7 @@
   std::string configuration_address;
   std::string vm_list_address;
   std::string caller_address;
+  std::string ready_address;
   std::string dialogue_address;
   std::string engine_address;
   std::string service;
@@ -41,6 +42,7 @@
   std::int64_t max_attempts = 0;
   std::int64_t max_moves = 0;
   std::int64_t retry_budget_percent = 0;
+  std::int64_t retry_slack = 0;
   std::int64_t chat_memory_entries = 0;
   std::chrono::milliseconds vm_list_interval{};
   std::chrono::milliseconds configuration_wait{};
