Shared parts stay where they are held; logs to standard output; SIGHUP reloads

Change: reading a shared part again costs six times its tokens; gateways tell each other of new places of parts; the bound on the mean load is a tier of its own, no cost. Log lines go through a bounded queue to standard output. SIGHUP reads the settings again. Idle connections are trusted up to an age that falls when a reused one breaks. Ruled out: eviction by the engines (memory is under a third taken).

--- a/include/buckthornpath/endpoint_board.h
+++ b/include/buckthornpath/endpoint_board.h
@@ -38,6 +38,12 @@
   std::uint32_t tokens = 0;
 };
 
+/** A part of prompts and an endpoint that has read it. */
+struct PartPlace {
+  EndpointId endpoint;
+  std::uint64_t part = 0;
+};
+
 /** Load that an endpoint stated itself. */
 struct StatedLoad {
   std::int64_t running = 0;
@@ -94,8 +100,8 @@
   std::int64_t stated = 0;  ///< Load stated last.
   std::int64_t own_at_stated = 0;
   TimePoint stated_at{};
-  TimePoint heard_at{};      ///< Last sign of life to a request.
-  TimePoint sent_at{};       ///< Last request sent.
+  TimePoint heard_at{};  ///< Last sign of life to a request.
+  TimePoint sent_at{};   ///< Last request sent.
   TimePoint shunned_until{};
   std::chrono::milliseconds shun_time{};
   double failure_share = 0;  ///< Moving mean of failed requests.
@@ -166,6 +172,13 @@
                          std::span<const PromptPart> parts,
                          TimePoint now);
 
+  /** Notes that a peer has sent a part to an endpoint. */
+  void NotePart(const PartPlace& place, TimePoint now);
+
+  /** @return Shared parts that this process sent to endpoints that were not
+   * known to hold them, since the last call. */
+  std::vector<PartPlace> TakeNewParts();
+
   /** Notes that so many tokens of NoteStart() no longer wait to be read. */
   void NoteUnreadEnd(EndpointBelief& endpoint, std::int64_t tokens);
 
@@ -194,11 +207,6 @@
   double TakenShare(const ServiceName& service) const;
 
  private:
-  struct Candidate {
-    EndpointHandle endpoint;
-    double cost = 0;
-  };
-
   template <class HasRoom>
   std::vector<EndpointHandle> Usable(const EndpointQuery& query,
                                      TimePoint now,
@@ -232,6 +240,7 @@
   EndpointBoardLimits limits;
   std::map<EndpointId, EndpointHandle> endpoints;
   std::unordered_map<ServiceName, std::vector<EndpointHandle>> services;
+  std::vector<PartPlace> new_parts;  ///< Not yet told to peers.
 };
 
 }  // namespace buckthornpath
--- a/include/buckthornpath/routing_table.h
+++ b/include/buckthornpath/routing_table.h
@@ -40,9 +40,9 @@
   std::chrono::milliseconds target_latency{};  ///< Of the first event or all.
   std::chrono::milliseconds gap_target{};      ///< Longest pause of a stream.
   int priority = 0;                            ///< 0 is the most urgent.
-  int max_attempts = 1;     ///< Most endpoints that one request is sent to.
-  bool needs_key = true;    ///< False: the caller's key is not looked at.
-  bool resumable = false;   ///< A stream may go on at another endpoint.
+  int max_attempts = 1;    ///< Most endpoints that one request is sent to.
+  bool needs_key = true;   ///< False: the caller's key is not looked at.
+  bool resumable = false;  ///< A stream may go on at another endpoint.
   std::vector<RouteShare> shares;
 
   /** @return True if a request that may have run may be sent again. */
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -33,13 +33,8 @@
   --list-roles       Prints the roles and ends.
 )";
 
-LogLevel ParseLevel(const std::string& name) {
-  if (name == "debug")
-    return LogLevel::kDebug;
-  if (name == "warning")
-    return LogLevel::kWarning;
-  return name == "error" ? LogLevel::kError : LogLevel::kInfo;
-}
+/** Longest wait for log lines to be written when the process ends. */
+constexpr std::chrono::milliseconds kLogFlushTimeout{200};
 
 /** Tells the drain of each of the signals that end a process. */
 asio::awaitable<void> WatchSignals(asio::signal_set& signals, Drain& drain) {
@@ -49,13 +44,40 @@
   }
 }
 
+/**
+ * Reads the settings again. The log level is taken over at once; all else
+ * needs a restart, which the log says. Faulty settings change nothing.
+ */
+void Reload(const std::string& path, const Settings& in_force) {
+  try {
+    const Settings settings = LoadSettings(path);
+    SetLogLevel(ParseLogLevel(settings.log_level));
+    LogLine(LogLevel::kNotice, "settings_reloaded",
+            {{"need_restart", ChangedSettings(in_force, settings)}});
+  } catch (const DocumentRefused& refused) {
+    LogLine(LogLevel::kError, "settings_refused", {{"reason", refused.what()}});
+  }
+}
+
+/** Reads the settings again at each SIGHUP. */
+asio::awaitable<void> WatchReload(asio::signal_set& signals,
+                                  const std::string& path,
+                                  const Settings& in_force) {
+  while (true) {
+    co_await signals.async_wait(asio::use_awaitable);
+    Reload(path, in_force);
+  }
+}
+
 /**
  * Runs a role until it is drained, then ends the process. Tasks that are still
  * suspended hold references to the role, so no destructor runs after the end.
  */
 [[noreturn]] void RunRole(const RoleFactory& factory,
+                          const std::string& settings_path,
                           const Settings& settings) {
-  StartLog(factory.Name() + "/" + settings.vm, ParseLevel(settings.log_level));
+  StartLog(factory.Name() + "/" + settings.vm,
+           ParseLogLevel(settings.log_level), settings.log_bytes_per_second);
   WorkerPool pool(static_cast<int>(settings.worker_count));
   const RoleContext context{settings, pool};
   const std::unique_ptr<Role> role = factory.Make(context);
@@ -63,10 +85,15 @@
   OperatorPort operators(context, *role, [&drain] { drain.Request(); });
   asio::signal_set signals(pool.NewStrand(), SIGTERM, SIGINT);
   WorkerPool::SpawnOn(signals.get_executor(), WatchSignals(signals, drain));
+  asio::signal_set reloads(pool.NewStrand(), SIGHUP);
+  WorkerPool::SpawnOn(reloads.get_executor(),
+                      WatchReload(reloads, settings_path, settings));
   role->Start();
   operators.Start();
-  LogLine(LogLevel::kInfo, "started", {{"role", factory.Name()}});
+  LogLine(LogLevel::kNotice, "started", {{"role", factory.Name()}});
   pool.Run();
+  LogLine(LogLevel::kNotice, "stopped", nlohmann::json::object());
+  FlushLog(kLogFlushTimeout);
   std::quick_exit(static_cast<int>(drain.Result()));
 }
 
@@ -96,11 +123,12 @@
     std::cerr << "no role '" << name << "'; see --list-roles\n";
     return ExitCode::kFault;
   }
-  const Settings settings = LoadSettings(SettingsPath(options));
+  const std::string path = SettingsPath(options);
+  const Settings settings = LoadSettings(path);
   std::vector<DocumentFault> faults = FaultsForRole(settings, name);
   if (!faults.empty())
     throw DocumentRefused(std::move(faults));
-  RunRole(*factory, settings);
+  RunRole(*factory, path, settings);
 }
 
 }  // namespace
--- a/src/decision/endpoint_board.cc
+++ b/src/decision/endpoint_board.cc
@@ -5,7 +5,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
+#include <utility>
 
 namespace buckthornpath {
 
@@ -46,7 +47,12 @@
 /** Cost of an endpoint all of whose requests fail, in prompt tokens. */
 constexpr double kFailureCost = 60000.0;
 
-/** Part of a prompt's home credit while no reading of it is known. */
+/** Cost of reading a shared part again, in its tokens: it delays every stream
+ * of the endpoint and displaces other parts, not only this request. */
+constexpr double kReadAgainWeight = 6.0;
+
+/** Part of that cost that is saved at a part's home while no reading of it is
+ * known there. */
 constexpr double kHomeCredit = 0.8;
 
 /** @return The part that requests of one chat or document share. */
@@ -171,8 +177,8 @@
   double cost = static_cast<double>(endpoint.UnreadTokens());
   const auto running = static_cast<double>(
       now - endpoint.stated_at < kStatedAge
-          ? std::max(endpoint.Running(), endpoint.stated + endpoint.own -
-                                             endpoint.own_at_stated)
+          ? std::max(endpoint.Running(),
+                     endpoint.stated + endpoint.own - endpoint.own_at_stated)
           : endpoint.Running());
   cost += kRunningCost * running;
   if (endpoint.entry.failure_domain != this->own_domain)
@@ -186,8 +192,9 @@
     shared_tokens += part.tokens;
   const auto read = endpoint.parts_read.find(shared->id);
   if (read != endpoint.parts_read.end() && now - read->second < kPartMemory)
-    return cost - shared_tokens;
-  return is_home ? cost - kHomeCredit * shared_tokens : cost;
+    return cost;
+  const double credit = is_home ? kHomeCredit : 0.0;
+  return cost + (1 - credit) * kReadAgainWeight * shared_tokens;
 }
 
 EndpointHandle EndpointBoard::ChooseFrom(
@@ -210,19 +217,23 @@
       best_score = score;
     }
   }
-  EndpointHandle best;
-  double best_cost = std::numeric_limits<double>::max();
+  // Within the bound first, then by cost, then the one used least recently.
+  const auto key = [&](const EndpointHandle& endpoint) {
+    return std::make_tuple(
+        static_cast<double>(endpoint->Running()) + 1 > bound,
+        this->Cost(*endpoint, query, &endpoint == home, now),
+        endpoint->sent_at);
+  };
+  const EndpointHandle* best = nullptr;
+  decltype(key(usable.front())) best_key;
   for (const EndpointHandle& endpoint : usable) {
-    double cost = this->Cost(*endpoint, query, &endpoint == home, now);
-    if (static_cast<double>(endpoint->Running()) + 1 > bound)
-      cost += kFailureCost;
-    if (cost < best_cost ||
-        (cost == best_cost && endpoint->sent_at < best->sent_at)) {
-      best = endpoint;
-      best_cost = cost;
+    const auto own_key = key(endpoint);
+    if (best == nullptr || own_key < best_key) {
+      best = &endpoint;
+      best_key = own_key;
     }
   }
-  return best;
+  return best == nullptr ? nullptr : *best;
 }
 
 std::int64_t EndpointBoard::NoteStart(EndpointBelief& endpoint,
@@ -231,12 +242,16 @@
   ++endpoint.own;
   endpoint.sent_at = now;
   std::int64_t unread = 0;
+  const PromptPart* shared = SharedPart(parts);
   if (endpoint.parts_read.size() > kMostParts)
     endpoint.parts_read.clear();
   bool is_cached = true;
   for (std::size_t i = 0; i < parts.size(); ++i) {
     auto [read, added] = endpoint.parts_read.try_emplace(parts[i].id, now);
-    is_cached = is_cached && !added && now - read->second < kPartMemory;
+    const bool is_new = added || now - read->second >= kPartMemory;
+    is_cached = is_cached && !is_new;
+    if (is_new && &parts[i] == shared)
+      this->new_parts.push_back({endpoint.entry.id, shared->id});
     if (!is_cached)
       unread += parts[i].tokens;
     read->second = now;
@@ -245,6 +260,20 @@
   return unread;
 }
 
+void EndpointBoard::NotePart(const PartPlace& place, TimePoint now) {
+  const auto found = this->endpoints.find(place.endpoint);
+  if (found == this->endpoints.end())
+    return;
+  auto& parts = found->second->parts_read;
+  if (parts.size() > kMostParts)
+    parts.clear();
+  parts[place.part] = now;
+}
+
+std::vector<PartPlace> EndpointBoard::TakeNewParts() {
+  return std::exchange(this->new_parts, {});
+}
+
 void EndpointBoard::NoteUnreadEnd(EndpointBelief& endpoint,
                                   std::int64_t tokens) {
   endpoint.own_unread -= tokens;
@@ -266,8 +295,8 @@
 void EndpointBoard::NoteVerdict(EndpointBelief& endpoint,
                                 EndpointVerdict verdict,
                                 TimePoint now) {
-  const bool failed = verdict != EndpointVerdict::kServed &&
-                      verdict != EndpointVerdict::kFull;
+  const bool failed =
+      verdict != EndpointVerdict::kServed && verdict != EndpointVerdict::kFull;
   endpoint.failure_share +=
       kFailureWeight * ((failed ? 1.0 : 0.0) - endpoint.failure_share);
   if (verdict == EndpointVerdict::kUnreachable) {
--- a/src/decision/waiting_line.cc
+++ b/src/decision/waiting_line.cc
@@ -44,9 +44,8 @@
   if (this->rate > 0 && silence > 1.0)
     known = std::min(known, (this->departures + 1.0) / silence);
   known = std::max(known, kLeastRate);
-  return milliseconds(static_cast<std::int64_t>(
-      std::ceil(kMillisecondsPerSecond * static_cast<double>(ahead + 1) /
-                known)));
+  return milliseconds(static_cast<std::int64_t>(std::ceil(
+      kMillisecondsPerSecond * static_cast<double>(ahead + 1) / known)));
 }
 
 WaitTicket WaitingLine::Add(int priority) {
@@ -72,8 +71,8 @@
   if (span < kRateSpan)
     return;
   // After a pause the first departure says nothing of the rate.
-  const double seen = this->departures / Seconds(std::max<decltype(span)>(
-                                             span, kRateSpan));
+  const double seen =
+      this->departures / Seconds(std::max<decltype(span)>(span, kRateSpan));
   if (this->departures_since != TimePoint{}) {
     this->rate =
         this->rate > 0 ? this->rate + kRateWeight * (seen - this->rate) : seen;
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -178,7 +178,8 @@
   if (this->received_at == Clock::time_point{}) {
     if (now - this->idle_since > limits.idle_timeout)
       this->BreakOff();
-  } else if (now - this->received_at > limits.header_timeout + limits.idle_timeout) {
+  } else if (now - this->received_at >
+             limits.header_timeout + limits.idle_timeout) {
     ProcessMetrics().Add("requests_unread_total",
                          "status=\"" + std::to_string(kRequestTimeout) + "\"");
     this->BreakOff();
--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -34,7 +34,8 @@
     if (!error)
       this->Close();
   });
-  const auto [error] = co_await this->socket.async_connect(address, kAwaitTuple);
+  const auto [error] =
+      co_await this->socket.async_connect(address, kAwaitTuple);
   timer.cancel();
   if (error)
     co_return error;
@@ -113,8 +114,8 @@
 
 bool EndpointConnection::IsQuiet() {
   char byte = 0;
-  const ssize_t size = ::recv(this->socket.native_handle(), &byte, 1,
-                              MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t size =
+      ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/gateway/endpoint_connections.cc
+++ b/src/gateway/endpoint_connections.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/endpoint_connections.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace buckthornpath {
@@ -14,6 +15,12 @@
 /** Idle time allowed where the endpoint states none. */
 constexpr std::chrono::milliseconds kDefaultIdleTime{4000};
 
+/** Bounds of the idle time that is trusted, and how it recovers: a reuse that
+ * went well near the bound adds a tenth. */
+constexpr std::chrono::milliseconds kLeastTrusted{250};
+constexpr std::chrono::milliseconds kMostTrusted{4000};
+constexpr int kTrustGrowthPart = 10;
+
 bool IsStale(const EndpointConnection& connection,
              EndpointConnection::Clock::time_point now) {
   const auto limit =
@@ -51,6 +58,17 @@
   return std::make_unique<EndpointConnection>(this->executor);
 }
 
+void EndpointConnections::NoteReuse(std::chrono::milliseconds idle,
+                                    bool broke) {
+  if (broke) {
+    this->trusted = std::clamp(std::min(idle, this->trusted) / 2, kLeastTrusted,
+                               kMostTrusted);
+  } else if (idle > this->trusted / 2) {
+    this->trusted = std::min(
+        kMostTrusted, this->trusted + this->trusted / kTrustGrowthPart);
+  }
+}
+
 void EndpointConnections::Return(const EndpointId& endpoint,
                                  std::unique_ptr<EndpointConnection> connection,
                                  bool reusable,
--- a/src/gateway/endpoint_connections.h
+++ b/src/gateway/endpoint_connections.h
@@ -32,6 +32,18 @@
   /** @return A connection that is to be opened; it counts from now on. */
   std::unique_ptr<EndpointConnection> MakeNew(const EndpointId& endpoint);
 
+  /**
+   * Idle time up to which connections have proved to be open. An endpoint, or
+   * something on the way, may drop idle ones without notice.
+   */
+  std::chrono::milliseconds TrustedIdleTime() const { return this->trusted; }
+
+  /**
+   * Notes what became of a request on a connection that had been idle.
+   * @param broke True if the connection broke before an answer came.
+   */
+  void NoteReuse(std::chrono::milliseconds idle, bool broke);
+
   /** Takes a connection back, open or not. */
   void Return(const EndpointId& endpoint,
               std::unique_ptr<EndpointConnection> connection,
@@ -58,6 +70,7 @@
 
   asio::any_io_executor executor;
   std::unordered_map<EndpointId, Entry> entries;
+  std::chrono::milliseconds trusted = std::chrono::seconds(4);
 };
 
 }  // namespace buckthornpath
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -24,9 +24,7 @@
 /** Longest wait for a connection: several round trips within a region. */
 constexpr milliseconds kConnectTimeout{300};
 
-/** Idle time above which a connection may have been dropped unseen; a request
- * that must not be repeated does not risk it. */
-constexpr milliseconds kFreshConnection{1000};
+/** Requests that may be repeated use any connection that is still open. */
 constexpr milliseconds kAnyIdleTime{std::chrono::hours(1)};
 
 /** Endpoints that may prove unreachable before a request is turned away. */
@@ -98,8 +96,7 @@
 std::string FormatSeconds(milliseconds time) {
   std::array<char, 32> text{};
   const double seconds = std::chrono::duration<double>(time).count();
-  const int size =
-      std::snprintf(text.data(), text.size(), "%.3f", seconds);
+  const int size = std::snprintf(text.data(), text.size(), "%.3f", seconds);
   return std::string(text.data(), static_cast<std::size_t>(size));
 }
 
@@ -109,8 +106,7 @@
 }
 
 constexpr std::array<const char*, 6> kEndNames = {
-    "answered",     "no_room", "unreachable",
-    "not_executed", "failed",  "broken"};
+    "answered", "no_room", "unreachable", "not_executed", "failed", "broken"};
 
 }  // namespace
 
@@ -250,8 +246,8 @@
 asio::awaitable<EndpointHandle> ForwardSession::FindRoom() {
   EndpointHandle chosen = this->ChooseEndpoint();
   if (chosen) {
-    this->unread_tokens = this->state.board.NoteStart(
-        *chosen, this->facts.parts, Clock::now());
+    this->unread_tokens =
+        this->state.board.NoteStart(*chosen, this->facts.parts, Clock::now());
     co_return chosen;
   }
   ServiceLine& line = this->state.LineOf(this->service);
@@ -284,11 +280,16 @@
     const EndpointBelief& endpoint) {
   const EndpointId& id = endpoint.Entry().id;
   const milliseconds most_idle =
-      this->route->MayRepeat() ? kAnyIdleTime : kFreshConnection;
+      this->route->MayRepeat()
+          ? kAnyIdleTime
+          : this->state.connections.TrustedIdleTime();
   this->connection =
       this->state.connections.TakeIdle(id, most_idle, Clock::now());
-  if (this->connection)
+  if (this->connection) {
+    this->idle_before = Since(this->connection->idle_since, Clock::now());
     co_return true;
+  }
+  this->idle_before.reset();
   this->connection = this->state.connections.MakeNew(id);
   ProcessMetrics().Add("endpoint_connections_total");
   const auto error = co_await this->connection->Connect(
@@ -324,9 +325,9 @@
   this->unread_tokens = 0;
   this->state.board.NoteEnd(endpoint);
   constexpr std::array kVerdicts = {
-      EndpointVerdict::kServed,  EndpointVerdict::kFull,
+      EndpointVerdict::kServed,      EndpointVerdict::kFull,
       EndpointVerdict::kUnreachable, EndpointVerdict::kFull,
-      EndpointVerdict::kFailed,  EndpointVerdict::kBroken};
+      EndpointVerdict::kFailed,      EndpointVerdict::kBroken};
   // What the caller or the clock has ended says nothing of the endpoint.
   if (!this->is_aborted) {
     this->state.board.NoteVerdict(
@@ -373,9 +374,13 @@
   this->sent_at = Clock::now();
   this->relay.BeginRun();
   const ForwardRequest request = this->MakeRequest(endpoint);
-  if (co_await this->connection->Send(request))
-    co_return AttemptEnd::kBroken;
-  if (!co_await this->ReadOwnHead())
+  bool has_head = false;
+  const auto send_error = co_await this->connection->Send(request);
+  if (!send_error)
+    has_head = co_await this->ReadOwnHead();
+  if (this->idle_before && !this->is_aborted)
+    this->state.connections.NoteReuse(*this->idle_before, !has_head);
+  if (!has_head)
     co_return AttemptEnd::kBroken;
   this->NoteAnswerHead(endpoint);
   const AttemptEnd end = co_await this->TakeAnswer(endpoint);
@@ -426,7 +431,8 @@
     (void)end;
     co_return AttemptEnd::kNotExecuted;
   }
-  const std::string_view type = this->connection->Head()[http::field::content_type];
+  const std::string_view type =
+      this->connection->Head()[http::field::content_type];
   if (IsSuccess(status) && !this->answer.is_genuine)
     co_return AttemptEnd::kBroken;
   if (IsSuccess(status) && type.starts_with("text/event-stream"))
@@ -552,13 +558,12 @@
     return kLeastRetryAfter;
   const milliseconds forecast =
       line->second.line.Forecast(this->priority, Clock::now());
-  return std::clamp(forecast, kLeastRetryAfter,
-                    std::max(kLeastRetryAfter,
-                             this->TimeLeft() / kRetryAfterPart));
+  return std::clamp(
+      forecast, kLeastRetryAfter,
+      std::max(kLeastRetryAfter, this->TimeLeft() / kRetryAfterPart));
 }
 
-asio::awaitable<void> ForwardSession::Refuse(unsigned status,
-                                             const char* why) {
+asio::awaitable<void> ForwardSession::Refuse(unsigned status, const char* why) {
   this->reason = why;
   this->final_status = status;
   HeaderFieldList fields = {{"Content-Type", "application/json"}};
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -108,6 +108,8 @@
   int unreachable = 0;
   std::vector<EndpointId> excluded;
   std::unique_ptr<EndpointConnection> connection;
+  /** Idle time of the connection before this request; nothing if new. */
+  std::optional<std::chrono::milliseconds> idle_before;
   std::int64_t unread_tokens = 0;
   EventRelay relay;
   AnswerFacts answer;  ///< Of the head that was read last.
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -40,11 +40,12 @@
         follower(this->state),
         peers(this->state, this->follower, context.pool),
         acceptor(this->state.executor),
-        ready_server(
-            context.pool,
-            ParseSocketAddress(context.settings.ready_address),
-            {},
-            [this](HttpExchange& exchange) { return this->AnswerReady(exchange); }) {
+        ready_server(context.pool,
+                     ParseSocketAddress(context.settings.ready_address),
+                     {},
+                     [this](HttpExchange& exchange) {
+                       return this->AnswerReady(exchange);
+                     }) {
     if (context.settings.worker_count != 1)
       throw std::invalid_argument("worker_count must be 1 for a gateway");
     const SocketAddress address =
@@ -92,14 +93,14 @@
   }
 
   nlohmann::json Status() const override {
-    return {{"role", "gateway"},
-            {"draining", this->state.is_draining},
-            {"configuration",
-             this->state.table ? this->state.table->Version() : 0},
-            {"endpoints", this->state.board.All().size()},
-            {"peers", this->peers.Size()},
-            {"store_reached", this->follower.IsStoreReached()},
-            {"connections", this->connections.size()}};
+    return {
+        {"role", "gateway"},
+        {"draining", this->state.is_draining},
+        {"configuration", this->state.table ? this->state.table->Version() : 0},
+        {"endpoints", this->state.board.All().size()},
+        {"peers", this->peers.Size()},
+        {"store_reached", this->follower.IsStoreReached()},
+        {"connections", this->connections.size()}};
   }
 
   CallerLimits Limits() const override {
@@ -173,9 +174,9 @@
       }
       ProcessMetrics().Set("caller_connections", "",
                            static_cast<double>(this->connections.size()));
-      ProcessMetrics().Set("published_age_seconds", "",
-                           std::chrono::duration<double>(this->follower.Age())
-                               .count());
+      ProcessMetrics().Set(
+          "published_age_seconds", "",
+          std::chrono::duration<double>(this->follower.Age()).count());
     }
   }
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -38,10 +38,9 @@
 ServiceLine& GatewayState::LineOf(const ServiceName& service) {
   ServiceLine& line = this->lines[service];
   if (!line.retries) {
-    const double share = kRetryShareUsed *
-                         static_cast<double>(
-                             this->settings.retry_budget_percent) /
-                         kPercent;
+    const double share =
+        kRetryShareUsed *
+        static_cast<double>(this->settings.retry_budget_percent) / kPercent;
     const double slack =
         kRetrySlackUsed * static_cast<double>(this->settings.retry_slack) /
         static_cast<double>(std::max<std::size_t>(this->gateways, 1));
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -41,6 +41,9 @@
 /** Peers named in one datagram. */
 constexpr std::size_t kPeersNamed = 8;
 
+/** Places of parts named anew in one datagram. */
+constexpr std::size_t kPartsNamed = 128;
+
 constexpr char kSnapshotPath[] = "/fleet/published";
 
 asio::ip::udp::endpoint UdpEndpoint(const std::string& address) {
@@ -127,13 +130,27 @@
                          {"revision", this->follower.Held().Revision()},
                          {"leaving", leaving},
                          {"peers", std::move(named)},
+                         {"parts", this->PartsToTell()},
                          {"uses", std::move(uses)}};
   std::string bytes;
   json::to_cbor(datagram, bytes);
   return bytes;
 }
 
+json PeerExchange::PartsToTell() const {
+  json parts = json::array();
+  for (const PartPlace& place : this->told_parts)
+    parts.push_back({place.endpoint.str(), place.part});
+  return parts;
+}
+
 void PeerExchange::TellAll(bool leaving) {
+  // Each part goes into two datagrams, as one may be lost.
+  std::vector<PartPlace> fresh = this->state.board.TakeNewParts();
+  if (fresh.size() > kPartsNamed)
+    fresh.resize(kPartsNamed);
+  this->told_parts = std::exchange(this->last_parts, fresh);
+  this->told_parts.insert(this->told_parts.end(), fresh.begin(), fresh.end());
   std::vector<std::string> targets;
   for (const auto& [address, peer] : this->peers)
     targets.push_back(address);
@@ -175,7 +192,7 @@
 }
 
 void PeerExchange::Drop(const std::string& address) {
-  LogLine(LogLevel::kInfo, "peer_lost", {{"peer", address}});
+  LogLine(LogLevel::kNotice, "peer_lost", {{"peer", address}});
   this->peers.erase(address);
   this->NoteLoads(this->loads.Forget(address));
   this->state.SetGateways(this->peers.size() + 1);
@@ -223,7 +240,7 @@
   peer->second.heard_at = Clock::now();
   peer->second.revision = message.at("revision").get<std::uint64_t>();
   if (added) {
-    LogLine(LogLevel::kInfo, "peer_found", {{"peer", from}});
+    LogLine(LogLevel::kNotice, "peer_found", {{"peer", from}});
     this->state.SetGateways(this->peers.size() + 1);
   }
   EndpointUses uses;
@@ -232,6 +249,11 @@
                             use.at(1).get<std::int64_t>()};
   }
   this->NoteLoads(this->loads.Take(from, std::move(uses)));
+  for (const json& place : message.at("parts")) {
+    this->state.board.NotePart({EndpointId(place.at(0).get<std::string>()),
+                                place.at(1).get<std::uint64_t>()},
+                               peer->second.heard_at);
+  }
   for (const json& named : message.at("peers")) {
     const auto address = named.get<std::string>();
     if (address == this->own_address || this->peers.contains(address))
@@ -271,7 +293,7 @@
       fault = error.what();
     }
     if (!fault.empty()) {
-      LogLine(LogLevel::kInfo, "peer_unread",
+      LogLine(LogLevel::kNotice, "peer_unread",
               {{"peer", newest}, {"reason", fault}});
     }
   }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -51,6 +51,7 @@
   void Take(std::string_view datagram);
   void TellAll(bool leaving);
   std::string Datagram(bool leaving) const;
+  nlohmann::json PartsToTell() const;
   void Drop(const std::string& address);
   void NoteLoads(const PeerLoads::Changed& changed);
   void DropSilent(Clock::time_point now);
@@ -64,6 +65,8 @@
   std::map<std::string, Peer> peers;  ///< By address.
   std::vector<std::string> seeds;
   PeerLoads loads;
+  std::vector<PartPlace> last_parts;  ///< Named first in the last datagram.
+  std::vector<PartPlace> told_parts;  ///< Named in the datagram being made.
   std::mt19937_64 random{std::random_device{}()};
 };
 
--- a/src/gateway/platform_adapter.cc
+++ b/src/gateway/platform_adapter.cc
@@ -33,13 +33,17 @@
 
 bool IsConnectionField(const HeaderFields& header,
                        const HeaderFields::value_type& field) {
-  constexpr std::array kFields = {
-      http::field::connection,        http::field::keep_alive,
-      http::field::proxy_connection,  http::field::te,
-      http::field::trailer,           http::field::transfer_encoding,
-      http::field::upgrade,           http::field::content_length,
-      http::field::proxy_authenticate, http::field::proxy_authorization,
-      http::field::expect};
+  constexpr std::array kFields = {http::field::connection,
+                                  http::field::keep_alive,
+                                  http::field::proxy_connection,
+                                  http::field::te,
+                                  http::field::trailer,
+                                  http::field::transfer_encoding,
+                                  http::field::upgrade,
+                                  http::field::content_length,
+                                  http::field::proxy_authenticate,
+                                  http::field::proxy_authorization,
+                                  http::field::expect};
   if (std::find(kFields.begin(), kFields.end(), field.name()) != kFields.end())
     return true;
   const auto range = header.equal_range(http::field::connection);
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -114,9 +114,8 @@
 };
 
 /** What an item means. */
-using PublishedMeaning = std::variant<UnusableItem,
-                                      std::shared_ptr<const RoutingTable>,
-                                      EndpointEntry>;
+using PublishedMeaning = std::
+    variant<UnusableItem, std::shared_ptr<const RoutingTable>, EndpointEntry>;
 
 /** Translates between the gateway and one platform. Stateless. */
 class PlatformAdapter {
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -52,7 +52,7 @@
       co_await this->Step();
     } catch (const StoreHistoryLost& error) {
       this->read_revision = 0;
-      LogLine(LogLevel::kInfo, "store_history_lost",
+      LogLine(LogLevel::kNotice, "store_history_lost",
               {{"reason", error.what()}});
       continue;
     } catch (const std::exception& error) {
@@ -95,7 +95,7 @@
   if (reached == this->is_store_reached)
     return;
   this->is_store_reached = reached;
-  LogLine(reached ? LogLevel::kInfo : LogLevel::kWarning,
+  LogLine(reached ? LogLevel::kNotice : LogLevel::kWarning,
           reached ? "store_regained" : "store_lost", {{"reason", fault}});
 }
 
@@ -111,7 +111,7 @@
 void PublicationFollower::TakeFromPeer(const PublishedItems& all) {
   if (all.revision <= this->held.Revision())
     return;
-  LogLine(LogLevel::kInfo, "published_by_peer", {{"revision", all.revision}});
+  LogLine(LogLevel::kNotice, "published_by_peer", {{"revision", all.revision}});
   this->confirmed_at = Clock::now();
   this->PutInForce(this->held.TakeAll(all, this->confirmed_at));
 }
@@ -129,7 +129,7 @@
   if (item.removed) {
     if (!endpoint)
       return;
-    LogLine(LogLevel::kInfo, "endpoint_gone",
+    LogLine(LogLevel::kNotice, "endpoint_gone",
             {{"endpoint", *endpoint}, {"revision", item.revision}});
     this->state.board.Withdraw(*endpoint);
     this->state.connections.Forget(*endpoint);
@@ -156,7 +156,7 @@
     std::shared_ptr<const RoutingTable> table) {
   if (this->state.table && this->state.table->Version() >= table->Version())
     return;
-  LogLine(LogLevel::kInfo, "configuration_in_force",
+  LogLine(LogLevel::kNotice, "configuration_in_force",
           {{"version", table->Version()}, {"routes", table->RouteCount()}});
   this->state.table = std::move(table);
 }
@@ -164,7 +164,8 @@
 void PublicationFollower::PutEndpointInForce(const EndpointEntry& entry) {
   const EndpointHandle known = this->state.board.Find(entry.id);
   if (!known || known->Entry().leaving != entry.leaving) {
-    LogLine(LogLevel::kInfo, entry.leaving ? "endpoint_leaving" : "endpoint_up",
+    LogLine(LogLevel::kNotice,
+            entry.leaving ? "endpoint_leaving" : "endpoint_up",
             {{"endpoint", entry.id},
              {"service", entry.service},
              {"address", entry.address}});
--- a/src/kernel/log.cc
+++ b/src/kernel/log.cc
@@ -2,12 +2,15 @@
 
 #include "kernel/log.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions/message.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -15,63 +18,163 @@
 #include <boost/make_shared.hpp>
 #include <chrono>
 #include <iostream>
+#include <mutex>
+#include <thread>
 
 namespace buckthornpath {
 
 namespace {
 
 namespace logging = boost::log;
+using std::chrono::steady_clock;
 
-constexpr std::array<const char*, 4> kLevelNames = {"debug", "info", "warning",
-                                                    "error"};
+constexpr std::array<const char*, 5> kLevelNames = {"debug", "info", "notice",
+                                                    "warning", "error"};
 
-/** What every line of this process carries; set once, before any thread. */
-struct LogIdentity {
+/** Lines that may wait to be written. */
+constexpr std::size_t kQueueLines = 4096;
+
+/** Lines waiting above which those about single requests are dropped. */
+constexpr std::int64_t kRequestLines = kQueueLines / 2;
+
+/** Shortest time between two lines that say how many were dropped. */
+constexpr std::chrono::milliseconds kDroppedInterval{1000};
+
+/** Time between looks whether all lines are written. */
+constexpr std::chrono::milliseconds kFlushPoll{5};
+
+/** What every line of this process carries, and the bounds. */
+struct LogState {
   std::string process;
   std::atomic<LogLevel> lowest = LogLevel::kWarning;
+  std::int64_t bytes_per_second = 0;
+  std::atomic<std::int64_t> waiting = 0;
+  std::mutex mutex;  ///< Guards what follows; a leaf in the lock order.
+  std::int64_t dropped = 0;
+  std::int64_t bytes_left = 0;
+  steady_clock::time_point second_begun{};
+  steady_clock::time_point dropped_said{};
 };
 
-LogIdentity& Identity() {
-  static LogIdentity identity;
-  return identity;
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+/**
+ * Counts a line that is about to be written.
+ * @return False if the line is to be dropped.
+ */
+bool TakeRoom(LogLevel level, std::size_t bytes) {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  const auto now = steady_clock::now();
+  if (now - state.second_begun >= std::chrono::seconds(1)) {
+    state.second_begun = now;
+    state.bytes_left = state.bytes_per_second;
+  }
+  const bool is_request = level <= LogLevel::kInfo;
+  const std::int64_t most =
+      is_request ? kRequestLines : static_cast<std::int64_t>(kQueueLines);
+  if (state.waiting >= most || (is_request && state.bytes_left <= 0)) {
+    ++state.dropped;
+    return false;
+  }
+  state.bytes_left -= static_cast<std::int64_t>(bytes);
+  return true;
+}
+
+/** @return Lines dropped since the last line that said so, if one is due. */
+std::int64_t TakeDropped() {
+  LogState& state = State();
+  const std::lock_guard lock(state.mutex);
+  const auto now = steady_clock::now();
+  if (state.dropped == 0 || state.waiting >= kRequestLines ||
+      now - state.dropped_said < kDroppedInterval) {
+    return 0;
+  }
+  state.dropped_said = now;
+  return std::exchange(state.dropped, 0);
+}
+
+std::string Format(LogLevel level,
+                   std::string_view event,
+                   const nlohmann::json& fields) {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  nlohmann::ordered_json line = {
+      {"time_ms", now.count()},
+      {"level", kLevelNames.at(static_cast<std::size_t>(level))},
+      {"process", State().process},
+      {"event", event}};
+  for (const auto& [name, value] : fields.items())
+    line[name] = value;
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void Write(const std::string& line) {
+  ++State().waiting;
+  static thread_local logging::sources::logger logger;
+  BOOST_LOG(logger) << line;
 }
 
 }  // namespace
 
-void StartLog(const std::string& process, LogLevel lowest) {
-  Identity().process = process;
-  Identity().lowest = lowest;
+LogLevel ParseLogLevel(std::string_view name) {
+  const auto found = std::find(kLevelNames.begin(), kLevelNames.end(), name);
+  return found == kLevelNames.end()
+             ? LogLevel::kInfo
+             : static_cast<LogLevel>(found - kLevelNames.begin());
+}
+
+void StartLog(const std::string& process,
+              LogLevel lowest,
+              std::int64_t bytes_per_second) {
+  State().process = process;
+  State().lowest = lowest;
+  State().bytes_per_second = bytes_per_second;
   using Backend = logging::sinks::text_ostream_backend;
+  using Queue =
+      logging::sinks::bounded_fifo_queue<2 * kQueueLines,
+                                         logging::sinks::drop_on_overflow>;
   auto backend = boost::make_shared<Backend>();
   backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   backend->auto_flush(true);
   auto sink =
-      boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+      boost::make_shared<logging::sinks::asynchronous_sink<Backend, Queue>>(
+          backend);
   sink->set_formatter(
       [](const logging::record_view& record, logging::formatting_ostream& out) {
         out << record[logging::expressions::smessage];
+        --State().waiting;
       });
   logging::core::get()->add_sink(sink);
 }
 
+void SetLogLevel(LogLevel lowest) {
+  State().lowest = lowest;
+}
+
+void FlushLog(std::chrono::milliseconds timeout) {
+  const auto deadline = steady_clock::now() + timeout;
+  while (State().waiting > 0 && steady_clock::now() < deadline)
+    std::this_thread::sleep_for(kFlushPoll);
+  // The last line has been formatted; give its writing the time of one look.
+  std::this_thread::sleep_for(kFlushPoll);
+}
+
 void LogLine(LogLevel level,
              std::string_view event,
              const nlohmann::json& fields) {
-  if (level < Identity().lowest)
+  if (level < State().lowest)
     return;
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  nlohmann::ordered_json line = {
-      {"time_ms", now.count()},
-      {"level", kLevelNames.at(static_cast<std::size_t>(level))},
-      {"process", Identity().process},
-      {"event", event}};
-  for (const auto& [name, value] : fields.items())
-    line[name] = value;
-  static thread_local logging::sources::logger logger;
-  BOOST_LOG(logger) << line.dump(-1, ' ', false,
-                                 nlohmann::json::error_handler_t::replace);
+  const std::string line = Format(level, event, fields);
+  if (!TakeRoom(level, line.size()))
+    return;
+  Write(line);
+  if (const std::int64_t dropped = TakeDropped(); dropped > 0)
+    Write(Format(LogLevel::kWarning, "log_dropped", {{"lines", dropped}}));
 }
 
 }  // namespace buckthornpath
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -3,6 +3,7 @@
 #include "kernel/settings.h"
 
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "kernel/socket_address.h"
@@ -16,9 +17,10 @@
 /** Reports addresses that are given and cannot be read. */
 void CheckAddresses(const Settings& settings,
                     std::vector<DocumentFault>& faults) {
+  std::set<std::string> checked;  // A row stands once for each role.
   for (const RoleNeedRow& row : kRoleNeedRows) {
     const std::string& text = settings.*row.member;
-    if (!row.is_address || text.empty())
+    if (!row.is_address || text.empty() || !checked.insert(row.name).second)
       continue;
     try {
       ParseSocketAddress(text);
@@ -28,6 +30,18 @@
   }
 }
 
+/** Shorter keys could be found by trying. */
+constexpr std::size_t kLeastSecretLength = 16;
+
+void CheckSecret(const Settings& settings, std::vector<DocumentFault>& faults) {
+  const std::string& secret = settings.ticket_secret;
+  if (!secret.empty() && secret.size() < kLeastSecretLength) {
+    faults.push_back({"/ticket_secret", "must have at least " +
+                                            std::to_string(kLeastSecretLength) +
+                                            " characters"});
+  }
+}
+
 void CheckTimes(const Settings& settings, std::vector<DocumentFault>& faults) {
   if (settings.silence_timeout.count() > 0 &&
       settings.silence_timeout <= settings.heartbeat_interval) {
@@ -48,6 +62,7 @@
   Settings settings = ReadDocument(object, SettingRows(), "", faults);
   CheckAddresses(settings, faults);
   CheckTimes(settings, faults);
+  CheckSecret(settings, faults);
   if (!faults.empty())
     throw DocumentRefused(std::move(faults));
   return settings;
@@ -62,6 +77,18 @@
   return ParseSettings(text.str());
 }
 
+std::vector<std::string> ChangedSettings(const Settings& left,
+                                         const Settings& right) {
+  std::vector<std::string> changed;
+  for (const FieldRow<Settings>& row : kSettingRows) {
+    const bool differs = std::visit(
+        [&](auto member) { return left.*member != right.*member; }, row.member);
+    if (differs)
+      changed.emplace_back(row.name);
+  }
+  return changed;
+}
+
 std::vector<DocumentFault> FaultsForRole(const Settings& settings,
                                          const std::string& role) {
   std::vector<DocumentFault> faults;
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "kernel/field_table.h"
 
@@ -31,6 +32,7 @@
   std::string placement_policy;
   std::string start_order;
   std::string log_level;
+  std::int64_t log_bytes_per_second = 0;
   std::int64_t worker_count = 0;
   std::int64_t max_body_bytes = 0;
   std::int64_t max_header_bytes = 0;
@@ -79,6 +81,10 @@
  */
 Settings LoadSettings(const std::string& path);
 
+/** @return Names of the settings in which two documents differ. */
+std::vector<std::string> ChangedSettings(const Settings& left,
+                                         const Settings& right);
+
 /** @return What a role lacks in settings that are in order by themselves. */
 std::vector<DocumentFault> FaultsForRole(const Settings& settings,
                                          const std::string& role);
--- a/test/stories/command_line.cc
+++ b/test/stories/command_line.cc
@@ -27,7 +27,8 @@
 constexpr const char* kBadSettings = R"({
   "vm": 7, "failure_domain": "a", "operator_address": "localhost:1",
   "configuration_address": "127.0.0.1:2", "vm_list_address": "127.0.0.1",
-  "heartbeat_interval": 5, "unheard_of": 1, "log_level": "loud"
+  "heartbeat_interval": 5, "unheard_of": 1, "log_level": "loud",
+  "ticket_secret": "short"
 })";
 
 constexpr const char* kSlowHeartbeat = R"({
