Stories of the gateway: requests, answers, publication, shutdown

Connections without a request are now closed when the platform has taken the process out of rotation.

--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -28,7 +28,7 @@
 
 /** Time from the start of a drain until the platform has taken the process
  * out of rotation: two checks a second apart, and one that was under way. */
-constexpr milliseconds kRotationTime{2800};
+constexpr milliseconds kRotationTime{2600};
 
 /** Connections waiting to be accepted. */
 constexpr int kBacklog = 1024;
@@ -67,6 +67,7 @@
   void BeginDrain() override {
     this->state.is_draining = true;
     this->drain_begun = Clock::now();
+    WorkerPool::SpawnOn(this->state.executor, this->EndRotation());
   }
 
   std::vector<std::string> InFlight() const override {
@@ -83,7 +84,8 @@
   void StopAccepting() override {
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
-    this->peers.Leave();
+    // A request that came on one of these now could no longer be finished.
+    this->CloseIdleConnections();
   }
 
   std::size_t OpenExchanges() const override {
@@ -119,6 +121,19 @@
     return Clock::now() - this->drain_begun >= kRotationTime;
   }
 
+  /** Takes no more work once the platform sends none. */
+  asio::awaitable<void> EndRotation() {
+    co_await SleepFor(kRotationTime);
+    LogLine(LogLevel::kNotice, "out_of_rotation",
+            {{"connections", this->connections.size()}});
+    this->StopAccepting();
+  }
+
+  void CloseIdleConnections() {
+    for (const auto& connection : this->connections)
+      connection->CloseIfIdle();
+  }
+
   asio::awaitable<void> AnswerReady(HttpExchange& exchange) {
     HttpResponse response;
     const bool is_ready = !this->state.is_draining && this->state.table;
@@ -165,13 +180,8 @@
       co_await SleepFor(kSweepInterval);
       const auto now = Clock::now();
       this->state.connections.Sweep(now);
-      const bool closes_idle =
-          this->state.is_draining && this->IsOutOfRotation();
-      for (const auto& connection : this->connections) {
+      for (const auto& connection : this->connections)
         connection->Sweep(now);
-        if (closes_idle)
-          connection->CloseIfIdle();
-      }
       ProcessMetrics().Set("caller_connections", "",
                            static_cast<double>(this->connections.size()));
       ProcessMetrics().Set(
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -115,7 +115,7 @@
          static_cast<std::int64_t>(kFewPeers);
 }
 
-std::string PeerExchange::Datagram(bool leaving) const {
+std::string PeerExchange::Datagram() const {
   json uses = json::object();
   for (const auto& [id, endpoint] : this->state.board.All()) {
     if (endpoint->Own() != 0 || endpoint->OwnUnread() != 0)
@@ -128,7 +128,6 @@
   }
   const json datagram = {{"from", this->own_address},
                          {"revision", this->follower.Held().Revision()},
-                         {"leaving", leaving},
                          {"peers", std::move(named)},
                          {"parts", this->PartsToTell()},
                          {"uses", std::move(uses)}};
@@ -144,7 +143,7 @@
   return parts;
 }
 
-void PeerExchange::TellAll(bool leaving) {
+void PeerExchange::TellAll() {
   // Each part goes into two datagrams, as one may be lost.
   std::vector<PartPlace> fresh = this->state.board.TakeNewParts();
   if (fresh.size() > kPartsNamed)
@@ -158,7 +157,7 @@
     if (!this->peers.contains(seed))
       targets.push_back(seed);
   }
-  const std::string bytes = this->Datagram(leaving);
+  const std::string bytes = this->Datagram();
   for (const std::string& target : targets) {
     boost::system::error_code error;
     this->socket.send_to(asio::buffer(bytes), UdpEndpoint(target), 0, error);
@@ -167,13 +166,9 @@
   }
 }
 
-void PeerExchange::Leave() {
-  this->TellAll(true);
-}
-
 asio::awaitable<void> PeerExchange::Send() {
   while (true) {
-    this->TellAll(false);
+    this->TellAll();
     this->DropSilent(Clock::now());
     this->state.OfferRoomEverywhere();
     co_await SleepFor(this->Interval());
@@ -231,11 +226,6 @@
   ParseSocketAddress(from);
   if (from == this->own_address)
     return;
-  if (message.at("leaving").get<bool>()) {
-    if (this->peers.contains(from))
-      this->Drop(from);
-    return;
-  }
   const auto [peer, added] = this->peers.try_emplace(from);
   peer->second.heard_at = Clock::now();
   peer->second.revision = message.at("revision").get<std::uint64_t>();
@@ -259,7 +249,7 @@
     if (address == this->own_address || this->peers.contains(address))
       continue;
     boost::system::error_code ignored;
-    const std::string bytes = this->Datagram(false);
+    const std::string bytes = this->Datagram();
     this->socket.send_to(asio::buffer(bytes), UdpEndpoint(address), 0, ignored);
   }
 }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -32,9 +32,6 @@
   /** Binds and starts to exchange. */
   void Start();
 
-  /** Tells all peers that this process leaves. */
-  void Leave();
-
   /** @return Peers heard of within their lifetime. */
   std::size_t Size() const { return this->peers.size(); }
 
@@ -49,8 +46,8 @@
   asio::awaitable<void> CatchUp();
   asio::awaitable<void> Serve(HttpExchange& exchange);
   void Take(std::string_view datagram);
-  void TellAll(bool leaving);
-  std::string Datagram(bool leaving) const;
+  void TellAll();
+  std::string Datagram() const;
   nlohmann::json PartsToTell() const;
   void Drop(const std::string& address);
   void NoteLoads(const PeerLoads::Changed& changed);
--- /dev/null
+++ b/test/fakes/scripted_endpoint.cc
@@ -0,0 +1,145 @@
+/** @file scripted_endpoint.cc Endpoint that does what a test says. */
+
+#include "fakes/scripted_endpoint.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <sstream>
+
+namespace buckthornpath {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+std::string Chunk(const std::string& bytes) {
+  std::ostringstream text;
+  text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+  return text.str();
+}
+
+}  // namespace
+
+std::string ScriptedCall::Field(const std::string& name) const {
+  return std::string(this->message[name]);
+}
+
+void ScriptedCall::Send(const std::string& bytes) {
+  boost::system::error_code ignored;
+  boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
+}
+
+void ScriptedCall::Answer(unsigned status,
+                          const std::string& body,
+                          const std::string& more_fields) {
+  this->Send("HTTP/1.1 " + std::to_string(status) +
+             " X\r\nBuckthornpath-Request-Id: " + this->Id() +
+             "\r\nBuckthornpath-Response-Seal: seal\r\n" + more_fields +
+             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+             body);
+}
+
+void ScriptedCall::BeginEvents() {
+  this->Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: " + this->Id() +
+             "\r\nBuckthornpath-Response-Seal: seal\r\n"
+             "Content-Type: text/event-stream\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void ScriptedCall::Event(int id) {
+  this->Send(Chunk("id: " + std::to_string(id) + "\ndata: d" +
+                   std::to_string(id) + "\n\n"));
+}
+
+void ScriptedCall::EndEvents() {
+  this->Send("0\r\n\r\n");
+}
+
+void ScriptedCall::Close(bool reset) {
+  boost::system::error_code ignored;
+  if (reset)
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  this->socket.close(ignored);
+}
+
+bool ScriptedCall::WaitForClose(std::chrono::milliseconds timeout) {
+  pollfd descriptor{this->socket.native_handle(), POLLIN, 0};
+  if (poll(&descriptor, 1, static_cast<int>(timeout.count())) <= 0)
+    return false;
+  char byte = 0;
+  return recv(this->socket.native_handle(), &byte, 1, MSG_PEEK) <= 0;
+}
+
+ScriptedEndpoint::ScriptedEndpoint(const SocketAddress& address,
+                                   EndpointScript script)
+    : script(std::move(script)), acceptor(this->io, address) {
+  this->thread = std::thread([this] { this->Accept(); });
+}
+
+ScriptedEndpoint::~ScriptedEndpoint() {
+  this->is_ending = true;
+  shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+  this->thread.join();
+  for (Connection& connection : this->connections) {
+    shutdown(connection.socket.native_handle(), SHUT_RDWR);
+    connection.thread.join();
+  }
+}
+
+void ScriptedEndpoint::SetScript(EndpointScript next) {
+  const std::lock_guard lock(this->mutex);
+  this->script = std::move(next);
+}
+
+std::vector<ScriptedCall::Message> ScriptedEndpoint::Received() {
+  const std::lock_guard lock(this->mutex);
+  return this->received;
+}
+
+std::size_t ScriptedEndpoint::CountOf(const std::string& request_id) {
+  std::size_t count = 0;
+  for (const auto& message : this->Received()) {
+    if (message["Buckthornpath-Request-Id"] == request_id)
+      ++count;
+  }
+  return count;
+}
+
+void ScriptedEndpoint::Accept() {
+  while (!this->is_ending) {
+    boost::system::error_code error;
+    auto socket = this->acceptor.accept(error);
+    if (error)
+      continue;
+    ++this->accepted;
+    Connection& connection = this->connections.emplace_back(std::move(socket));
+    connection.thread =
+        std::thread([this, &connection] { this->Serve(connection.socket); });
+  }
+}
+
+void ScriptedEndpoint::Serve(boost::asio::ip::tcp::socket& socket) {
+  boost::beast::flat_buffer buffer;
+  while (!this->is_ending) {
+    ScriptedCall::Message message;
+    boost::system::error_code error;
+    http::read(socket, buffer, message, error);
+    if (error)
+      return;
+    EndpointScript current;
+    {
+      const std::lock_guard lock(this->mutex);
+      this->received.push_back(message);
+      current = this->script;
+    }
+    ScriptedCall call(std::move(message), socket);
+    current(call);
+    if (!socket.is_open())
+      return;
+  }
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/stories/gateway_answers.cc
@@ -0,0 +1,323 @@
+/** @file gateway_answers.cc Endpoints answer well, badly, late or not at all.
+ */
+
+#include <cppunit/TestAssert.h>
+
+#include <atomic>
+#include <mutex>
+
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Longest wait of an endpoint for a caller that has left. */
+constexpr milliseconds kNoticeTime{500};
+
+RawAnswer CallPath(GatewayFleet& fleet, const std::string& path) {
+  CallerText text;
+  text.path = path;
+  return fleet.Call(0, TextOf(text));
+}
+
+/** @return The script that sends a stream of events whole. */
+EndpointScript StreamOf(int first, int last) {
+  return [first, last](ScriptedCall& call) {
+    call.BeginEvents();
+    for (int id = first; id <= last; ++id)
+      call.Event(id);
+    call.EndEvents();
+  };
+}
+
+void SetEngines(GatewayFleet& fleet, const EndpointScript& script) {
+  fleet.Engine(0).SetScript(script);
+  fleet.Engine(1).SetScript(script);
+}
+
+GatewayPlan TwoOfEach() {
+  GatewayPlan plan;
+  plan.engines = 2;
+  plan.ledgers = 2;
+  return plan;
+}
+
+bool IsComplete(const RawAnswer& answer) {
+  return answer.body.ends_with("0\r\n\r\n");
+}
+
+std::size_t TimesReceived(GatewayFleet& fleet) {
+  return fleet.Ledger(0).Received().size() + fleet.Ledger(1).Received().size();
+}
+
+void SetLedgers(GatewayFleet& fleet, const EndpointScript& script) {
+  fleet.Ledger(0).SetScript(script);
+  fleet.Ledger(1).SetScript(script);
+}
+
+void AnswerInOnePieceIsWhole() {
+  GatewayFleet fleet({});
+  fleet.Engine(0).SetScript([](ScriptedCall& call) {
+    call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: " + call.Id() +
+              "\r\nBuckthornpath-Response-Seal: s\r\n"
+              "Content-Type: text/event-stream\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n"
+              "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+  });
+  const RawAnswer answer = CallPath(fleet, "/draft/x");
+  CPPUNIT_ASSERT(answer.body.find("id: 1\ndata: a\n\n") != std::string::npos);
+  CPPUNIT_ASSERT(IsComplete(answer));
+}
+
+void WithoutProofThereIsNoSuccess() {
+  GatewayFleet fleet(TwoOfEach());
+  SetLedgers(fleet, [](ScriptedCall& call) {
+    call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: " + call.Id() +
+              "\r\nContent-Length: 2\r\n\r\nno");
+  });
+  CPPUNIT_ASSERT_EQUAL(502U, CallPath(fleet, "/issue/x").status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TimesReceived(fleet));
+}
+
+void OnceMeansOnce() {
+  for (const bool reset : {false, true}) {
+    GatewayFleet fleet(TwoOfEach());
+    SetLedgers(fleet, [reset](ScriptedCall& call) { call.Close(reset); });
+    CPPUNIT_ASSERT_EQUAL(502U, CallPath(fleet, "/issue/x").status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TimesReceived(fleet));
+  }
+}
+
+void RefusedByEndpointIsToldAsNotRun() {
+  GatewayPlan plan;
+  GatewayFleet fleet(plan);
+  fleet.Ledger(0).SetScript([](ScriptedCall& call) {
+    call.Send("HTTP/1.1 503 X\r\nBuckthornpath-Not-Executed: 1\r\n"
+              "Buckthornpath-Request-Id: " +
+              call.Id() + "\r\nContent-Length: 0\r\n\r\n");
+  });
+  const RawAnswer answer = CallPath(fleet, "/issue/x");
+  CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+  CPPUNIT_ASSERT(answer.head.find("Retry-After: ") != std::string::npos);
+}
+
+void RepeatableGoesToAnother() {
+  GatewayFleet fleet(TwoOfEach());
+  std::atomic<int> calls = 0;
+  SetLedgers(fleet, [&calls](ScriptedCall& call) {
+    if (++calls == 1) {
+      call.Close(true);
+    } else {
+      call.Answer(200, "second");
+    }
+  });
+  const RawAnswer answer = CallPath(fleet, "/lookup/x");
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("second"), answer.body);
+}
+
+void ShortBodyIsNoSuccess() {
+  GatewayFleet fleet(TwoOfEach());
+  SetLedgers(fleet, [](ScriptedCall& call) {
+    call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: " + call.Id() +
+              "\r\nBuckthornpath-Response-Seal: s\r\n"
+              "Content-Length: 10\r\n\r\nshort");
+    call.Close(false);
+  });
+  CPPUNIT_ASSERT_EQUAL(502U, CallPath(fleet, "/issue/x").status);
+}
+
+void BodyThatEndsWithItsConnection() {
+  GatewayFleet fleet(TwoOfEach());
+  std::atomic<bool> reset = false;
+  SetLedgers(fleet, [&reset](ScriptedCall& call) {
+    call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: " + call.Id() +
+              "\r\nBuckthornpath-Response-Seal: s\r\n\r\nwhole");
+    call.Close(reset);
+  });
+  const RawAnswer whole = CallPath(fleet, "/issue/x");
+  CPPUNIT_ASSERT_EQUAL(200U, whole.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("whole"), whole.body);
+  reset = true;
+  CPPUNIT_ASSERT_EQUAL(502U, CallPath(fleet, "/issue/x").status);
+}
+
+void StrayAnswersReachNobody() {
+  GatewayFleet fleet({});
+  std::atomic<int> calls = 0;
+  fleet.Ledger(0).SetScript([&calls](ScriptedCall& call) {
+    if (++calls == 2) {
+      call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: stray\r\n"
+                "Buckthornpath-Response-Seal: s\r\n"
+                "Content-Length: 5\r\n\r\nstray");
+    }
+    call.Answer(200, "own " + call.Id());
+    if (calls == 3) {
+      call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: x\r\n"
+                "Buckthornpath-Response-Seal: s\r\n"
+                "Content-Length: 4\r\n\r\nmore");
+    }
+  });
+  for (int i = 1; i <= 5; ++i) {
+    CallerText text;
+    text.id = "r" + std::to_string(i);
+    const RawAnswer answer = fleet.Call(0, TextOf(text));
+    CPPUNIT_ASSERT_EQUAL(std::string("own ") + text.id, answer.body);
+  }
+}
+
+void BrokenStreamDoesNotLookComplete() {
+  GatewayFleet fleet(TwoOfEach());
+  SetEngines(fleet, [](ScriptedCall& call) {
+    call.BeginEvents();
+    call.Event(1);
+    call.Close(true);
+  });
+  const RawAnswer answer = CallPath(fleet, "/draft/x");
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT(!IsComplete(answer));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       fleet.Engine(0).Received().size() +
+                           fleet.Engine(1).Received().size());
+}
+
+void ResumableStreamGoesOnElsewhere() {
+  GatewayFleet fleet(TwoOfEach());
+  std::atomic<int> calls = 0;
+  std::string resumed_after;
+  SetEngines(fleet, [&](ScriptedCall& call) {
+    if (++calls == 1) {
+      call.BeginEvents();
+      call.Event(1);
+      call.Event(2);
+      call.Send("8\r\nid: 3\nda");
+      call.Close(true);
+      return;
+    }
+    resumed_after = call.Field("Last-Event-Id");
+    StreamOf(3, 4)(call);
+  });
+  const RawAnswer answer = CallPath(fleet, "/talk/x");
+  CPPUNIT_ASSERT_EQUAL(std::string("2"), resumed_after);
+  CPPUNIT_ASSERT(IsComplete(answer));
+  std::size_t from = 0;
+  for (int id = 1; id <= 4; ++id) {
+    const std::string event = "data: d" + std::to_string(id) + "\n\n";
+    const std::size_t place = answer.body.find(event, from);
+    CPPUNIT_ASSERT_MESSAGE(answer.body, place != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(answer.body.rfind(event), place);
+    from = place;
+  }
+}
+
+void StalledStreamGoesOnElsewhere() {
+  GatewayFleet fleet(TwoOfEach());
+  std::atomic<int> calls = 0;
+  std::atomic<bool> first_closed = false;
+  SetEngines(fleet, [&](ScriptedCall& call) {
+    if (++calls == 1) {
+      call.BeginEvents();
+      call.Event(1);
+      first_closed = call.WaitForClose(milliseconds(3000));
+      return;
+    }
+    StreamOf(2, 2)(call);
+  });
+  CPPUNIT_ASSERT(IsComplete(CallPath(fleet, "/talk/x")));
+  CPPUNIT_ASSERT(WaitUntil([&] { return first_closed.load(); }));
+}
+
+void CallerThatLeavesStopsTheWork() {
+  for (const char* path : {"/draft/x", "/issue/x"}) {
+    GatewayFleet fleet({});
+    std::atomic<int> begun = 0;
+    std::atomic<int> noticed = 0;
+    const EndpointScript script = [&](ScriptedCall& call) {
+      ++begun;
+      if (call.WaitForClose(kNoticeTime * 4))
+        ++noticed;
+      call.Close(false);
+    };
+    fleet.Engine(0).SetScript(script);
+    fleet.Ledger(0).SetScript(script);
+    {
+      CallerText text;
+      text.path = path;
+      ByteConnection connection(fleet.Caller(0));
+      connection.Send(TextOf(text));
+      CPPUNIT_ASSERT(WaitUntil([&] { return begun == 1; }));
+    }
+    CPPUNIT_ASSERT(WaitUntil([&] { return noticed == 1; }, kNoticeTime * 3));
+  }
+}
+
+void UnreachableEndpointIsNoAttempt() {
+  GatewayFleet fleet({});
+  fleet.Store().Put("servers/ledger-9",
+                    nlohmann::json({{"service", "ledger"},
+                                    {"address", "127.0.0.1:1"},
+                                    {"zone", "a"},
+                                    {"slots", 8},
+                                    {"state", "ready"}}));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return LocalFleet::StatusOf(fleet.Operator(0)).value("endpoints", 0) == 3;
+  }));
+  for (int i = 0; i < 8; ++i)
+    CPPUNIT_ASSERT_EQUAL(200U, CallPath(fleet, "/issue/x").status);
+}
+
+void FinalAnswerComesByTheTimeout() {
+  GatewayFleet fleet({});
+  fleet.Ledger(0).SetScript(
+      [](ScriptedCall& call) { call.WaitForClose(milliseconds(5000)); });
+  CallerText text;
+  text.path = "/issue/x";
+  text.more_fields = "Buckthornpath-Deadline-Ms: 300\r\n";
+  const RawAnswer answer = fleet.Call(0, TextOf(text));
+  CPPUNIT_ASSERT_EQUAL(504U, answer.status);
+}
+
+const Story kStory("gateway_answers", [] {
+  return Section(
+      "given a gateway before endpoints that misbehave",
+      {Section("when an answer is whole",
+               {Then("it is passed on whole, also if it came in one piece",
+                     AnswerInOnePieceIsWhole),
+                Then("its length may be that of its connection, unless reset",
+                     BodyThatEndsWithItsConnection)}),
+       Section("when an answer is not what it should be",
+               {Then("one without its proof is no success",
+                     WithoutProofThereIsNoSuccess),
+                Then("a short body is no success", ShortBodyIsNoSuccess),
+                Then("answers to other requests reach nobody",
+                     StrayAnswersReachNobody)}),
+       Section("when an endpoint breaks off",
+               {Then("what may run once is not sent again", OnceMeansOnce),
+                Then("what may be repeated goes to another endpoint",
+                     RepeatableGoesToAnother),
+                Then("a stream does not look complete",
+                     BrokenStreamDoesNotLookComplete),
+                Then("a resumable stream goes on, each event once",
+                     ResumableStreamGoesOnElsewhere),
+                Then("a resumable stream that stalls goes on elsewhere",
+                     StalledStreamGoesOnElsewhere)}),
+       Section("when an endpoint did not run the request",
+               {Then("the caller is told so and when to return",
+                     RefusedByEndpointIsToldAsNotRun),
+                Then("one that cannot be reached is passed over",
+                     UnreachableEndpointIsNoAttempt)}),
+       Section("when time or patience ends",
+               {Then("the endpoint's connection is closed at once",
+                     CallerThatLeavesStopsTheWork),
+                Then("the final answer comes by the deadline",
+                     FinalAnswerComesByTheTimeout)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/stories/gateway_publication.cc
@@ -0,0 +1,165 @@
+/** @file gateway_publication.cc What is published comes into force everywhere.
+ */
+
+#include <cppunit/TestAssert.h>
+
+#include <csignal>
+
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Time within which a published change is in force. */
+constexpr milliseconds kApplyTime{2000};
+
+/** Longest time that an entry stays after an outage of the store. */
+constexpr milliseconds kLapseTime{4000};
+
+unsigned StatusOfPath(GatewayFleet& fleet,
+                      std::size_t gateway,
+                      const std::string& path) {
+  CallerText text;
+  text.path = path;
+  return fleet.Call(gateway, TextOf(text)).status;
+}
+
+nlohmann::json WithRoute(std::uint64_t version, const std::string& prefix) {
+  auto configuration = StandardConfiguration(version);
+  auto route = configuration["routes"][3];
+  route["prefix"] = prefix;
+  configuration["routes"].push_back(route);
+  return configuration;
+}
+
+std::uint64_t VersionOf(GatewayFleet& fleet, std::size_t gateway) {
+  return LocalFleet::StatusOf(fleet.Operator(gateway))
+      .value("configuration", std::uint64_t{0});
+}
+
+std::size_t EndpointsOf(GatewayFleet& fleet) {
+  return LocalFleet::StatusOf(fleet.Operator(0))
+      .value("endpoints", std::size_t{0});
+}
+
+void ChangeComesIntoForce() {
+  GatewayFleet fleet({});
+  CPPUNIT_ASSERT_EQUAL(404U, StatusOfPath(fleet, 0, "/new/x"));
+  fleet.Store().Put("op/config", WithRoute(5, "/new/"));
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] { return StatusOfPath(fleet, 0, "/new/x") == 200; }, kApplyTime));
+  // An older version that comes later changes nothing.
+  fleet.Store().Put("op/config", StandardConfiguration(4));
+  fleet.Store().Put("servers/mark", std::string("no entry"));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return fleet.Log(0).find("servers/mark") != std::string::npos;
+  }));
+  CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/new/x"));
+}
+
+void BrokenItemsHideNoOther() {
+  GatewayFleet fleet({});
+  fleet.Store().Put("servers/a", std::string("\xff\xfe not JSON"));
+  fleet.Store().Put("servers/b", nlohmann::json({{"service", 7}}));
+  fleet.Store().Put("servers/c", nlohmann::json({{"service", "ledger"},
+                                                 {"address", "127.0.0.1:1"},
+                                                 {"state", "half-ready"}}));
+  fleet.Store().Put("op/config", std::string("{"));
+  fleet.Store().Put("op/config", WithRoute(9, "/new/"));
+  CPPUNIT_ASSERT(WaitUntil([&] { return VersionOf(fleet, 0) == 9; }));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, EndpointsOf(fleet));
+  CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/new/x"));
+}
+
+void LeavingEndpointGetsNothing(bool removed) {
+  GatewayPlan plan;
+  plan.ledgers = 2;
+  GatewayFleet fleet(plan);
+  if (removed) {
+    fleet.Store().Remove("servers/ledger-0");
+  } else {
+    fleet.PublishEndpoint("ledger", 0, "draining");
+  }
+  const char* event = removed ? "endpoint_gone" : "endpoint_leaving";
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] { return fleet.Log(0).find(event) != std::string::npos; },
+      kApplyTime));
+  const std::size_t before = fleet.Ledger(0).Received().size();
+  for (int i = 0; i < 10; ++i)
+    CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/issue/x"));
+  CPPUNIT_ASSERT_EQUAL(before, fleet.Ledger(0).Received().size());
+}
+
+void LostHistoryIsReadAnew() {
+  GatewayFleet fleet({});
+  fleet.Store().RemoveUnseen("servers/engine-0");
+  fleet.Store().Compact();
+  CPPUNIT_ASSERT(WaitUntil([&] { return EndpointsOf(fleet) == 1; }));
+}
+
+void ServiceGoesOnWhileTheStoreIsAway() {
+  for (const StoreMode mode : {StoreMode::kBusy, StoreMode::kSilent}) {
+    GatewayFleet fleet({});
+    fleet.Store().SetMode(mode);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return fleet.Log(0).find("store_lost") != std::string::npos;
+    }));
+    CPPUNIT_ASSERT(fleet.IsReady(0));
+    CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/issue/x"));
+    // Entries lapse meanwhile; one comes back after the store does.
+    fleet.Store().RemoveUnseen("servers/ledger-0");
+    fleet.Store().RemoveUnseen("servers/engine-0");
+    fleet.Store().SetMode(StoreMode::kServing);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return fleet.Log(0).find("store_regained") != std::string::npos;
+    }));
+    CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/issue/x"));
+    fleet.PublishEndpoint("ledger", 0, "ready");
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return EndpointsOf(fleet) == 1; }, kLapseTime));
+    CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/issue/x"));
+  }
+}
+
+void PeersHandOverWhatTheStoreWithholds() {
+  GatewayPlan plan;
+  plan.gateways = 2;
+  GatewayFleet fleet(plan);
+  // While the store is away, a new process knows only what peers know.
+  fleet.Store().SetMode(StoreMode::kBusy);
+  fleet.Gateway(1).Kill();
+  fleet.Restart(1);
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.IsReady(1); }));
+  CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 1, "/issue/x"));
+}
+
+const Story kStory("gateway_publication", [] {
+  return Section(
+      "given a gateway that reads what operators publish",
+      {Section("when a version is published",
+               {Then("it comes into force and never goes back",
+                     ChangeComesIntoForce),
+                Then("items that cannot be read hide no other",
+                     BrokenItemsHideNoOther)}),
+       Section("when an endpoint leaves",
+               {Then("one that is leaving gets nothing new",
+                     [] { LeavingEndpointGetsNothing(false); }),
+                Then("one that is gone from the list gets nothing new",
+                     [] { LeavingEndpointGetsNothing(true); })}),
+       Section("when the store has dropped its history",
+               {Then("all is read anew", LostHistoryIsReadAnew)}),
+       Section("when the store is away",
+               {Then("service goes on, and entries that lapsed may return",
+                     ServiceGoesOnWhileTheStoreIsAway),
+                Then("a new process learns from its peers",
+                     PeersHandOverWhatTheStoreWithholds)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/stories/gateway_shutdown.cc
@@ -0,0 +1,128 @@
+/** @file gateway_shutdown.cc Planned restarts cut off no request. */
+
+#include <cppunit/TestAssert.h>
+
+#include <atomic>
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Time that a process may take to end after SIGTERM with nothing to do. */
+constexpr milliseconds kEndTime{8000};
+
+void RunningRequestIsAnswered() {
+  GatewayFleet fleet({});
+  std::atomic<bool> begun = false;
+  std::atomic<bool> may_answer = false;
+  fleet.Ledger(0).SetScript([&](ScriptedCall& call) {
+    begun = true;
+    WaitUntil([&] { return may_answer.load(); });
+    call.Answer(200, "whole");
+  });
+  CallerText text;
+  text.path = "/issue/x";
+  text.keeps_open = true;
+  ByteConnection connection(fleet.Caller(0));
+  connection.Send(TextOf(text));
+  CPPUNIT_ASSERT(WaitUntil([&] { return begun.load(); }));
+  fleet.Gateway(0).Signal(SIGTERM);
+  CPPUNIT_ASSERT(WaitUntil([&] { return !fleet.IsReady(0); }));
+  may_answer = true;
+  const RawAnswer answer = ParseRawAnswer(connection.ReadToEnd());
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.body);
+  CPPUNIT_ASSERT(answer.head.find("Connection: close") != std::string::npos);
+  CPPUNIT_ASSERT_EQUAL(0, fleet.Gateway(0).WaitForExit(kEndTime));
+}
+
+void NewRequestsAreServedUntilOutOfRotation() {
+  GatewayFleet fleet({});
+  ByteConnection kept(fleet.Caller(0));
+  fleet.Gateway(0).Signal(SIGTERM);
+  CPPUNIT_ASSERT(WaitUntil([&] { return !fleet.IsReady(0); }));
+  CallerText text;
+  CPPUNIT_ASSERT_EQUAL(200U, fleet.Call(0, TextOf(text)).status);
+  CPPUNIT_ASSERT_EQUAL(0, fleet.Gateway(0).WaitForExit(kEndTime));
+  // A kept connection was closed before the end, without a request on it.
+  CPPUNIT_ASSERT(kept.ReadToEnd().empty());
+}
+
+/** Callers send on kept connections, at every moment of a shutdown. */
+void NoMomentOfShutdownLosesARequest() {
+  GatewayFleet fleet({});
+  fleet.Ledger(0).SetScript([](ScriptedCall& call) {
+    std::this_thread::sleep_for(milliseconds(30));
+    call.Answer(200, "whole");
+  });
+  std::atomic<bool> is_over = false;
+  std::atomic<int> lost = 0;
+  std::vector<std::thread> callers;
+  callers.reserve(16);
+  for (int caller = 0; caller < 16; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = 0; !is_over; ++i) {
+        CallerText text;
+        text.id = "c" + std::to_string(caller) + "-" + std::to_string(i);
+        try {
+          ByteConnection connection(fleet.Caller(0));
+          // The connection is kept for a while before the request is sent.
+          std::this_thread::sleep_for(milliseconds(7 * caller));
+          connection.Send(TextOf(text));
+          const RawAnswer answer = ParseRawAnswer(connection.ReadToEnd());
+          if (answer.status == 0 && fleet.Ledger(0).CountOf(text.id) > 0)
+            ++lost;
+        } catch (const std::runtime_error&) {
+          return;  // Refused: the process has ended or is about to.
+        }
+      }
+    });
+  }
+  WaitUntil([&] { return fleet.Ledger(0).Received().size() > 20; });
+  fleet.Gateway(0).Signal(SIGTERM);
+  CPPUNIT_ASSERT_EQUAL(0, fleet.Gateway(0).WaitForExit(kEndTime));
+  is_over = true;
+  for (std::thread& caller : callers)
+    caller.join();
+  CPPUNIT_ASSERT_EQUAL(0, lost.load());
+}
+
+void ReloadChangesNothingThatRuns() {
+  GatewayFleet fleet({});
+  for (int i = 0; i < 3; ++i)
+    fleet.Gateway(0).Signal(SIGHUP);
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return fleet.Log(0).find("settings_reloaded") != std::string::npos;
+  }));
+  CPPUNIT_ASSERT(fleet.IsReady(0));
+  CPPUNIT_ASSERT_EQUAL(200U, fleet.Call(0, TextOf({})).status);
+}
+
+const Story kStory("gateway_shutdown", [] {
+  return Section(
+      "given a gateway that is told to end",
+      {Section("when requests run or come",
+               {Then("what runs is answered, and the connection is closed",
+                     RunningRequestIsAnswered),
+                Then("what comes is served while it may be in rotation",
+                     NewRequestsAreServedUntilOutOfRotation),
+                Then("no moment of the shutdown loses a request",
+                     NoMomentOfShutdownLosesARequest)}),
+       Section("when it is told to reload",
+               {Then("nothing that runs changes",
+                     ReloadChangesNothingThatRuns)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
