--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -278,7 +278,8 @@
       request.target = kSnapshotPath;
       const HttpResponse response = co_await HttpFetch(
           ParseSocketAddress(newest), std::move(request), kCatchUpTimeout);
-      this->follower.TakeFromPeer(DecodeItems(ParseCbor(response.body)));
+      PublishedItems all = DecodeItems(ParseCbor(response.body));
+      co_await this->follower.TakeFromPeer(std::move(all));
     } catch (const std::exception& error) {
       fault = error.what();
     }
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -135,8 +135,9 @@
   /** @return True if the caller is not to see a field of an answer. */
   virtual bool IsInternal(const std::string& field_name) const = 0;
 
-  /** Decodes an item that is not removed. */
-  virtual PublishedMeaning Decode(const PublishedItem& item) const = 0;
+  /** Decodes an item that is not removed, in turns with other work. */
+  virtual boost::asio::awaitable<PublishedMeaning> Decode(
+      const PublishedItem& item) const = 0;
 
   /** @return The endpoint that an item's key names; nothing for other keys. */
   virtual std::optional<EndpointId> EndpointOfKey(
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -74,14 +74,16 @@
   if (this->read_revision == 0) {
     const PublishedItems all = co_await this->source->ReadAll();
     this->confirmed_at = Clock::now();
-    this->PutInForce(this->held.TakeAll(all, this->confirmed_at));
+    auto changed = this->held.TakeAll(all, this->confirmed_at);
+    co_await this->PutInForce(std::move(changed));
     this->read_revision = all.revision;
     co_return;
   }
   const PublishedItems changes = co_await this->source->ReadChanges(
       this->read_revision, this->state.settings.configuration_wait);
   this->confirmed_at = Clock::now();
-  this->PutInForce(this->held.TakeChanges(changes, this->confirmed_at));
+  auto changed = this->held.TakeChanges(changes, this->confirmed_at);
+  co_await this->PutInForce(std::move(changed));
   this->read_revision = std::max(this->read_revision, changes.revision);
 }
 
@@ -102,40 +104,45 @@
 asio::awaitable<void> PublicationFollower::SweepLapsed() {
   while (true) {
     co_await SleepFor(kLapseInterval);
-    const auto lapsed = this->held.TakeLapsed(Clock::now());
-    if (!lapsed.empty())
-      this->PutInForce(lapsed);
+    auto lapsed = this->held.TakeLapsed(Clock::now());
+    co_await this->PutInForce(std::move(lapsed));
   }
 }
 
-void PublicationFollower::TakeFromPeer(const PublishedItems& all) {
+asio::awaitable<void> PublicationFollower::TakeFromPeer(PublishedItems all) {
   if (all.revision <= this->held.Revision())
-    return;
+    co_return;
   LogLine(LogLevel::kNotice, "published_by_peer", {{"revision", all.revision}});
   this->confirmed_at = Clock::now();
-  this->PutInForce(this->held.TakeAll(all, this->confirmed_at));
+  auto changed = this->held.TakeAll(all, this->confirmed_at);
+  co_await this->PutInForce(std::move(changed));
 }
 
-void PublicationFollower::PutInForce(
-    const std::vector<PublishedItem>& changed) {
+asio::awaitable<void> PublicationFollower::PutInForce(
+    std::vector<PublishedItem> changed) {
   for (const PublishedItem& item : changed)
-    this->PutItemInForce(item);
+    co_await this->PutItemInForce(item);
   if (!changed.empty())
     this->state.OfferRoomEverywhere();
 }
 
-void PublicationFollower::PutItemInForce(const PublishedItem& item) {
+asio::awaitable<void> PublicationFollower::PutItemInForce(
+    PublishedItem item) {
   const auto endpoint = this->state.adapter.EndpointOfKey(item.key);
   if (item.removed) {
     if (!endpoint)
-      return;
+      co_return;
     LogLine(LogLevel::kNotice, "endpoint_gone",
             {{"endpoint", *endpoint}, {"revision", item.revision}});
     this->state.board.Withdraw(*endpoint);
     this->state.connections.Forget(*endpoint);
-    return;
+    co_return;
   }
-  const PublishedMeaning meaning = this->state.adapter.Decode(item);
+  const PublishedMeaning meaning =
+      co_await this->state.adapter.Decode(item);
+  // Another change of the item may have overtaken the decoding.
+  if (this->held.RevisionOf(item.key) != item.revision)
+    co_return;
   if (const auto* unusable = std::get_if<UnusableItem>(&meaning)) {
     if (!unusable->reason.empty()) {
       LogLine(LogLevel::kWarning, "item_unusable",
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -24,7 +24,7 @@
   void Start();
 
   /** Takes all that a peer knows; older than what is held changes nothing. */
-  void TakeFromPeer(const PublishedItems& all);
+  asio::awaitable<void> TakeFromPeer(PublishedItems all);
 
   const PublicationState& Held() const { return this->held; }
 
@@ -34,16 +34,13 @@
   /** @return Time since the store or a peer last confirmed what is held. */
   std::chrono::milliseconds Age() const;
 
-  /** Notes that a peer is no further than this process. */
-  void NotePeerAgrees() { this->confirmed_at = Clock::now(); }
-
  private:
   asio::awaitable<void> Follow();
   asio::awaitable<void> Step();
   asio::awaitable<void> SweepLapsed();
   void NoteStore(bool reached, const std::string& fault);
-  void PutInForce(const std::vector<PublishedItem>& changed);
-  void PutItemInForce(const PublishedItem& item);
+  asio::awaitable<void> PutInForce(std::vector<PublishedItem> changed);
+  asio::awaitable<void> PutItemInForce(PublishedItem item);
   void PutTableInForce(std::shared_ptr<const RoutingTable> table);
   void PutEndpointInForce(const EndpointEntry& entry);
 
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -49,6 +49,12 @@
 
   std::uint64_t Revision() const { return this->revision; }
 
+  /** @return Revision of an item's last change; 0 if it is not held. */
+  std::uint64_t RevisionOf(const std::string& key) const {
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? 0 : found->second.revision;
+  }
+
  private:
   bool Take(const PublishedItem& item);
   void Remove(const std::string& key,
