Stories of the decisions: placement, waiting, shares, publication

Each replays the load pattern that the decision answers. The property 'no item goes back to an older revision' failed first: a removal of an item not yet held was forgotten, so that an older write that came later was put in force.

--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -26,12 +26,24 @@
   return true;
 }
 
+void PublicationState::NoteRemoval(const std::string& key,
+                                   std::uint64_t at_revision) {
+  if (this->removals.size() >= kMostRemovals)
+    this->removals.clear();
+  std::uint64_t& newest = this->removals[key];
+  newest = std::max(newest, at_revision);
+}
+
 void PublicationState::Remove(const std::string& key,
                               std::uint64_t at_revision,
                               TimePoint now,
                               std::vector<PublishedItem>& changed) {
   const auto held = this->items.find(key);
-  if (held == this->items.end() || held->second.revision > at_revision)
+  if (held == this->items.end()) {
+    this->NoteRemoval(key, at_revision);
+    return;
+  }
+  if (held->second.revision > at_revision)
     return;
   const bool may_be_lapse = this->outage_seen != TimePoint{} &&
                             now - this->outage_seen < this->lapse_grace;
@@ -41,9 +53,7 @@
   }
   this->items.erase(held);
   this->lapsing.erase(key);
-  if (this->removals.size() >= kMostRemovals)
-    this->removals.clear();
-  this->removals[key] = at_revision;
+  this->NoteRemoval(key, at_revision);
   changed.push_back({key, "", at_revision, true});
 }
 
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -57,6 +57,7 @@
 
  private:
   bool Take(const PublishedItem& item);
+  void NoteRemoval(const std::string& key, std::uint64_t at_revision);
   void Remove(const std::string& key,
               std::uint64_t at_revision,
               TimePoint now,
--- /dev/null
+++ b/test/stories/endpoint_board.cc
@@ -0,0 +1,254 @@
+/** @file endpoint_board.cc Which endpoint a request goes to. */
+
+#include "buckthornpath/endpoint_board.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+
+#include "harness/property.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+using TimePoint = EndpointBoard::TimePoint;
+
+const ServiceName kService("llm");
+
+EndpointEntry Entry(std::size_t number, std::size_t slots = 48) {
+  EndpointEntry entry;
+  entry.id = EndpointId("engine-" + std::to_string(number));
+  entry.service = kService;
+  entry.address = "10.0.0." + std::to_string(number) + ":1";
+  entry.failure_domain = FailureDomainId(number % 2 == 0 ? "a" : "b");
+  entry.slots = slots;
+  return entry;
+}
+
+/** A gateway's view of some endpoints, and the time that it believes. */
+struct View {
+  explicit View(std::size_t endpoints, std::size_t slots = 48)
+      : board(FailureDomainId("a"), EndpointBoardLimits{}) {
+    for (std::size_t i = 0; i < endpoints; ++i)
+      this->board.Publish(Entry(i, slots));
+  }
+
+  EndpointHandle Choose(std::vector<PromptPart> parts,
+                        int priority = 0,
+                        std::vector<EndpointId> excluded = {}) {
+    const EndpointQuery query{kService, parts, priority, excluded};
+    return this->board.Choose(query, this->now,
+                              [](const EndpointBelief&) { return true; });
+  }
+
+  /** Chooses and starts a request; null if none has room. */
+  EndpointHandle Start(const std::vector<PromptPart>& parts, int priority = 0) {
+    const EndpointHandle chosen = this->Choose(parts, priority);
+    if (chosen) {
+      const auto unread = this->board.NoteStart(*chosen, parts, this->now);
+      this->board.NoteUnreadEnd(*chosen, unread);
+      this->board.NoteHeard(*chosen, this->now);
+    }
+    return chosen;
+  }
+
+  EndpointBoard board;
+  TimePoint now{std::chrono::hours(1)};
+};
+
+std::vector<PromptPart> Prompt(std::uint64_t chat, std::uint64_t request) {
+  return {{1, 500}, {1000 + chat, 10000}, {1000000 + request, 1300}};
+}
+
+void ChatsStayWhereTheirPartsAre() {
+  View view(12);
+  std::map<std::uint64_t, EndpointId> places;
+  for (std::uint64_t i = 0; i < 200; ++i) {
+    const std::uint64_t chat = i % 20;
+    const EndpointHandle chosen = view.Start(Prompt(chat, i));
+    const auto [place, added] = places.try_emplace(chat, chosen->Entry().id);
+    CPPUNIT_ASSERT(place->second == chosen->Entry().id);
+    view.board.NoteEnd(*chosen);
+    view.now += milliseconds(10);
+  }
+}
+
+void GatewaysAgreeWithoutTalking() {
+  View first(12);
+  View second(12);
+  for (std::uint64_t chat = 0; chat < 50; ++chat) {
+    CPPUNIT_ASSERT(first.Choose(Prompt(chat, 1))->Entry().id ==
+                   second.Choose(Prompt(chat, 2))->Entry().id);
+  }
+}
+
+void PartsToldByPeersAreUsed() {
+  View view(12);
+  const EndpointId home = view.Choose(Prompt(7, 1))->Entry().id;
+  const EndpointId other = Entry(home == Entry(3).id ? 4 : 3).id;
+  view.board.NotePart({other, 1007}, view.now);
+  CPPUNIT_ASSERT(view.Choose(Prompt(7, 2))->Entry().id == other);
+  CPPUNIT_ASSERT(view.board.TakeNewParts().empty());
+}
+
+/** One prompt brings a fifth of a flood, as on a day with a hot key. */
+void HotPartSpreadsWithinTheBound() {
+  View view(12);
+  std::mt19937_64 random(20261204);
+  std::deque<EndpointHandle> running;
+  std::size_t checked = 0;
+  for (std::uint64_t i = 0; i < 4000; ++i) {
+    const std::uint64_t chat = random() % 5 == 0 ? 0 : 1 + random() % 200;
+    const EndpointHandle chosen = view.Start(Prompt(chat, i));
+    CPPUNIT_ASSERT(chosen);
+    running.push_back(chosen);
+    view.now += milliseconds(5);
+    if (running.size() <= 150)
+      continue;
+    view.board.NoteEnd(*running.front());
+    running.pop_front();
+    std::map<EndpointId, double> loads;
+    for (const EndpointHandle& endpoint : running)
+      loads[endpoint->Entry().id] += 1;
+    // The platform's bound: twice the mean and three.
+    const double bound = 2.0 * 150.0 / 12.0 + 3.0;
+    for (const auto& [id, load] : loads)
+      CPPUNIT_ASSERT(load <= bound);
+    ++checked;
+  }
+  CPPUNIT_ASSERT(checked > 3000);
+}
+
+/** The engines fill up; the last slots are left for urgent work. */
+void FloodLeavesRoomForUrgentWork() {
+  View view(4, 10);
+  std::size_t bulk = 0;
+  while (view.Start({}, 2) != nullptr)
+    ++bulk;
+  CPPUNIT_ASSERT(bulk < 40);
+  std::size_t urgent = 0;
+  while (view.Start({}, 0) != nullptr)
+    ++urgent;
+  CPPUNIT_ASSERT_EQUAL(std::size_t{40}, bulk + urgent);
+  CPPUNIT_ASSERT(urgent >= 4);
+}
+
+void NeverBeyondTheSlots() {
+  const auto endpoints = *rc::gen::inRange<std::size_t>(1, 8);
+  const auto slots = *rc::gen::inRange<std::size_t>(1, 20);
+  View view(endpoints, slots);
+  const auto priorities =
+      *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 4));
+  for (const int priority : priorities)
+    view.Start(Prompt(static_cast<std::uint64_t>(priority), 1), priority);
+  for (const auto& [id, endpoint] : view.board.All())
+    RC_ASSERT(endpoint->Running() <= static_cast<std::int64_t>(slots));
+}
+
+void PeersCountAsLoad() {
+  View view(2, 10);
+  view.board.NotePeers(Entry(0).id, 10, 0);
+  for (int i = 0; i < 5; ++i)
+    CPPUNIT_ASSERT(view.Start({})->Entry().id == Entry(1).id);
+}
+
+void LeavingOrExcludedIsNotChosen() {
+  View view(3);
+  EndpointEntry leaving = Entry(0);
+  leaving.leaving = true;
+  view.board.Publish(leaving);
+  view.board.Withdraw(Entry(1).id);
+  CPPUNIT_ASSERT(view.Choose({})->Entry().id == Entry(2).id);
+  CPPUNIT_ASSERT(view.Choose({}, 0, {Entry(2).id}) == nullptr);
+  view.board.Withdraw(Entry(2).id);
+  CPPUNIT_ASSERT(!view.board.HasUsable(kService));
+}
+
+void UnreachableIsAvoidedAndTriedAgain() {
+  View view(2);
+  const EndpointHandle bad = view.board.Find(Entry(0).id);
+  view.board.NoteVerdict(*bad, EndpointVerdict::kUnreachable, view.now);
+  for (int i = 0; i < 5; ++i)
+    CPPUNIT_ASSERT(view.Choose({}, 0)->Entry().id == Entry(1).id);
+  // With no other left, doubt gives way.
+  CPPUNIT_ASSERT(view.Choose({}, 0, {Entry(1).id}) == bad);
+}
+
+void ServiceIsNeverShutOutWhole() {
+  View view(3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    for (int fault = 0; fault < 20; ++fault) {
+      view.board.NoteVerdict(*view.board.Find(Entry(i).id),
+                             EndpointVerdict::kUnreachable, view.now);
+      view.board.NoteVerdict(*view.board.Find(Entry(i).id),
+                             EndpointVerdict::kBroken, view.now);
+    }
+  }
+  CPPUNIT_ASSERT(view.Choose({}) != nullptr);
+}
+
+void FailingEndpointGetsLess() {
+  View view(4);
+  const EndpointHandle bad = view.board.Find(Entry(0).id);
+  for (int i = 0; i < 10; ++i)
+    view.board.NoteVerdict(*bad, EndpointVerdict::kFailed, view.now);
+  std::size_t chosen = 0;
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    if (view.Start(Prompt(100 + i, i)) == bad)
+      ++chosen;
+  }
+  CPPUNIT_ASSERT(chosen < 10);
+}
+
+void NewAddressIsANewEndpoint() {
+  View view(1);
+  const EndpointHandle before = view.Start(Prompt(1, 1));
+  EndpointEntry moved = Entry(0);
+  moved.address = "10.0.0.99:1";
+  view.board.Publish(moved);
+  const EndpointHandle after = view.board.Find(moved.id);
+  CPPUNIT_ASSERT(after != before);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, after->Running());
+  view.board.NoteEnd(*before);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, after->Running());
+}
+
+const Story kStory("endpoint_board", [] {
+  return Section(
+      "given a gateway's view of the endpoints of a service",
+      {Section("when chats return",
+               {Then("each stays where its parts are",
+                     ChatsStayWhereTheirPartsAre),
+                Then("gateways choose the same home without talking",
+                     GatewaysAgreeWithoutTalking),
+                Then("places that peers tell of are used",
+                     PartsToldByPeersAreUsed),
+                Then("one hot part spreads, none above the platform's bound",
+                     HotPartSpreadsWithinTheBound)}),
+       Section("when a flood fills every endpoint",
+               {Then("the last slots are left for urgent work",
+                     FloodLeavesRoomForUrgentWork),
+                Always("no endpoint is chosen beyond its slots",
+                       NeverBeyondTheSlots),
+                Then("what peers have there counts", PeersCountAsLoad)}),
+       Section("when endpoints leave, fail or return",
+               {Then("none that leaves or has failed the request is chosen",
+                     LeavingOrExcludedIsNotChosen),
+                Then("an unreachable one is avoided, not given up",
+                     UnreachableIsAvoidedAndTriedAgain),
+                Then("a service is never shut out whole",
+                     ServiceIsNeverShutOutWhole),
+                Then("one that fails gets less", FailingEndpointGetsLess),
+                Then("one with a new address starts from nothing",
+                     NewAddressIsANewEndpoint)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/stories/gateway_decisions.cc
@@ -0,0 +1,241 @@
+/** @file gateway_decisions.cc Small decisions of a gateway, without I/O. */
+
+#include <cppunit/TestAssert.h>
+
+#include "buckthornpath/peer_loads.h"
+#include "buckthornpath/routing_table.h"
+#include "buckthornpath/waiting_line.h"
+#include "gateway/event_relay.h"
+#include "gateway/publication_state.h"
+#include "harness/property.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+constexpr milliseconds kGrace{2000};
+const TimePoint kStart{std::chrono::hours(1)};
+
+Route RouteAt(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = host;
+  route.prefix = prefix;
+  route.shares = {{ServiceName("s"), 1.0}};
+  return route;
+}
+
+void LongestPrefixWins() {
+  RoutingTable::Parts parts;
+  parts.routes = {RouteAt("a", "/"), RouteAt("a", "/x/"),
+                  RouteAt("a", "/x/y/"), RouteAt("b", "/x/")};
+  const RoutingTable table(std::move(parts));
+  const auto match = [&](const char* host, const char* path) {
+    const Route* route = table.Match(host, path);
+    return route == nullptr ? std::string() : route->name;
+  };
+  CPPUNIT_ASSERT_EQUAL(std::string("a/x/y/"), match("a", "/x/y/z/%2f"));
+  CPPUNIT_ASSERT_EQUAL(std::string("a/x/y/"), match("a", "/x/y/"));
+  CPPUNIT_ASSERT_EQUAL(std::string("a/x/"), match("a", "/x/y"));
+  CPPUNIT_ASSERT_EQUAL(std::string("a/"), match("a", "/xy/"));
+  CPPUNIT_ASSERT_EQUAL(std::string(), match("b", "/y/"));
+  CPPUNIT_ASSERT_EQUAL(std::string(), match("c", "/x/"));
+  CPPUNIT_ASSERT_EQUAL(std::string(), match("a", ""));
+}
+
+void SharesFollowTheirWeights() {
+  Route route = RouteAt("a", "/");
+  route.shares = {{ServiceName("most"), 90}, {ServiceName("few"), 10}};
+  std::size_t few = 0;
+  constexpr std::uint64_t kSteps = 1000;
+  for (std::uint64_t i = 0; i < kSteps; ++i) {
+    const std::uint64_t hash = UINT64_MAX / kSteps * i;
+    few += route.ServiceFor(hash) == ServiceName("few") ? 1 : 0;
+  }
+  CPPUNIT_ASSERT(few >= 95 && few <= 105);
+}
+
+void UrgentGoFirstThenOldest() {
+  WaitingLine line;
+  const WaitTicket bulk = line.Add(2);
+  const WaitTicket first = line.Add(0);
+  const WaitTicket second = line.Add(0);
+  CPPUNIT_ASSERT((line.Order() == std::vector{first, second, bulk}));
+  line.Remove(first);
+  line.Remove(first);
+  CPPUNIT_ASSERT((line.Order() == std::vector{second, bulk}));
+}
+
+/** Departures come at a steady rate while a burst waits. */
+void ForecastFollowsTheRate() {
+  WaitingLine line;
+  TimePoint now = kStart;
+  for (int i = 0; i < 400; ++i) {
+    now += milliseconds(10);
+    line.NoteDeparture(now);
+  }
+  for (int i = 0; i < 99; ++i)
+    line.Add(1);
+  const milliseconds last = line.Forecast(1, now);
+  CPPUNIT_ASSERT(last >= milliseconds(900) && last <= milliseconds(1100));
+  CPPUNIT_ASSERT(line.Forecast(0, now) <= milliseconds(15));
+  // The service stops answering: the forecast grows with the silence.
+  now += std::chrono::seconds(10);
+  CPPUNIT_ASSERT(line.Forecast(1, now) > last * 5);
+}
+
+void SumsAreThoseOfTheLatestReports() {
+  PeerLoads loads;
+  std::map<std::string, std::map<std::string, std::int64_t>> model;
+  const auto steps = *rc::gen::container<
+      std::vector<std::tuple<int, int, std::int64_t>>>(rc::gen::tuple(
+      rc::gen::inRange(0, 4), rc::gen::inRange(0, 5),
+      rc::gen::inRange<std::int64_t>(0, 9)));
+  for (const auto& [peer, endpoint, load] : steps) {
+    const std::string name = std::to_string(peer);
+    EndpointUses uses;
+    model[name].clear();
+    if (load > 0) {
+      uses[EndpointId(std::to_string(endpoint))] = {load, load * 10};
+      model[name][std::to_string(endpoint)] = load;
+    }
+    loads.Take(name, uses);
+  }
+  for (int endpoint = 0; endpoint < 5; ++endpoint) {
+    std::int64_t sum = 0;
+    for (const auto& [peer, uses] : model) {
+      const auto found = uses.find(std::to_string(endpoint));
+      sum += found == uses.end() ? 0 : found->second;
+    }
+    const EndpointUse use = loads.Sum(EndpointId(std::to_string(endpoint)));
+    RC_ASSERT(use.requests == sum);
+    RC_ASSERT(use.unread_tokens == sum * 10);
+  }
+}
+
+std::string EventText(int id) {
+  return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) +
+         "\n\n";
+}
+
+/** A stream arrives in any pieces and is cut and resumed at any place. */
+void EachEventOnceWhateverThePieces() {
+  const int events = *rc::gen::inRange(1, 12);
+  std::string whole;
+  for (int id = 1; id <= events; ++id)
+    whole += EventText(id);
+  EventRelay relay;
+  std::string passed;
+  bool is_over = false;
+  for (int run = 0; run < 6 && !is_over; ++run) {
+    relay.BeginRun();
+    const auto after = static_cast<int>(relay.LastId().value_or(0));
+    // The endpoint may begin before the event asked for.
+    std::string text;
+    for (int id = std::max(1, after); id <= events; ++id)
+      text += EventText(id);
+    const std::size_t cut =
+        run == 5 ? text.size()
+                 : *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+    for (std::size_t at = 0; at < cut;) {
+      const auto size = *rc::gen::inRange<std::size_t>(1, 20);
+      passed += relay.Feed(text.substr(at, std::min(size, cut - at)));
+      at += size;
+    }
+    is_over = cut == text.size();
+  }
+  RC_ASSERT(passed + relay.Finish() == whole);
+}
+
+PublishedItem Item(const std::string& key, std::uint64_t revision) {
+  return {key, "v" + std::to_string(revision), revision, false};
+}
+
+PublishedItem Removal(const std::string& key, std::uint64_t revision) {
+  return {key, "", revision, true};
+}
+
+/** Changes come from store and peers, twice and out of order. */
+void NoItemGoesBack() {
+  PublicationState state(kGrace);
+  std::uint64_t newest = 0;
+  bool is_held = false;
+  const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
+      rc::gen::pair(rc::gen::inRange(1, 40), rc::gen::arbitrary<bool>()));
+  for (const auto& [number, is_removed] : steps) {
+    // A revision is either a write or a removal, whoever reports it.
+    const auto revision = static_cast<std::uint64_t>(number);
+    const bool removes = revision % 3 == 0;
+    PublishedItems changes{revision, {removes ? Removal("k", revision)
+                                              : Item("k", revision)}};
+    state.TakeChanges(changes, kStart);
+    if (revision > newest) {
+      newest = revision;
+      is_held = !removes;
+    }
+    const std::uint64_t held = state.RevisionOf("k");
+    const std::uint64_t expected = is_held ? newest : 0;
+    RC_ASSERT(held == expected);
+  }
+}
+
+void LapsedItemsMayReturn() {
+  PublicationState state(kGrace);
+  state.TakeAll({5, {Item("a", 1), Item("b", 2)}}, kStart);
+  state.NoteOutage(kStart);
+  // Both lapsed meanwhile; "a" is renewed, "b" is not.
+  CPPUNIT_ASSERT(
+      state.TakeAll({9, {}}, kStart + milliseconds(500)).empty());
+  CPPUNIT_ASSERT(state.TakeLapsed(kStart + milliseconds(1500)).empty());
+  state.TakeChanges({10, {Item("a", 10)}}, kStart + milliseconds(1600));
+  const auto gone = state.TakeLapsed(kStart + kGrace);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gone.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("b"), gone.front().key);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, state.RevisionOf("a"));
+}
+
+void RemovalInCalmTakesEffectAtOnce() {
+  PublicationState state(kGrace);
+  state.TakeAll({5, {Item("a", 1)}}, kStart);
+  CPPUNIT_ASSERT_EQUAL(
+      std::size_t{1},
+      state.TakeChanges({6, {Removal("a", 6)}}, kStart).size());
+  // A peer that has not heard of it hands over the old entry.
+  CPPUNIT_ASSERT(state.TakeAll({5, {Item("a", 1)}}, kStart).empty());
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("a"));
+}
+
+const Story kStory("gateway_decisions", [] {
+  return Section(
+      "given the decisions of a gateway",
+      {Section("when a request is matched with a route",
+               {Then("the longest prefix of its host wins", LongestPrefixWins),
+                Then("services get shares by their weights",
+                     SharesFollowTheirWeights)}),
+       Section("when requests wait for room",
+               {Then("the urgent go first, then the oldest",
+                     UrgentGoFirstThenOldest),
+                Then("the forecast follows the rate of departures",
+                     ForecastFollowsTheRate)}),
+       Section("when peers report their loads",
+               {Always("sums are those of the latest reports",
+                       SumsAreThoseOfTheLatestReports)}),
+       Section("when a stream is cut and resumed",
+               {Always("each event is passed on once, whatever the pieces",
+                       EachEventOnceWhateverThePieces)}),
+       Section("when published items arrive late, twice and out of order",
+               {Always("no item goes back to an older revision",
+                       NoItemGoesBack),
+                Then("what an outage may have removed may return",
+                     LapsedItemsMayReturn),
+                Then("a removal in calm takes effect at once",
+                     RemovalInCalmTakesEffectAtOnce)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
