A router tells that an endpoint leaves also when that one has slept

The router now names what it knows; outcome and status are as before. EndpointLoads holds its reports in a LoadView, so one piece ages them. Ruled out: holding the answer back until the endpoint has asked, which costs the caller up to 3 s.

--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -2,6 +2,7 @@
 
 #include "router/call_session.h"
 
+#include <algorithm>
 #include <atomic>
 
 #include "kernel/control_traffic.h"
@@ -280,6 +281,20 @@
   co_return false;
 }
 
+std::string CallSession::ReasonOf(const CallRefused& refused,
+                                  const EndpointId& endpoint) const {
+  if (refused.reason != "no_configuration")
+    return refused.reason;
+  // An endpoint process that has slept knows nothing yet, not even that it
+  // leaves; the caller is told what will still hold when it does.
+  const std::vector<Member> members = this->context.members.All();
+  const bool is_leaving =
+      std::any_of(members.begin(), members.end(), [&](const Member& member) {
+        return member.id == endpoint && member.state == MemberState::kLeaving;
+      });
+  return is_leaving ? "endpoint_leaving" : refused.reason;
+}
+
 void CallSession::NoteRefusal(const CallRefused& refused,
                               const EndpointId& endpoint) {
   this->context.placement.Loads().NoteReport(endpoint,
@@ -291,8 +306,8 @@
   CountControlBytes(ControlKind::kLoad, ControlDirection::kReceived,
                     EncodedSize(refused.loads));
   const Outcome outcome = ParseOutcome(refused.outcome);
-  this->problem = {refused.reason, refused.detail, outcome, refused.retry_after,
-                   ""};
+  this->problem = {this->ReasonOf(refused, endpoint), refused.detail, outcome,
+                   refused.retry_after, ""};
   if (outcome == Outcome::kNotRun)
     this->machine.OnNotRun();
   else if (outcome == Outcome::kRan)
--- a/src/router/call_session.h
+++ b/src/router/call_session.h
@@ -66,6 +66,9 @@
                                const EndpointId& endpoint);
 
   /** Takes what an endpoint says of a call without an answer. */
+  /** @return Why the endpoint refused, as far as this router knows better. */
+  std::string ReasonOf(const CallRefused& refused,
+                       const EndpointId& endpoint) const;
   void NoteRefusal(const CallRefused& refused, const EndpointId& endpoint);
 
   /** Notes that a dialogue was lost. */
--- a/src/router/endpoint_loads.cc
+++ b/src/router/endpoint_loads.cc
@@ -6,44 +6,52 @@
 
 namespace buckthornpath {
 
+namespace {
+
+std::chrono::milliseconds SinceEpoch(EndpointLoads::TimePoint time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      time.time_since_epoch());
+}
+
+}  // namespace
+
 void EndpointLoads::NoteReport(const EndpointId& endpoint,
                                std::int64_t load,
                                TimePoint now) {
   const OrderedLock lock(this->mutex);
-  Entry& entry = this->entries[endpoint];
-  entry.reported = load;
-  entry.reported_at = now;
-  entry.own_at_report = entry.own;
+  this->reports.Update({endpoint, load, std::chrono::milliseconds(0)},
+                       SinceEpoch(now));
+  OwnCalls& calls = this->own[endpoint];
+  calls.at_report = calls.now;
 }
 
 void EndpointLoads::NoteStart(const EndpointId& endpoint) {
   const OrderedLock lock(this->mutex);
-  ++this->entries[endpoint].own;
+  ++this->own[endpoint].now;
 }
 
 void EndpointLoads::NoteEnd(const EndpointId& endpoint) {
   const OrderedLock lock(this->mutex);
-  --this->entries[endpoint].own;
+  --this->own[endpoint].now;
 }
 
 std::optional<double> EndpointLoads::Believed(const EndpointId& endpoint,
                                               TimePoint now) const {
   const OrderedLock lock(this->mutex);
-  const auto found = this->entries.find(endpoint);
-  if (found == this->entries.end())
-    return std::nullopt;
-  const Entry& entry = found->second;
-  if (now - entry.reported_at > this->maximum_age)
+  const auto report = this->reports.Find(endpoint, SinceEpoch(now));
+  if (!report)
     return std::nullopt;
-  const std::int64_t since = entry.own - entry.own_at_report;
+  const auto found = this->own.find(endpoint);
+  const OwnCalls calls = found == this->own.end() ? OwnCalls{} : found->second;
+  const std::int64_t since = calls.now - calls.at_report;
   return static_cast<double>(
-      std::max({entry.reported + since, entry.own, std::int64_t{0}}));
+      std::max({report->load + since, calls.now, std::int64_t{0}}));
 }
 
 std::int64_t EndpointLoads::Own(const EndpointId& endpoint) const {
   const OrderedLock lock(this->mutex);
-  const auto found = this->entries.find(endpoint);
-  return found == this->entries.end() ? 0 : found->second.own;
+  const auto found = this->own.find(endpoint);
+  return found == this->own.end() ? 0 : found->second.now;
 }
 
 }  // namespace buckthornpath
--- a/src/router/endpoint_loads.h
+++ b/src/router/endpoint_loads.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "buckthornpath/load_view.h"
 #include "buckthornpath/strong_id_type.h"
 #include "kernel/lock_order.h"
 
@@ -23,7 +24,7 @@
 
   /** @param maximum_age Age above which a report counts no longer. */
   explicit EndpointLoads(std::chrono::milliseconds maximum_age)
-      : maximum_age(maximum_age) {}
+      : reports(maximum_age) {}
 
   /** Notes a report of calls running and waiting. */
   void NoteReport(const EndpointId& endpoint, std::int64_t load, TimePoint now);
@@ -40,16 +41,14 @@
   std::int64_t Own(const EndpointId& endpoint) const;
 
  private:
-  struct Entry {
-    std::int64_t reported = 0;
-    TimePoint reported_at{};
-    std::int64_t own = 0;            ///< Calls of this router there.
-    std::int64_t own_at_report = 0;  ///< Of them, when the report came.
+  struct OwnCalls {
+    std::int64_t now = 0;        ///< Calls of this router there.
+    std::int64_t at_report = 0;  ///< Of them, when the report came.
   };
 
-  std::chrono::milliseconds maximum_age;
   mutable OrderedMutex mutex{LockRank::kMembers};
-  std::unordered_map<EndpointId, Entry> entries;
+  LoadView reports;
+  std::unordered_map<EndpointId, OwnCalls> own;
 };
 
 }  // namespace buckthornpath
