Changes are gathered for 250 ms before the next watch

Change: after changes a gateway waits 250 ms before it watches again. Ruled out: gateways that follow peers instead of the store, as a change would take a gossip interval and a catch-up longer, near the bound on configuration.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -22,6 +22,10 @@
 /** Time between looks for items whose grace is over. */
 constexpr milliseconds kLapseInterval{200};
 
+/** Pause after changes have come: those that follow soon come with one call.
+ * A tenth of the platform's bound on a change in force. */
+constexpr milliseconds kGatherTime{250};
+
 /** Pause after a failed call, and its longest. */
 constexpr milliseconds kFirstPause{100};
 constexpr milliseconds kLongestPause{800};
@@ -85,6 +89,8 @@
   auto changed = this->held.TakeChanges(changes, this->confirmed_at);
   co_await this->PutInForce(std::move(changed));
   this->read_revision = std::max(this->read_revision, changes.revision);
+  if (!changes.items.empty())
+    co_await SleepFor(kGatherTime);
 }
 
 void PublicationFollower::NoteStore(bool reached, const std::string& fault) {
