explain: a request's story from log files; wrong commands end with one line

buckthornpath explain ID LOG... prints the request's lines and what its processes believed within ten seconds before, and how many lines were dropped. A wrong command line prints one line and ends with 2 (it printed the page and ended with 255). Request lines carry the age of what is published and, when nothing was tried, the share of slots taken. Stories: three kinds of failed request, keys never logged, a reader that stops, a bound in bytes.

--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -103,7 +103,18 @@
 }
 
 int Command::Main(const std::vector<std::string>& arguments) {
-  const auto values = docopt::docopt(UsageText(), arguments);
+  std::map<std::string, docopt::value> values;
+  try {
+    values = docopt::docopt_parse(UsageText(), arguments, true, false);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << UsageText();
+    return static_cast<int>(CommandResult::kDone);
+  } catch (const std::runtime_error& error) {
+    const std::string reason = error.what();
+    std::cerr << (reason.empty() ? "the arguments fit no command" : reason)
+              << "; see buckthornpath --help\n";
+    return static_cast<int>(CommandResult::kFault);
+  }
   const auto& commands = Commands();
   const auto named = std::find_if(
       commands.begin(), commands.end(),
--- /dev/null
+++ b/src/cli/explain_cmd.cc
@@ -0,0 +1,139 @@
+/** @file explain_cmd.cc Tells the story of one request from log files. */
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "cli/command.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using nlohmann::json;
+
+/** Beliefs that changed this long before a request still explain it. */
+constexpr std::chrono::milliseconds kBeliefSpan{10000};
+
+/** One line of a log. */
+struct LogEntry {
+  std::chrono::milliseconds time{};
+  json line;
+};
+
+/** Lines of all files, and how many could not be read. */
+struct LogLines {
+  std::vector<LogEntry> entries;
+  std::size_t unreadable = 0;
+};
+
+/** @throws std::runtime_error If a file cannot be read. */
+LogLines ReadLogs(const std::vector<std::string>& files) {
+  LogLines lines;
+  for (const std::string& path : files) {
+    std::ifstream file(path);
+    if (!file)
+      throw std::runtime_error(path + " cannot be read");
+    for (std::string text; std::getline(file, text);) {
+      // A collector may have put words before the line.
+      const std::size_t begin = text.find("{\"time_ms\"");
+      json line = begin == std::string::npos
+                      ? json()
+                      : json::parse(text.substr(begin), nullptr, false);
+      if (!line.is_object()) {
+        ++lines.unreadable;
+        continue;
+      }
+      const std::chrono::milliseconds time(
+          line.value("time_ms", std::int64_t{0}));
+      lines.entries.push_back({time, std::move(line)});
+    }
+  }
+  std::stable_sort(lines.entries.begin(), lines.entries.end(),
+                   [](const LogEntry& left, const LogEntry& right) {
+                     return left.time < right.time;
+                   });
+  return lines;
+}
+
+/** Processes and endpoints that a request met, and when. */
+struct RequestTrace {
+  std::set<std::string> processes;
+  std::set<std::string> endpoints;
+  std::chrono::milliseconds begun{};
+  std::chrono::milliseconds ended{};
+  bool is_found = false;
+};
+
+RequestTrace TraceOf(const LogLines& lines, const std::string& id) {
+  RequestTrace trace;
+  for (const LogEntry& entry : lines.entries) {
+    if (entry.line.value("request", "") != id)
+      continue;
+    const std::chrono::milliseconds begun =
+        entry.time - std::chrono::milliseconds(
+                         entry.line.value("total_ms", std::int64_t{0}));
+    trace.begun = trace.is_found ? std::min(trace.begun, begun) : begun;
+    trace.is_found = true;
+    trace.ended = entry.time;
+    trace.processes.insert(entry.line.value("process", ""));
+    for (const json& attempt : entry.line.value("attempts", json::array()))
+      trace.endpoints.insert(attempt.value("endpoint", ""));
+  }
+  return trace;
+}
+
+/** @return True if a line says what the trace's processes then believed. */
+bool IsBelief(const LogEntry& entry, const RequestTrace& trace) {
+  if (entry.line.value("event", "") == "request" ||
+      entry.time < trace.begun - kBeliefSpan || entry.time > trace.ended ||
+      !trace.processes.contains(entry.line.value("process", ""))) {
+    return false;
+  }
+  const std::string endpoint = entry.line.value("endpoint", "");
+  return endpoint.empty() || trace.endpoints.contains(endpoint);
+}
+
+void Print(const LogEntry& entry, const RequestTrace& trace) {
+  json rest = entry.line;
+  for (const char* name : {"time_ms", "level", "process", "event"})
+    rest.erase(name);
+  std::cout << (entry.time - trace.begun).count() << " ms  "
+            << entry.line.value("process", "") << "  "
+            << entry.line.value("event", "") << "  " << rest.dump() << "\n";
+}
+
+CommandResult Explain(const CommandOptions& options) {
+  const std::string id = options.Text("<id>").value_or("");
+  const LogLines lines = ReadLogs(options.Texts("<log>"));
+  const RequestTrace trace = TraceOf(lines, id);
+  std::size_t dropped = 0;
+  for (const LogEntry& entry : lines.entries) {
+    if (entry.line.value("event", "") == "log_dropped")
+      dropped += entry.line.value("lines", std::size_t{0});
+    if (trace.is_found &&
+        (entry.line.value("request", "") == id || IsBelief(entry, trace))) {
+      Print(entry, trace);
+    }
+  }
+  if (dropped > 0)
+    std::cout << dropped << " lines of these logs were dropped under load\n";
+  if (lines.unreadable > 0)
+    std::cout << lines.unreadable << " lines are no log lines\n";
+  if (trace.is_found)
+    return CommandResult::kDone;
+  std::cout << "no line names the request " << id << "\n";
+  return CommandResult::kRefused;
+}
+
+const Command kCommand(
+    "explain",
+    "<id> <log>...",
+    "Tells the story of one request from the log files of all processes.",
+    Explain);
+
+}  // namespace
+
+}  // namespace buckthornpath
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -589,6 +589,10 @@
       {"status", this->final_status},
       {"total_ms", Since(this->received_at, now).count()},
       {"attempts", this->attempt_log}};
+  if (this->state.published_at != Clock::time_point{})
+    line["published_age_ms"] = Since(this->state.published_at, now).count();
+  if (this->attempt_log.empty())
+    line["taken_share"] = this->state.board.TakenShare(this->service);
   if (this->sent_at != Clock::time_point{})
     line["sent_ms"] = Since(this->received_at, this->sent_at).count();
   if (this->first_byte_at != Clock::time_point{})
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -54,6 +54,8 @@
   std::unordered_map<ServiceName, ServiceLine> lines;
   std::size_t gateways = 1;  ///< Gateways believed alive, this one included.
   bool is_draining = false;
+  /** When the store or a peer last confirmed what is published. */
+  Clock::time_point published_at{};
 };
 
 }  // namespace buckthornpath
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -44,7 +44,7 @@
 
 milliseconds PublicationFollower::Age() const {
   return std::chrono::duration_cast<milliseconds>(Clock::now() -
-                                                  this->confirmed_at);
+                                                  this->state.published_at);
 }
 
 asio::awaitable<void> PublicationFollower::Follow() {
@@ -77,16 +77,16 @@
 asio::awaitable<void> PublicationFollower::Step() {
   if (this->read_revision == 0) {
     const PublishedItems all = co_await this->source->ReadAll();
-    this->confirmed_at = Clock::now();
-    auto changed = this->held.TakeAll(all, this->confirmed_at);
+    this->state.published_at = Clock::now();
+    auto changed = this->held.TakeAll(all, this->state.published_at);
     co_await this->PutInForce(std::move(changed));
     this->read_revision = all.revision;
     co_return;
   }
   const PublishedItems changes = co_await this->source->ReadChanges(
       this->read_revision, this->state.settings.configuration_wait);
-  this->confirmed_at = Clock::now();
-  auto changed = this->held.TakeChanges(changes, this->confirmed_at);
+  this->state.published_at = Clock::now();
+  auto changed = this->held.TakeChanges(changes, this->state.published_at);
   co_await this->PutInForce(std::move(changed));
   this->read_revision = std::max(this->read_revision, changes.revision);
   if (!changes.items.empty())
@@ -119,8 +119,8 @@
   if (all.revision <= this->held.Revision())
     co_return;
   LogLine(LogLevel::kNotice, "published_by_peer", {{"revision", all.revision}});
-  this->confirmed_at = Clock::now();
-  auto changed = this->held.TakeAll(all, this->confirmed_at);
+  this->state.published_at = Clock::now();
+  auto changed = this->held.TakeAll(all, this->state.published_at);
   co_await this->PutInForce(std::move(changed));
 }
 
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -48,7 +48,6 @@
   std::unique_ptr<PublicationSource> source;
   PublicationState held;
   std::uint64_t read_revision = 0;  ///< Of the store itself; 0: list first.
-  Clock::time_point confirmed_at{};
   bool is_store_reached = true;
 };
 
--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -2,6 +2,10 @@
 
 #include "harness/gateway_fleet.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <sstream>
 #include <stdexcept>
 
@@ -103,6 +107,10 @@
         EchoEndpoint));
     this->PublishEndpoint("ledger", i, "ready");
   }
+  for (std::size_t i = 0; plan.stalls_logs && i < plan.gateways; ++i) {
+    mkfifo(this->LogPath(i).c_str(), S_IRUSR | S_IWUSR);
+    this->stalled.push_back(open(this->LogPath(i).c_str(), O_RDWR));
+  }
   this->gateways.resize(plan.gateways);
   for (std::size_t i = 0; i < plan.gateways; ++i)
     this->Restart(i);
@@ -120,7 +128,16 @@
   }
 }
 
-GatewayFleet::~GatewayFleet() = default;
+GatewayFleet::~GatewayFleet() {
+  this->gateways.clear();
+  for (const int pipe : this->stalled)
+    close(pipe);
+}
+
+std::string GatewayFleet::LogPath(std::size_t index) const {
+  return (this->scratch.Path() / ("gateway-" + std::to_string(index) + ".log"))
+      .string();
+}
 
 std::string GatewayFleet::Address(int host, int port) const {
   return this->claim.Network() + std::to_string(host) + ":" +
@@ -152,7 +169,7 @@
   this->gateways[index] = std::make_unique<ChildProcess>(
       "buckthornpathd",
       std::vector<std::string>{"--role=gateway", "--settings=" + path},
-      (this->scratch.Path() / (name + ".log")).string());
+      this->LogPath(index));
 }
 
 SocketAddress GatewayFleet::Caller(std::size_t index) const {
@@ -202,8 +219,7 @@
 }
 
 std::string GatewayFleet::Log(std::size_t index) const {
-  return ReadWholeFile(this->scratch.Path() /
-                       ("gateway-" + std::to_string(index) + ".log"));
+  return ReadWholeFile(this->LogPath(index));
 }
 
 json GatewayFleet::LogOf(std::size_t index,
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -26,6 +26,7 @@
   /** Settings that differ from the defaults. */
   nlohmann::json settings = nlohmann::json::object();
   bool publishes_configuration = true;
+  bool stalls_logs = false;  ///< Nobody reads what the gateways log.
 };
 
 /** Key of the organisation "parish" in the configuration of the fleet. */
@@ -70,6 +71,9 @@
   /** Sends a request and reads what comes until the other side closes. */
   RawAnswer Call(std::size_t gateway, const std::string& bytes) const;
 
+  /** @return Path of the log of a gateway. */
+  std::string LogPath(std::size_t index) const;
+
   /** @return The log of a gateway. */
   std::string Log(std::size_t index) const;
 
@@ -83,6 +87,7 @@
   GatewayPlan plan;
   NetworkClaim claim;
   ScratchDirectory scratch;
+  std::vector<int> stalled;  ///< Pipes that take logs and are never read.
   std::unique_ptr<PlatformStore> store;
   std::vector<std::unique_ptr<ScriptedEndpoint>> engines;
   std::vector<std::unique_ptr<ScriptedEndpoint>> ledgers;
--- /dev/null
+++ b/test/stories/gateway_logs.cc
@@ -0,0 +1,162 @@
+/** @file gateway_logs.cc A failed request is explained from logs alone. */
+
+#include <cppunit/TestAssert.h>
+
+#include <atomic>
+#include <thread>
+
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Requests whose lines overflow a pipe and the queue before it. */
+constexpr int kManyRequests = 6000;
+constexpr int kCallers = 8;
+
+/** @return What the tool tells of a request. */
+std::string Explain(GatewayFleet& fleet, const std::string& id) {
+  CPPUNIT_ASSERT(!fleet.LogOf(0, id).is_null());
+  const ToolRun run = RunTool({"explain", id, fleet.LogPath(0)});
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(run.output, 0, run.exit_code);
+  return run.output;
+}
+
+void AssertSays(const std::string& story, const std::string& text) {
+  CPPUNIT_ASSERT_MESSAGE(text + " is missing in: " + story,
+                         story.find(text) != std::string::npos);
+}
+
+CallerText Named(const std::string& id, const std::string& path) {
+  CallerText text;
+  text.id = id;
+  text.path = path;
+  return text;
+}
+
+void RefusedForLackOfRoom() {
+  GatewayFleet fleet({});
+  fleet.Store().Remove("servers/ledger-0");
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return fleet.Log(0).find("endpoint_gone") != std::string::npos;
+  }));
+  CPPUNIT_ASSERT_EQUAL(
+      503U, fleet.Call(0, TextOf(Named("full", "/issue/x"))).status);
+  const std::string story = Explain(fleet, "full");
+  AssertSays(story, "\"reason\":\"no_room\"");
+  AssertSays(story, "\"taken_share\"");
+  AssertSays(story, "\"published_age_ms\"");
+  AssertSays(story, "\"configuration\":1");
+}
+
+void BrokenByItsEndpoint() {
+  GatewayFleet fleet({});
+  fleet.Ledger(0).SetScript([](ScriptedCall& call) { call.Close(true); });
+  CPPUNIT_ASSERT_EQUAL(
+      502U, fleet.Call(0, TextOf(Named("cut", "/issue/x"))).status);
+  const std::string story = Explain(fleet, "cut");
+  AssertSays(story, "\"reason\":\"broken\"");
+  AssertSays(story, "\"endpoint\":\"ledger-0\"");
+  AssertSays(story, "\"end\":\"broken\"");
+}
+
+void SentByAStaleView() {
+  GatewayFleet fleet({});
+  // The endpoint has gone and another one answers at its address.
+  fleet.Ledger(0).SetScript([](ScriptedCall& call) {
+    call.Send("HTTP/1.1 421 X\r\nBuckthornpath-Request-Id: " + call.Id() +
+              "\r\nContent-Length: 0\r\n\r\n");
+  });
+  CPPUNIT_ASSERT_EQUAL(
+      503U, fleet.Call(0, TextOf(Named("moved", "/issue/x"))).status);
+  const std::string story = Explain(fleet, "moved");
+  AssertSays(story, "\"end\":\"not_executed\"");
+  AssertSays(story, "\"published_age_ms\"");
+}
+
+void UnknownRequestIsSaid() {
+  GatewayFleet fleet({});
+  const ToolRun run = RunTool({"explain", "nobody", fleet.LogPath(0)});
+  CPPUNIT_ASSERT_EQUAL(1, run.exit_code);
+  AssertSays(run.output, "no line names the request nobody");
+  CPPUNIT_ASSERT_EQUAL(2, RunTool({"explain", "x", "/no/such"}).exit_code);
+  const ToolRun wrong = RunTool({"explain"});
+  CPPUNIT_ASSERT_EQUAL(2, wrong.exit_code);
+  AssertSays(wrong.output, "see buckthornpath --help\n");
+}
+
+void KeysAreNeverLogged() {
+  GatewayFleet fleet({});
+  fleet.Call(0, TextOf(Named("a", "/issue/x")));
+  CallerText text = Named("b", "/issue/x");
+  text.key = "a-wrong-key";
+  fleet.Call(0, TextOf(text));
+  fleet.LogOf(0, "b");
+  const std::string log = fleet.Log(0);
+  CPPUNIT_ASSERT(log.find(kParishKey) == std::string::npos);
+  CPPUNIT_ASSERT(log.find("a-wrong-key") == std::string::npos);
+}
+
+void ServiceGoesOnWithoutAReader() {
+  GatewayPlan plan;
+  plan.stalls_logs = true;
+  GatewayFleet fleet(plan);
+  std::atomic<int> served = 0;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = 0; i < kManyRequests / kCallers; ++i) {
+        const std::string id =
+            std::to_string(caller) + "-" + std::to_string(i);
+        if (fleet.Call(0, TextOf(Named(id, "/lookup/x"))).status == 200)
+          ++served;
+      }
+    });
+  }
+  for (std::thread& caller : callers)
+    caller.join();
+  CPPUNIT_ASSERT_EQUAL(kManyRequests, served.load());
+}
+
+/** Lines about requests are bounded in bytes; beliefs are kept. */
+void FloodDropsRequestsFirst() {
+  GatewayPlan plan;
+  plan.settings = {{"log_bytes_per_second", 2000}};
+  GatewayFleet fleet(plan);
+  for (int i = 0; i < 200; ++i)
+    fleet.Call(0, TextOf(Named("f" + std::to_string(i), "/lookup/x")));
+  fleet.Store().Remove("servers/ledger-0");
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const std::string log = fleet.Log(0);
+    return log.find("endpoint_gone") != std::string::npos &&
+           log.find("log_dropped") != std::string::npos;
+  }));
+}
+
+const Story kStory("gateway_logs", [] {
+  return Section(
+      "given the logs of a gateway",
+      {Section("when a request has failed",
+               {Then("one refused for lack of room is explained",
+                     RefusedForLackOfRoom),
+                Then("one broken by its endpoint is explained",
+                     BrokenByItsEndpoint),
+                Then("one sent by a stale view is explained",
+                     SentByAStaleView),
+                Then("an unknown one and a wrong command are said",
+                     UnknownRequestIsSaid)}),
+       Section("when lines hold what callers sent",
+               {Then("keys are never among it", KeysAreNeverLogged)}),
+       Section("when logs are not read, or are too many",
+               {Then("service goes on", ServiceGoesOnWithoutAReader),
+                Then("lines about requests are dropped first, and counted",
+                     FloodDropsRequestsFirst)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
