A soak of real gateways under signals, broken links and changes

make soak SEED= RUNS= SIZE=; two seeds run as the story gateway_soak. Faults come from outside the processes: kill, SIGTERM, pause, SIGHUP, links cut, cut one way, silenced and delayed by the proxy, the store away, configurations and leaving endpoints. Verdicts come from what endpoints and callers see. make mutants builds the daemon with one fault at a time and expects a report.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   libdocopt-dev libcppunit-dev nlohmann-json3-dev libxxhash-dev \
   librapidcheck-dev libssl-dev
 
-.PHONY: deps build check format lint pages demo measure slopes sweep latency clean
+.PHONY: deps build check format lint pages demo measure slopes sweep soak mutants latency clean
 
 # Installs what is missing; asks the package manager for nothing else.
 deps:
@@ -43,15 +43,24 @@
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) $(BUILD)/bench/measure \
 	  --out=$(BUILD)/measure.json $(MEASURE)
 
-# Generated fault schedules, judged by the checker.
 # Measures what grows with the fleet; docs/CAPACITY.md reckons from it.
 slopes: build
 	$(BUILD)/test/slopes --out=docs/capacity/points.json
 
+# Each check of the soak is shown able to fail.
+mutants: build
+	tools/mutants.sh $(BUILD)
+
+# Generated fault schedules, judged by the checker.
 sweep: build
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
 	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200) $(FAULT)
 
+# Real gateways under random faults from outside; SEED, RUNS, SIZE (gateways).
+soak: build
+	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
+	  $(BUILD)/test/soak $(or $(SEED),1) $(or $(RUNS),50) $(or $(SIZE),3)
+
 # A fleet on loopback that serves returning chats and says what it did.
 demo: build
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) demo/run.sh
--- a/test/fakes/platform_store.cc
+++ b/test/fakes/platform_store.cc
@@ -16,10 +16,10 @@
 
 std::string EncodeBase64(const std::string& bytes) {
   std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int size = EVP_EncodeBlock(
-      reinterpret_cast<unsigned char*>(text.data()),
-      reinterpret_cast<const unsigned char*>(bytes.data()),
-      static_cast<int>(bytes.size()));
+  const int size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
   text.resize(static_cast<std::size_t>(size));
   return text;
 }
--- a/test/fakes/scripted_endpoint.h
+++ b/test/fakes/scripted_endpoint.h
@@ -24,8 +24,7 @@
 /** One request as an endpoint received it, and its connection. */
 class ScriptedCall {
  public:
-  using Message =
-      boost::beast::http::request<boost::beast::http::string_body>;
+  using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
   ScriptedCall(Message message, boost::asio::ip::tcp::socket& socket)
       : message(std::move(message)), socket(socket) {}
--- a/test/harness/fault_proxy.cc
+++ b/test/harness/fault_proxy.cc
@@ -6,6 +6,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/endian/conversion.hpp>
 #include <cerrno>
@@ -25,6 +26,9 @@
   return direction == Direction::kToEndpoint ? 0 : 1;
 }
 
+/** Bytes that pass together at most. */
+constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
+
 void SetPollTime(int socket) {
   setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &kPollTime, sizeof(kPollTime));
 }
@@ -60,6 +64,23 @@
   return frame;
 }
 
+std::optional<std::string> ReadBytes(int socket, const std::stop_token& stop) {
+  std::string bytes(kPieceBytes, '\0');
+  if (!ReadAll(socket, bytes.data(), 1, stop))
+    return std::nullopt;
+  const ssize_t more =
+      recv(socket, bytes.data() + 1, bytes.size() - 1, MSG_DONTWAIT);
+  bytes.resize(1 + static_cast<std::size_t>(std::max<ssize_t>(more, 0)));
+  return bytes;
+}
+
+std::optional<std::string> ReadUnit(ProxyUnit unit,
+                                    int socket,
+                                    const std::stop_token& stop) {
+  return unit == ProxyUnit::kFrame ? ReadFrame(socket, stop)
+                                   : ReadBytes(socket, stop);
+}
+
 void SendAll(int socket, const std::string& bytes) {
   std::size_t done = 0;
   while (done < bytes.size()) {
@@ -110,8 +131,12 @@
   std::array<std::string, 2> held;  ///< Sent after the next message.
 };
 
-FaultProxy::FaultProxy(const SocketAddress& listen, SocketAddress target)
-    : target(std::move(target)), listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+FaultProxy::FaultProxy(const SocketAddress& listen,
+                       SocketAddress target,
+                       ProxyUnit unit)
+    : target(std::move(target)),
+      unit(unit),
+      listener(::socket(AF_INET, SOCK_STREAM, 0)) {
   const int on = 1;
   setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   if (bind(this->listener, listen.data(),
@@ -164,7 +189,7 @@
 void FaultProxy::Relay(const std::stop_token& stop,
                        const std::shared_ptr<Link>& link,
                        Direction direction) {
-  while (auto frame = ReadFrame(link->Source(direction), stop)) {
+  while (auto frame = ReadUnit(this->unit, link->Source(direction), stop)) {
     const auto delay = this->Faults().delay;
     if (delay.count() > 0)
       std::this_thread::sleep_for(delay);
--- a/test/harness/fault_proxy.h
+++ b/test/harness/fault_proxy.h
@@ -25,14 +25,22 @@
   unsigned swap_every = 0;            ///< Sends each nth after its successor.
 };
 
+/** What passes as one piece. */
+enum class ProxyUnit {
+  kFrame,  ///< A message with its length in four bytes.
+  kBytes,  ///< Whatever arrives together.
+};
+
 /**
- * Passes messages between routers and one endpoint process. A message is told
- * apart by its length in four bytes.
+ * Passes messages between routers and one endpoint process. Other
+ * protocols pass as bytes.
  */
 class FaultProxy {
  public:
   /** Listens on one address and connects to another for each connection. */
-  FaultProxy(const SocketAddress& listen, SocketAddress target);
+  FaultProxy(const SocketAddress& listen,
+             SocketAddress target,
+             ProxyUnit unit = ProxyUnit::kFrame);
   ~FaultProxy();
 
   /** Sets the faults of the messages from now on. */
@@ -70,6 +78,7 @@
   std::vector<std::shared_ptr<Link>> OpenLinks();
 
   SocketAddress target;
+  ProxyUnit unit;
   int listener = -1;
   std::mutex mutex;
   FrameFaults faults;
--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -27,6 +27,7 @@
 constexpr int kGossipPort = 7103;
 constexpr int kOperatorPort = 7104;
 constexpr int kEndpointPort = 7105;
+constexpr int kProxyPort = 7106;
 
 json RouteOf(const std::string& prefix,
              const std::string& kind,
@@ -91,22 +92,10 @@
       ParseSocketAddress(this->Address(kStoreHost, kStorePort)));
   if (plan.publishes_configuration)
     this->store->Put("op/config", StandardConfiguration(1));
-  for (std::size_t i = 0; i < plan.engines; ++i) {
-    this->engines.push_back(std::make_unique<ScriptedEndpoint>(
-        ParseSocketAddress(
-            this->Address(kFirstEngineHost + static_cast<int>(i),
-                          kEndpointPort)),
-        EchoEndpoint));
-    this->PublishEndpoint("engine", i, "ready");
-  }
-  for (std::size_t i = 0; i < plan.ledgers; ++i) {
-    this->ledgers.push_back(std::make_unique<ScriptedEndpoint>(
-        ParseSocketAddress(
-            this->Address(kFirstLedgerHost + static_cast<int>(i),
-                          kEndpointPort)),
-        EchoEndpoint));
-    this->PublishEndpoint("ledger", i, "ready");
-  }
+  for (std::size_t i = 0; i < plan.engines; ++i)
+    this->StartEndpoint("engine", i);
+  for (std::size_t i = 0; i < plan.ledgers; ++i)
+    this->StartEndpoint("ledger", i);
   for (std::size_t i = 0; plan.stalls_logs && i < plan.gateways; ++i) {
     mkfifo(this->LogPath(i).c_str(), S_IRUSR | S_IWUSR);
     this->stalled.push_back(open(this->LogPath(i).c_str(), O_RDWR));
@@ -139,6 +128,22 @@
       .string();
 }
 
+void GatewayFleet::StartEndpoint(const std::string& kind, std::size_t index) {
+  const bool is_engine = kind == "engine";
+  const int host = (is_engine ? kFirstEngineHost : kFirstLedgerHost) +
+                   static_cast<int>(index);
+  const SocketAddress address =
+      ParseSocketAddress(this->Address(host, kEndpointPort));
+  (is_engine ? this->engines : this->ledgers)
+      .push_back(std::make_unique<ScriptedEndpoint>(address, EchoEndpoint));
+  if (this->plan.proxied) {
+    this->proxies.push_back(std::make_unique<FaultProxy>(
+        ParseSocketAddress(this->Address(host, kProxyPort)), address,
+        ProxyUnit::kBytes));
+  }
+  this->PublishEndpoint(kind, index, "ready");
+}
+
 std::string GatewayFleet::Address(int host, int port) const {
   return this->claim.Network() + std::to_string(host) + ":" +
          std::to_string(port);
@@ -164,8 +169,7 @@
       {"worker_count", 1}};
   settings.update(this->plan.settings);
   const std::string name = "gateway-" + std::to_string(index);
-  const std::string path =
-      this->scratch.Write(name + ".json", settings.dump());
+  const std::string path = this->scratch.Write(name + ".json", settings.dump());
   this->gateways[index] = std::make_unique<ChildProcess>(
       "buckthornpathd",
       std::vector<std::string>{"--role=gateway", "--settings=" + path},
@@ -173,8 +177,8 @@
 }
 
 SocketAddress GatewayFleet::Caller(std::size_t index) const {
-  return ParseSocketAddress(this->Address(
-      kFirstGatewayHost + static_cast<int>(index), kCallerPort));
+  return ParseSocketAddress(
+      this->Address(kFirstGatewayHost + static_cast<int>(index), kCallerPort));
 }
 
 SocketAddress GatewayFleet::Operator(std::size_t index) const {
@@ -184,8 +188,8 @@
 
 bool GatewayFleet::IsReady(std::size_t index) const {
   try {
-    const SocketAddress address = ParseSocketAddress(this->Address(
-        kFirstGatewayHost + static_cast<int>(index), kReadyPort));
+    const SocketAddress address = ParseSocketAddress(
+        this->Address(kFirstGatewayHost + static_cast<int>(index), kReadyPort));
     HttpRequest request;
     request.target = "/ready";
     return CallHttp(address, request).status == 200;
@@ -202,7 +206,9 @@
                    static_cast<int>(index);
   this->store->Put("servers/" + kind + "-" + std::to_string(index),
                    json({{"service", is_engine ? "llm" : "ledger"},
-                         {"address", this->Address(host, kEndpointPort)},
+                         {"address", this->Address(host, this->plan.proxied
+                                                             ? kProxyPort
+                                                             : kEndpointPort)},
                          {"zone", "a"},
                          {"version", "v1"},
                          {"slots", 8},
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -12,6 +12,7 @@
 #include "fakes/scripted_endpoint.h"
 #include "harness/byte_connection.h"
 #include "harness/child_process.h"
+#include "harness/fault_proxy.h"
 #include "harness/local_fleet.h"
 #include "harness/tool.h"
 
@@ -26,6 +27,7 @@
   /** Settings that differ from the defaults. */
   nlohmann::json settings = nlohmann::json::object();
   bool publishes_configuration = true;
+  bool proxied = false;      ///< Gateways reach endpoints through a FaultProxy.
   bool stalls_logs = false;  ///< Nobody reads what the gateways log.
 };
 
@@ -52,9 +54,10 @@
   ScriptedEndpoint& Ledger(std::size_t index) {
     return *this->ledgers.at(index);
   }
-  ChildProcess& Gateway(std::size_t index) {
-    return *this->gateways.at(index);
-  }
+  /** @return Proxies before the engines, then before the ledgers. */
+  FaultProxy& Proxy(std::size_t index) { return *this->proxies.at(index); }
+  std::size_t ProxyCount() const { return this->proxies.size(); }
+  ChildProcess& Gateway(std::size_t index) { return *this->gateways.at(index); }
   SocketAddress Caller(std::size_t index) const;
   SocketAddress Operator(std::size_t index) const;
 
@@ -83,6 +86,7 @@
  private:
   std::string Address(int host, int port) const;
   std::string Seeds() const;
+  void StartEndpoint(const std::string& kind, std::size_t index);
 
   GatewayPlan plan;
   NetworkClaim claim;
@@ -91,6 +95,7 @@
   std::unique_ptr<PlatformStore> store;
   std::vector<std::unique_ptr<ScriptedEndpoint>> engines;
   std::vector<std::unique_ptr<ScriptedEndpoint>> ledgers;
+  std::vector<std::unique_ptr<FaultProxy>> proxies;
   std::vector<std::unique_ptr<ChildProcess>> gateways;
 };
 
--- a/test/stories/endpoint_board.cc
+++ b/test/stories/endpoint_board.cc
@@ -222,15 +222,14 @@
 const Story kStory("endpoint_board", [] {
   return Section(
       "given a gateway's view of the endpoints of a service",
-      {Section("when chats return",
-               {Then("each stays where its parts are",
-                     ChatsStayWhereTheirPartsAre),
-                Then("gateways choose the same home without talking",
-                     GatewaysAgreeWithoutTalking),
-                Then("places that peers tell of are used",
-                     PartsToldByPeersAreUsed),
-                Then("one hot part spreads, none above the platform's bound",
-                     HotPartSpreadsWithinTheBound)}),
+      {Section(
+           "when chats return",
+           {Then("each stays where its parts are", ChatsStayWhereTheirPartsAre),
+            Then("gateways choose the same home without talking",
+                 GatewaysAgreeWithoutTalking),
+            Then("places that peers tell of are used", PartsToldByPeersAreUsed),
+            Then("one hot part spreads, none above the platform's bound",
+                 HotPartSpreadsWithinTheBound)}),
        Section("when a flood fills every endpoint",
                {Then("the last slots are left for urgent work",
                      FloodLeavesRoomForUrgentWork),
--- a/test/stories/gateway_answers.cc
+++ b/test/stories/gateway_answers.cc
@@ -97,9 +97,10 @@
   GatewayPlan plan;
   GatewayFleet fleet(plan);
   fleet.Ledger(0).SetScript([](ScriptedCall& call) {
-    call.Send("HTTP/1.1 503 X\r\nBuckthornpath-Not-Executed: 1\r\n"
-              "Buckthornpath-Request-Id: " +
-              call.Id() + "\r\nContent-Length: 0\r\n\r\n");
+    call.Send(
+        "HTTP/1.1 503 X\r\nBuckthornpath-Not-Executed: 1\r\n"
+        "Buckthornpath-Request-Id: " +
+        call.Id() + "\r\nContent-Length: 0\r\n\r\n");
   });
   const RawAnswer answer = CallPath(fleet, "/issue/x");
   CPPUNIT_ASSERT_EQUAL(503U, answer.status);
@@ -152,15 +153,17 @@
   std::atomic<int> calls = 0;
   fleet.Ledger(0).SetScript([&calls](ScriptedCall& call) {
     if (++calls == 2) {
-      call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: stray\r\n"
-                "Buckthornpath-Response-Seal: s\r\n"
-                "Content-Length: 5\r\n\r\nstray");
+      call.Send(
+          "HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: stray\r\n"
+          "Buckthornpath-Response-Seal: s\r\n"
+          "Content-Length: 5\r\n\r\nstray");
     }
     call.Answer(200, "own " + call.Id());
     if (calls == 3) {
-      call.Send("HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: x\r\n"
-                "Buckthornpath-Response-Seal: s\r\n"
-                "Content-Length: 4\r\n\r\nmore");
+      call.Send(
+          "HTTP/1.1 200 OK\r\nBuckthornpath-Request-Id: x\r\n"
+          "Buckthornpath-Response-Seal: s\r\n"
+          "Content-Length: 4\r\n\r\nmore");
     }
   });
   for (int i = 1; i <= 5; ++i) {
@@ -181,9 +184,8 @@
   const RawAnswer answer = CallPath(fleet, "/draft/x");
   CPPUNIT_ASSERT_EQUAL(200U, answer.status);
   CPPUNIT_ASSERT(!IsComplete(answer));
-  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                       fleet.Engine(0).Received().size() +
-                           fleet.Engine(1).Received().size());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.Engine(0).Received().size() +
+                                           fleet.Engine(1).Received().size());
 }
 
 void ResumableStreamGoesOnElsewhere() {
--- a/test/stories/gateway_decisions.cc
+++ b/test/stories/gateway_decisions.cc
@@ -31,8 +31,8 @@
 
 void LongestPrefixWins() {
   RoutingTable::Parts parts;
-  parts.routes = {RouteAt("a", "/"), RouteAt("a", "/x/"),
-                  RouteAt("a", "/x/y/"), RouteAt("b", "/x/")};
+  parts.routes = {RouteAt("a", "/"), RouteAt("a", "/x/"), RouteAt("a", "/x/y/"),
+                  RouteAt("b", "/x/")};
   const RoutingTable table(std::move(parts));
   const auto match = [&](const char* host, const char* path) {
     const Route* route = table.Match(host, path);
@@ -91,10 +91,10 @@
 void SumsAreThoseOfTheLatestReports() {
   PeerLoads loads;
   std::map<std::string, std::map<std::string, std::int64_t>> model;
-  const auto steps = *rc::gen::container<
-      std::vector<std::tuple<int, int, std::int64_t>>>(rc::gen::tuple(
-      rc::gen::inRange(0, 4), rc::gen::inRange(0, 5),
-      rc::gen::inRange<std::int64_t>(0, 9)));
+  const auto steps =
+      *rc::gen::container<std::vector<std::tuple<int, int, std::int64_t>>>(
+          rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(0, 5),
+                         rc::gen::inRange<std::int64_t>(0, 9)));
   for (const auto& [peer, endpoint, load] : steps) {
     const std::string name = std::to_string(peer);
     EndpointUses uses;
@@ -170,8 +170,8 @@
     // A revision is either a write or a removal, whoever reports it.
     const auto revision = static_cast<std::uint64_t>(number);
     const bool removes = revision % 3 == 0;
-    PublishedItems changes{revision, {removes ? Removal("k", revision)
-                                              : Item("k", revision)}};
+    PublishedItems changes{
+        revision, {removes ? Removal("k", revision) : Item("k", revision)}};
     state.TakeChanges(changes, kStart);
     if (revision > newest) {
       newest = revision;
@@ -188,8 +188,7 @@
   state.TakeAll({5, {Item("a", 1), Item("b", 2)}}, kStart);
   state.NoteOutage(kStart);
   // Both lapsed meanwhile; "a" is renewed, "b" is not.
-  CPPUNIT_ASSERT(
-      state.TakeAll({9, {}}, kStart + milliseconds(500)).empty());
+  CPPUNIT_ASSERT(state.TakeAll({9, {}}, kStart + milliseconds(500)).empty());
   CPPUNIT_ASSERT(state.TakeLapsed(kStart + milliseconds(1500)).empty());
   state.TakeChanges({10, {Item("a", 10)}}, kStart + milliseconds(1600));
   const auto gone = state.TakeLapsed(kStart + kGrace);
@@ -202,8 +201,7 @@
   PublicationState state(kGrace);
   state.TakeAll({5, {Item("a", 1)}}, kStart);
   CPPUNIT_ASSERT_EQUAL(
-      std::size_t{1},
-      state.TakeChanges({6, {Removal("a", 6)}}, kStart).size());
+      std::size_t{1}, state.TakeChanges({6, {Removal("a", 6)}}, kStart).size());
   // A peer that has not heard of it hands over the old entry.
   CPPUNIT_ASSERT(state.TakeAll({5, {Item("a", 1)}}, kStart).empty());
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("a"));
@@ -227,13 +225,13 @@
        Section("when a stream is cut and resumed",
                {Always("each event is passed on once, whatever the pieces",
                        EachEventOnceWhateverThePieces)}),
-       Section("when published items arrive late, twice and out of order",
-               {Always("no item goes back to an older revision",
-                       NoItemGoesBack),
-                Then("what an outage may have removed may return",
-                     LapsedItemsMayReturn),
-                Then("a removal in calm takes effect at once",
-                     RemovalInCalmTakesEffectAtOnce)})});
+       Section(
+           "when published items arrive late, twice and out of order",
+           {Always("no item goes back to an older revision", NoItemGoesBack),
+            Then("what an outage may have removed may return",
+                 LapsedItemsMayReturn),
+            Then("a removal in calm takes effect at once",
+                 RemovalInCalmTakesEffectAtOnce)})});
 });
 
 }  // namespace
--- a/test/stories/gateway_logs.cc
+++ b/test/stories/gateway_logs.cc
@@ -40,11 +40,10 @@
 void RefusedForLackOfRoom() {
   GatewayFleet fleet({});
   fleet.Store().Remove("servers/ledger-0");
-  CPPUNIT_ASSERT(WaitUntil([&] {
-    return fleet.Log(0).find("endpoint_gone") != std::string::npos;
-  }));
-  CPPUNIT_ASSERT_EQUAL(
-      503U, fleet.Call(0, TextOf(Named("full", "/issue/x"))).status);
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] { return fleet.Log(0).find("endpoint_gone") != std::string::npos; }));
+  CPPUNIT_ASSERT_EQUAL(503U,
+                       fleet.Call(0, TextOf(Named("full", "/issue/x"))).status);
   const std::string story = Explain(fleet, "full");
   AssertSays(story, "\"reason\":\"no_room\"");
   AssertSays(story, "\"taken_share\"");
@@ -55,8 +54,8 @@
 void BrokenByItsEndpoint() {
   GatewayFleet fleet({});
   fleet.Ledger(0).SetScript([](ScriptedCall& call) { call.Close(true); });
-  CPPUNIT_ASSERT_EQUAL(
-      502U, fleet.Call(0, TextOf(Named("cut", "/issue/x"))).status);
+  CPPUNIT_ASSERT_EQUAL(502U,
+                       fleet.Call(0, TextOf(Named("cut", "/issue/x"))).status);
   const std::string story = Explain(fleet, "cut");
   AssertSays(story, "\"reason\":\"broken\"");
   AssertSays(story, "\"endpoint\":\"ledger-0\"");
@@ -110,8 +109,7 @@
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int i = 0; i < kManyRequests / kCallers; ++i) {
-        const std::string id =
-            std::to_string(caller) + "-" + std::to_string(i);
+        const std::string id = std::to_string(caller) + "-" + std::to_string(i);
         if (fleet.Call(0, TextOf(Named(id, "/lookup/x"))).status == 200)
           ++served;
       }
@@ -145,8 +143,7 @@
                      RefusedForLackOfRoom),
                 Then("one broken by its endpoint is explained",
                      BrokenByItsEndpoint),
-                Then("one sent by a stale view is explained",
-                     SentByAStaleView),
+                Then("one sent by a stale view is explained", SentByAStaleView),
                 Then("an unknown one and a wrong command are said",
                      UnknownRequestIsSaid)}),
        Section("when lines hold what callers sent",
--- a/test/stories/gateway_publication.cc
+++ b/test/stories/gateway_publication.cc
@@ -56,9 +56,8 @@
   // An older version that comes later changes nothing.
   fleet.Store().Put("op/config", StandardConfiguration(4));
   fleet.Store().Put("servers/mark", std::string("no entry"));
-  CPPUNIT_ASSERT(WaitUntil([&] {
-    return fleet.Log(0).find("servers/mark") != std::string::npos;
-  }));
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] { return fleet.Log(0).find("servers/mark") != std::string::npos; }));
   CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/new/x"));
 }
 
@@ -86,9 +85,9 @@
     fleet.PublishEndpoint("ledger", 0, "draining");
   }
   const char* event = removed ? "endpoint_gone" : "endpoint_leaving";
-  CPPUNIT_ASSERT(WaitUntil(
-      [&] { return fleet.Log(0).find(event) != std::string::npos; },
-      kApplyTime));
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return fleet.Log(0).find(event) != std::string::npos; },
+                kApplyTime));
   const std::size_t before = fleet.Ledger(0).Received().size();
   for (int i = 0; i < 10; ++i)
     CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/issue/x"));
@@ -106,9 +105,8 @@
   for (const StoreMode mode : {StoreMode::kBusy, StoreMode::kSilent}) {
     GatewayFleet fleet({});
     fleet.Store().SetMode(mode);
-    CPPUNIT_ASSERT(WaitUntil([&] {
-      return fleet.Log(0).find("store_lost") != std::string::npos;
-    }));
+    CPPUNIT_ASSERT(WaitUntil(
+        [&] { return fleet.Log(0).find("store_lost") != std::string::npos; }));
     CPPUNIT_ASSERT(fleet.IsReady(0));
     CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/issue/x"));
     // Entries lapse meanwhile; one comes back after the store does.
--- a/test/stories/gateway_shutdown.cc
+++ b/test/stories/gateway_shutdown.cc
@@ -118,9 +118,9 @@
                      NewRequestsAreServedUntilOutOfRotation),
                 Then("no moment of the shutdown loses a request",
                      NoMomentOfShutdownLosesARequest)}),
-       Section("when it is told to reload",
-               {Then("nothing that runs changes",
-                     ReloadChangesNothingThatRuns)})});
+       Section(
+           "when it is told to reload",
+           {Then("nothing that runs changes", ReloadChangesNothingThatRuns)})});
 });
 
 }  // namespace
--- /dev/null
+++ b/test/stories/gateway_soak.cc
@@ -0,0 +1,31 @@
+/** @file gateway_soak.cc A short soak under fixed seeds; see test/soak/. */
+
+#include <cppunit/TestAssert.h>
+
+#include "harness/story.h"
+#include "soak/soak_run.h"
+
+namespace buckthornpath {
+
+namespace {
+
+/** Runs one seed and prints what broke. */
+void Soak(std::uint64_t seed) {
+  SoakPlan plan;
+  plan.seed = seed;
+  const SoakResult result = RunSoak(plan);
+  std::string all;
+  for (const std::string& violation : result.violations)
+    all += violation + "; ";
+  CPPUNIT_ASSERT_MESSAGE(all, result.violations.empty());
+}
+
+const Story kStory("gateway_soak", [] {
+  return Section("given gateways under signals, broken links and changes",
+                 {Then("every promise holds under seed 1", [] { Soak(1); }),
+                  Then("every promise holds under seed 2", [] { Soak(2); })});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/tools/mutants.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Shows that each check of the soak can fail: builds the daemon with one fault
+# at a time, in a scratch copy, and expects the soak to report it.
+# Usage: tools/mutants.sh <build directory with test/soak> [seeds per mutant]
+set -eu
+build=$(realpath "$1")
+seeds=${2:-2}
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+git clone -q . "$scratch/tree"
+cd "$scratch/tree"
+cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release \
+  -DBUCKTHORNPATH_TESTS=OFF >/dev/null
+
+failed=0
+# mutant <file> <text> <text in its place> <what the soak must report>
+mutant() {
+  FROM=$2 TO=$3 perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/ or die "no such text\n"' "$1"
+  ninja -C target buckthornpathd >/dev/null
+  if BUCKTHORNPATH_BIN=$PWD/target "$build/test/soak" 1 "$seeds" 3 |
+      grep -q -e "$4"; then
+    echo "reported: $4"
+  else
+    echo "MISSED: $4 ($1)"
+    failed=1
+  fi
+  git checkout -q "$1"
+}
+
+mutant src/gateway/forward_session.cc \
+  'return this->route->MayRepeat() &&' 'return true ||' 'ran [2-9] times'
+mutant src/gateway/forward_session.cc \
+  'if (this->may_have_run) {' 'if (false) {' 'refused as not run and had run'
+mutant src/gateway/event_relay.cc \
+  'if (id && this->last_id && *id <= *this->last_id)' 'if (id && *id == 2)' \
+  'events out of order or twice\|short stream'
+mutant src/decision/endpoint_board.cc \
+  'if (endpoint.entry.leaving)
+    return false;' '' 'after it had left'
+mutant platform/wire_names.h 'kApiKey,' '' 'with the key'
+mutant src/gateway/forward_session.cc \
+  'piece = this->relay.Feed(piece);' 'piece = "";' 'nothing was served\|short stream'
+exit "$failed"
