--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,10 @@
 	  xargs clang-format --dry-run --Werror
 
 lint:
+	tools/check_platform_names.sh
 	perl tools/check_co_await.pl \
 	  $$(git ls-files -co --exclude-standard | grep -E '\.(cc|h)$$')
-	run-clang-tidy -quiet -p $(BUILD) '(src|test|bench)/.*\.cc$$' \
+	run-clang-tidy -quiet -p $(BUILD) '(src|platform|test|bench)/.*\.cc$$' \
 	  > $(BUILD)/lint.log 2>&1 || \
 	  { grep -E '(warning|error):' $(BUILD)/lint.log | sort -u; exit 1; }
 
--- a/tools/check_co_await.pl
+++ b/tools/check_co_await.pl
@@ -1,6 +1,7 @@
 #!/usr/bin/env perl
 # Finds braced temporaries inside a co_await expression: g++ 12 destroys them
-# twice. Build the object in a named variable and move it in instead.
+# twice. Build the object in a named variable and move it in instead. Finds
+# co_await behind &&, || or ?, which g++ 12 miscompiles; name its result first.
 use strict;
 use warnings;
 
@@ -9,6 +10,11 @@
   open(my $file, '<', $path) or die "$path: $!";
   my $text = do { local $/; <$file> };
   close($file);
+  while ($text =~ /(&&|\|\||\?)\s*!?\s*co_await\b/g) {
+    my $line = 1 + (substr($text, 0, $-[0]) =~ tr/\n//);
+    print "$path:$line: co_await within a condition\n";
+    $found = 1;
+  }
   while ($text =~ /co_await\b([^;]*?);/gs) {
     my $expression = $1;
     my $start = $-[0];
