Callers of a starting process wait for what is published, half a second at most

Change: connections are accepted once everything published has been read, or after 500 ms; ready means the same. Shown first: the story 'callers that come at once are served' gets 503 on the code before.

--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -33,6 +33,11 @@
 /** Time kept back at the end of a drain for the last answers. */
 constexpr milliseconds kDrainMargin{500};
 
+/** Longest wait of callers for what is published, and time between looks; the
+ * store answers in milliseconds. */
+constexpr milliseconds kFirstReadTime{500};
+constexpr milliseconds kFirstReadPoll{5};
+
 /** Connections waiting to be accepted. */
 constexpr int kBacklog = 1024;
 
@@ -142,12 +147,17 @@
 
   asio::awaitable<void> AnswerReady(HttpExchange& exchange) {
     HttpResponse response;
-    const bool is_ready = !this->state.is_draining && this->state.table;
+    const bool is_ready = !this->state.is_draining && this->state.is_published;
     response.status = is_ready ? 200 : 503;
     co_await exchange.Send(std::move(response));
   }
 
   asio::awaitable<void> Accept() {
+    // Callers that come while a process starts wait for a moment rather than
+    // being sent away.
+    const auto begun = Clock::now();
+    while (!this->state.is_published && Clock::now() - begun < kFirstReadTime)
+      co_await SleepFor(kFirstReadPoll);
     while (true) {
       auto [error, socket] = co_await this->acceptor.async_accept(kAwaitTuple);
       if (error == asio::error::operation_aborted)
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -58,6 +58,7 @@
   /** Once the platform sends no more callers: time at which all must be over;
    * what may last longer is refused. */
   std::optional<Clock::time_point> refuse_beyond;
+  bool is_published = false;  ///< All that was published has been read once.
   /** When the store or a peer last confirmed what is published. */
   Clock::time_point published_at{};
 };
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -77,9 +77,7 @@
 asio::awaitable<void> PublicationFollower::Step() {
   if (this->read_revision == 0) {
     const PublishedItems all = co_await this->source->ReadAll();
-    this->state.published_at = Clock::now();
-    auto changed = this->held.TakeAll(all, this->state.published_at);
-    co_await this->PutInForce(std::move(changed));
+    co_await this->PutAllInForce(all);
     this->read_revision = all.revision;
     co_return;
   }
@@ -119,9 +117,15 @@
   if (all.revision <= this->held.Revision())
     co_return;
   LogLine(LogLevel::kNotice, "published_by_peer", {{"revision", all.revision}});
+  co_await this->PutAllInForce(all);
+}
+
+asio::awaitable<void> PublicationFollower::PutAllInForce(
+    const PublishedItems& all) {
   this->state.published_at = Clock::now();
   auto changed = this->held.TakeAll(all, this->state.published_at);
   co_await this->PutInForce(std::move(changed));
+  this->state.is_published = this->state.table != nullptr;
 }
 
 asio::awaitable<void> PublicationFollower::PutInForce(
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -39,6 +39,7 @@
   asio::awaitable<void> Step();
   asio::awaitable<void> SweepLapsed();
   void NoteStore(bool reached, const std::string& fault);
+  asio::awaitable<void> PutAllInForce(const PublishedItems& all);
   asio::awaitable<void> PutInForce(std::vector<PublishedItem> changed);
   asio::awaitable<void> PutItemInForce(PublishedItem item);
   void PutTableInForce(std::shared_ptr<const RoutingTable> table);
--- a/test/stories/endpoint_board.cc
+++ b/test/stories/endpoint_board.cc
@@ -49,7 +49,7 @@
 
   /** Chooses and starts a request; null if none has room. */
   EndpointHandle Start(const std::vector<PromptPart>& parts, int priority = 0) {
-    const EndpointHandle chosen = this->Choose(parts, priority);
+    EndpointHandle chosen = this->Choose(parts, priority);
     if (chosen) {
       const auto unread = this->board.NoteStart(*chosen, parts, this->now);
       this->board.NoteUnreadEnd(*chosen, unread);
--- a/test/stories/gateway_publication.cc
+++ b/test/stories/gateway_publication.cc
@@ -4,6 +4,9 @@
 #include <cppunit/TestAssert.h>
 
 #include <csignal>
+#include <memory>
+#include <stdexcept>
+#include <thread>
 
 #include "harness/caller.h"
 #include "harness/gateway_fleet.h"
@@ -136,6 +139,29 @@
   CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 1, "/issue/x"));
 }
 
+/** Callers press on a process that is only just starting, again and again. */
+void CallersOfAStartingProcessWait() {
+  GatewayFleet fleet({});
+  for (int round = 0; round < 5; ++round) {
+    fleet.Gateway(0).Kill();
+    fleet.Store().SetMode(StoreMode::kBusy);
+    fleet.Restart(0);
+    std::unique_ptr<ByteConnection> connection;
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      try {
+        connection = std::make_unique<ByteConnection>(fleet.Caller(0));
+        return true;
+      } catch (const std::runtime_error&) {
+        return false;  // It does not listen yet.
+      }
+    }));
+    connection->Send(TextOf({}));
+    std::this_thread::sleep_for(milliseconds(50));
+    fleet.Store().SetMode(StoreMode::kServing);
+    CPPUNIT_ASSERT_EQUAL(200U, ParseRawAnswer(connection->ReadToEnd()).status);
+  }
+}
+
 const Story kStory("gateway_publication", [] {
   return Section(
       "given a gateway that reads what operators publish",
@@ -155,7 +181,10 @@
                {Then("service goes on, and entries that lapsed may return",
                      ServiceGoesOnWhileTheStoreIsAway),
                 Then("a new process learns from its peers",
-                     PeersHandOverWhatTheStoreWithholds)})});
+                     PeersHandOverWhatTheStoreWithholds)}),
+       Section("when a process starts",
+               {Then("callers that come at once are served",
+                     CallersOfAStartingProcessWait)})});
 });
 
 }  // namespace
