--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -125,13 +125,13 @@
   this->state.published_at = Clock::now();
   auto changed = this->held.TakeAll(all, this->state.published_at);
   co_await this->PutInForce(std::move(changed));
-  this->state.is_published = this->state.table != nullptr;
 }
 
 asio::awaitable<void> PublicationFollower::PutInForce(
     std::vector<PublishedItem> changed) {
   for (const PublishedItem& item : changed)
     co_await this->PutItemInForce(item);
+  this->state.is_published = this->state.table != nullptr;
   if (!changed.empty())
     this->state.OfferRoomEverywhere();
 }
--- a/test/stories/gateway_publication.cc
+++ b/test/stories/gateway_publication.cc
@@ -46,8 +46,8 @@
 }
 
 std::size_t EndpointsOf(GatewayFleet& fleet) {
-  return LocalFleet::StatusOf(fleet.Operator(0))
-      .value("endpoints", std::size_t{0});
+  const auto status = LocalFleet::StatusOf(fleet.Operator(0));
+  return status.is_object() ? status.value("endpoints", std::size_t{0}) : 0;
 }
 
 void ChangeComesIntoForce() {
@@ -139,6 +139,17 @@
   CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 1, "/issue/x"));
 }
 
+/** The first version is published when the process has read all there was. */
+void FirstVersionMakesReady() {
+  GatewayPlan plan;
+  plan.publishes_configuration = false;
+  GatewayFleet fleet(plan);
+  CPPUNIT_ASSERT(WaitUntil([&] { return EndpointsOf(fleet) == 2; }));
+  fleet.Store().Put("op/config", StandardConfiguration(1));
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.IsReady(0); }, kApplyTime));
+  CPPUNIT_ASSERT_EQUAL(200U, StatusOfPath(fleet, 0, "/issue/x"));
+}
+
 /** Callers press on a process that is only just starting, again and again. */
 void CallersOfAStartingProcessWait() {
   GatewayFleet fleet({});
@@ -182,9 +193,11 @@
                      ServiceGoesOnWhileTheStoreIsAway),
                 Then("a new process learns from its peers",
                      PeersHandOverWhatTheStoreWithholds)}),
-       Section("when a process starts",
-               {Then("callers that come at once are served",
-                     CallersOfAStartingProcessWait)})});
+       Section(
+           "when a process starts",
+           {Then("the first version makes it ready", FirstVersionMakesReady),
+            Then("callers that come at once are served",
+                 CallersOfAStartingProcessWait)})});
 });
 
 }  // namespace
