--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -176,7 +176,8 @@
     return;
   const CallerLimits limits = this->context.Limits();
   if (this->received_at == Clock::time_point{}) {
-    if (now - this->idle_since > limits.idle_timeout)
+    // What has arrived may only wait for its coroutine's turn to be parsed.
+    if (this->input.size() == 0 && now - this->idle_since > limits.idle_timeout)
       this->BreakOff();
   } else if (now - this->received_at >
              limits.header_timeout + limits.idle_timeout) {
--- a/test/stories/gateway_answers.cc
+++ b/test/stories/gateway_answers.cc
@@ -332,7 +332,8 @@
     // The queue of one place is taken, so that further packets are dropped.
     for (int& filler : this->fillers) {
       filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(filler, address.data(), static_cast<socklen_t>(address.size()));
+      (void)connect(filler, address.data(),
+                    static_cast<socklen_t>(address.size()));
     }
   }
   ~HangingListener() {
