--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -68,7 +68,8 @@
 asio::awaitable<void> CallerConnection::Run() {
   while (this->keeps_open) {
     const bool is_read = co_await this->ReadRequest();
-    if (!is_read)
+    // Nothing is done for a request whose answer could not be sent.
+    if (!is_read || !this->socket.is_open())
       break;
     this->is_busy = true;
     co_await this->context.Serve(*this);
@@ -176,9 +177,8 @@
     return;
   const CallerLimits limits = this->context.Limits();
   if (this->received_at == Clock::time_point{}) {
-    // What has arrived may only wait for its coroutine's turn to be parsed.
-    if (this->input.size() == 0 && now - this->idle_since > limits.idle_timeout)
-      this->BreakOff();
+    if (now - this->idle_since > limits.idle_timeout)
+      this->CloseIfIdle();
   } else if (now - this->received_at >
              limits.header_timeout + limits.idle_timeout) {
     ProcessMetrics().Add("requests_unread_total",
@@ -187,11 +187,15 @@
   }
 }
 
+bool CallerConnection::HasArrivals() const {
+  boost::system::error_code ignored;
+  return this->input.size() > 0 || this->received_at != Clock::time_point{} ||
+         this->socket.available(ignored) > 0;
+}
+
 void CallerConnection::CloseIfIdle() {
-  if (!this->is_busy && this->received_at == Clock::time_point{} &&
-      this->input.size() == 0) {
+  if (!this->is_busy && !this->HasArrivals())
     this->BreakOff();
-  }
 }
 
 void CallerConnection::OnGone(std::function<void()> handler) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -120,6 +120,9 @@
 
   /** @return False if the connection is to end. */
   asio::awaitable<bool> ReadRequest();
+
+  /** @return True if bytes of a further request are here, parsed or not. */
+  bool HasArrivals() const;
   asio::awaitable<void> SendContinue(const Parser& parser);
   asio::awaitable<void> RefuseUnread(unsigned status);
   void ArmRead();
--- /dev/null
+++ b/test/stories/caller_connection.cc
@@ -0,0 +1,150 @@
+/** @file caller_connection.cc Closing an idle connection beside a request that
+ * arrives on it, at each step of its way. */
+
+#include "gateway/caller_connection.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <array>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::string_view kRequest =
+    "POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\nhi";
+
+/** More steps than a request takes from its socket to its answer. */
+constexpr int kMostSteps = 40;
+
+/** Longest that a step waits for the loopback interface. */
+constexpr std::chrono::seconds kArrivalTime{10};
+
+/** Answers each request once the event loop has gone round a few times. */
+class SlowServer final : public CallerServerContext {
+ public:
+  CallerLimits Limits() const override { return CallerLimits{}; }
+  bool IsDraining() const override { return false; }
+
+  asio::awaitable<void> Serve(CallerExchange& exchange) override {
+    ++this->served;
+    constexpr int kRounds = 3;
+    for (int round = 0; round < kRounds; ++round)
+      co_await asio::post(asio::use_awaitable);
+    const HeaderFieldList fields;
+    co_await exchange.Send(200, fields, "done");
+  }
+
+  int served = 0;
+};
+
+/** A connection that has been accepted, and the caller's end of it. */
+class Link {
+ public:
+  Link() : caller(this->io) {
+    asio::ip::tcp::acceptor acceptor(this->io,
+                                     {asio::ip::address_v4::loopback(), 0});
+    this->caller.connect(acceptor.local_endpoint());
+    this->connection =
+        std::make_shared<CallerConnection>(acceptor.accept(), this->server);
+    WorkerPool::SpawnOn(this->io.get_executor(), this->Hold(this->connection));
+    this->RunSteps(kMostSteps);
+  }
+
+  void SendRequest() { asio::write(this->caller, asio::buffer(kRequest)); }
+
+  /** Runs handlers that are ready, one after the other. */
+  void RunSteps(int count) {
+    for (int step = 0; step < count; ++step)
+      this->io.poll_one();
+  }
+
+  /** @return True if a whole answer came before the connection ended. */
+  bool HasAnswer() {
+    this->caller.non_blocking(true);
+    std::string text;
+    std::array<char, 512> piece{};
+    const auto end = Clock::now() + kArrivalTime;
+    while (Clock::now() < end) {
+      this->io.poll();
+      boost::system::error_code error;
+      const std::size_t size =
+          this->caller.read_some(asio::buffer(piece), error);
+      text.append(piece.data(), size);
+      if (text.ends_with("done"))
+        return true;
+      if (error && error != asio::error::would_block)
+        return false;
+    }
+    return false;
+  }
+
+  CallerConnection& Connection() { return *this->connection; }
+  int Served() const { return this->server.served; }
+
+ private:
+  static asio::awaitable<void> Hold(
+      std::shared_ptr<CallerConnection> connection) {
+    co_await connection->Run();
+  }
+
+  asio::io_context io;
+  SlowServer server;
+  asio::ip::tcp::socket caller;
+  std::shared_ptr<CallerConnection> connection;
+};
+
+void SweepNeverCutsWhatArrived() {
+  for (int steps = 0; steps < kMostSteps; ++steps) {
+    Link link;
+    link.SendRequest();
+    link.RunSteps(steps);
+    link.Connection().Sweep(Clock::now() + std::chrono::hours(1));
+    const std::string place = "swept after step " + std::to_string(steps);
+    CPPUNIT_ASSERT_MESSAGE(place, link.HasAnswer());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(place, 1, link.Served());
+  }
+}
+
+void WhatIsCutIsNotServed() {
+  for (int steps = 0; steps < kMostSteps; ++steps) {
+    Link link;
+    link.SendRequest();
+    link.RunSteps(steps);
+    if (link.Connection().IsBusy())
+      return;
+    link.Connection().BreakOff();
+    const std::string place = "closed after step " + std::to_string(steps);
+    CPPUNIT_ASSERT_MESSAGE(place, !link.HasAnswer());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(place, 0, link.Served());
+  }
+  CPPUNIT_FAIL("the request was never taken up");
+}
+
+void IdleConnectionIsClosed() {
+  Link link;
+  link.Connection().Sweep(Clock::now() + std::chrono::hours(1));
+  CPPUNIT_ASSERT(link.Connection().IsGone());
+}
+
+const Story kStory("caller_connection", [] {
+  return Section(
+      "given a connection that has been idle for longer than it may",
+      {Then("it is closed", IdleConnectionIsClosed),
+       Section("when a request arrives beside the sweep, at any step",
+               {Then("it is answered", SweepNeverCutsWhatArrived)}),
+       Section("when the connection is closed before the request is taken up",
+               {Then("the request is not served", WhatIsCutIsNotServed)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
