--- a/src/endpoint/dialogue_server.cc
+++ b/src/endpoint/dialogue_server.cc
@@ -3,10 +3,8 @@
 #include "endpoint/dialogue_server.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "kernel/count_mark.h"
 #include "kernel/log.h"
@@ -16,8 +14,6 @@
 
 namespace {
 
-constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
-
 /** Silence after which an idle connection from a router is closed. */
 constexpr std::chrono::milliseconds kIdleTimeout{300000};
 
--- a/src/endpoint/load_exchange.cc
+++ b/src/endpoint/load_exchange.cc
@@ -3,10 +3,8 @@
 #include "endpoint/load_exchange.h"
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "kernel/control_traffic.h"
 #include "kernel/json_types.h"
@@ -19,8 +17,6 @@
 
 using asio::ip::udp;
 
-constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
-
 /** Reports of other endpoints in one datagram. */
 constexpr std::size_t kReportsPerDatagram = 11;
 
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -3,11 +3,9 @@
 #include "fleet/gossip.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "fleet/index_delta.h"
 #include "fleet/uptime.h"
@@ -21,8 +19,6 @@
 
 namespace {
 
-constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
-
 /** Headers of IP and UDP, counted with each datagram. */
 constexpr std::size_t kHeaderBytes = 28;
 
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -222,7 +222,7 @@
   if (this->is_gone)
     co_return;
   const auto [error, size] = co_await asio::async_write(
-      this->socket, asio::buffer(bytes), kAwaitTuple);
+      this->socket, asio::buffer(bytes), kAwaitResult);
   if (!error || this->is_gone)
     co_return;
   this->is_gone = true;
--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -32,7 +32,7 @@
   Alarm alarm(this->executor);
   alarm.Set(Clock::now() + timeout, [this] { this->Close(); });
   const auto [error] =
-      co_await this->socket.async_connect(address, kAwaitTuple);
+      co_await this->socket.async_connect(address, kAwaitResult);
   alarm.Cancel();
   if (error)
     co_return error;
@@ -45,7 +45,7 @@
 asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::Send(
     const ForwardRequest& request) {
   const auto [error, size] =
-      co_await http::async_write(this->socket, request, kAwaitTuple);
+      co_await http::async_write(this->socket, request, kAwaitResult);
   co_return error;
 }
 
@@ -91,7 +91,7 @@
       co_return error;
   }
   const auto [error, size] = co_await this->socket.async_read_some(
-      this->buffer.prepare(kReadBytes), kAwaitTuple);
+      this->buffer.prepare(kReadBytes), kAwaitResult);
   this->buffer.commit(size);
   if (error == asio::error::eof && this->parser->is_header_done()) {
     ErrorCode end_error;
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -159,7 +159,7 @@
     while (!this->state.is_published && Clock::now() - begun < kFirstReadTime)
       co_await SleepFor(kFirstReadPoll);
     while (true) {
-      auto [error, socket] = co_await this->acceptor.async_accept(kAwaitTuple);
+      auto [error, socket] = co_await this->acceptor.async_accept(kAwaitResult);
       if (error == asio::error::operation_aborted)
         co_return;
       if (error) {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -205,7 +205,7 @@
   while (true) {
     asio::ip::udp::endpoint sender;
     const auto [error, size] = co_await this->socket.async_receive_from(
-        asio::buffer(buffer), sender, kAwaitTuple);
+        asio::buffer(buffer), sender, kAwaitResult);
     if (error)
       continue;
     try {
--- a/src/gateway/wake_signal.h
+++ b/src/gateway/wake_signal.h
@@ -3,19 +3,14 @@
 #ifndef SRC_GATEWAY_WAKE_SIGNAL_H_
 #define SRC_GATEWAY_WAKE_SIGNAL_H_
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
 #include "kernel/worker_pool.h"
 
 namespace buckthornpath {
 
-/** Completion that returns the error instead of throwing it. */
-inline constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
-
 /** A flag that one coroutine awaits and others set. Not thread-safe. */
 class WakeSignal {
  public:
@@ -38,7 +33,7 @@
       std::chrono::steady_clock::time_point deadline) {
     if (!this->is_set) {
       this->timer.expires_at(deadline);
-      co_await this->timer.async_wait(kAwaitTuple);
+      co_await this->timer.async_wait(kAwaitResult);
     }
     const bool was_set = this->is_set;
     this->is_set = false;
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -3,8 +3,6 @@
 #include "kernel/http_client.h"
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -18,7 +16,6 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 
 /** Largest body that HttpFetch() reads. */
--- a/src/kernel/http_server.cc
+++ b/src/kernel/http_server.cc
@@ -4,9 +4,7 @@
 
 #include <array>
 #include <atomic>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -23,8 +21,6 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
-
 /** Longest time that one write to a peer may take. */
 constexpr std::chrono::seconds kWriteTimeout{30};
 
--- a/src/kernel/worker_pool.h
+++ b/src/kernel/worker_pool.h
@@ -4,9 +4,11 @@
 #define SRC_KERNEL_WORKER_POOL_H_
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
 namespace buckthornpath {
@@ -14,6 +16,9 @@
 namespace asio = boost::asio;
 using Strand = asio::strand<asio::io_context::executor_type>;
 
+/** Completion that returns the error instead of throwing it. */
+inline constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
+
 /** A fixed number of threads over one I/O context. */
 class WorkerPool {
  public:
--- a/src/wire/dialogue_connection.cc
+++ b/src/wire/dialogue_connection.cc
@@ -6,11 +6,9 @@
 #include <sys/socket.h>
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
@@ -24,7 +22,6 @@
 
 using asio::experimental::awaitable_operators::operator||;
 
-constexpr auto kAwaitResult = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kHeaderBytes = 4;
 constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kMaxFrameBytes = 80 * 1024 * 1024;
