Classification of a request in a file of its own; cold endpoints are used last

ForwardSession mixed finding route, organisation and service with carrying the request; ClassifyRequest is pure and returns a typed refusal. Fields that nothing read are gone (token counts, last event, slots and memory of a service, Services()). What an endpoint says of its slow start was decoded and never used: it now costs as much as a long prompt loses, so that such an endpoint is chosen last and still before a request is turned away (story endpoint_board, seen failing without the cost).

--- a/include/buckthornpath/endpoint_board.h
+++ b/include/buckthornpath/endpoint_board.h
@@ -26,7 +26,7 @@
   FailureDomainId failure_domain;
   std::size_t slots = 0;  ///< Requests at once; 0 if not stated.
   bool leaving = false;   ///< Takes no new work.
-  /** How much longer it stays slow after its start. */
+  /** How much longer it stays slow after its start; renewed while it is. */
   std::chrono::milliseconds cold_remaining{};
 
   bool operator==(const EndpointEntry&) const = default;
@@ -126,8 +126,8 @@
  * every endpoint (no endpoint is chosen beyond its slots, the last of them are
  * kept for urgent work), a shared prompt that many requests bring (it stays
  * with one endpoint until that one is loaded beyond a multiple of the mean),
- * and endpoints that fail or fall silent (they are avoided for a time that
- * doubles, and never all at once). Not thread-safe.
+ * and endpoints that fail, fall silent or have just started (they are avoided,
+ * and never all at once). Not thread-safe.
  */
 class EndpointBoard {
  public:
--- a/include/buckthornpath/routing_table.h
+++ b/include/buckthornpath/routing_table.h
@@ -62,8 +62,6 @@
 struct ServiceRule {
   ServiceName name;
   std::size_t max_connections = 0;  ///< Of one endpoint, from all VMs.
-  std::size_t slots = 0;            ///< Requests at once; 0 if not stated.
-  std::uint64_t memory_tokens = 0;  ///< Of a model engine; 0 otherwise.
 };
 
 /** Customer that a key belongs to. */
@@ -111,9 +109,6 @@
   std::uint64_t Version() const { return this->parts.version; }
   bool UsesKeys() const { return !this->parts.organisations.empty(); }
   const CallerLimits& Limits() const { return this->parts.limits; }
-  const std::vector<ServiceRule>& Services() const {
-    return this->parts.services;
-  }
   std::size_t RouteCount() const { return this->parts.routes.size(); }
 
  private:
--- a/src/decision/endpoint_board.cc
+++ b/src/decision/endpoint_board.cc
@@ -47,6 +47,10 @@
 /** Cost of an endpoint all of whose requests fail, in prompt tokens. */
 constexpr double kFailureCost = 60000.0;
 
+/** Cost of an endpoint that is still slow after its start, in prompt tokens:
+ * what a long prompt loses at half the speed of reading. */
+constexpr double kColdCost = 10000.0;
+
 /** Cost of reading a shared part again, in its tokens: it delays every stream
  * of the endpoint and displaces other parts, not only this request. */
 constexpr double kReadAgainWeight = 10.0;
@@ -184,6 +188,8 @@
   if (endpoint.entry.failure_domain != this->own_domain)
     cost += kOtherDomainCost;
   cost += kFailureCost * endpoint.failure_share;
+  if (endpoint.entry.cold_remaining > milliseconds(0))
+    cost += kColdCost;
   const PromptPart* shared = SharedPart(query.parts);
   if (shared == nullptr)
     return cost;
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -2,8 +2,6 @@
 
 #include "gateway/forward_session.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -59,9 +57,6 @@
 constexpr int kUrgencyStep = 3;
 constexpr int kLeastUrgent = 9;
 
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kUnauthorized = 401;
-constexpr unsigned kNotFound = 404;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
@@ -75,24 +70,6 @@
   return status / 100 == 5;
 }
 
-std::string HostOf(const CallerMessage& message) {
-  std::string host(message[http::field::host]);
-  if (const std::size_t colon = host.rfind(':'); colon != std::string::npos)
-    host.resize(colon);
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  return host;
-}
-
-/** @return Hash of what should stay with one service. */
-std::uint64_t AffinityOf(const CallerFacts& facts) {
-  if (facts.parts.size() >= 2)
-    return XXH3_64bits(&facts.parts[facts.parts.size() - 2].id,
-                       sizeof(std::uint64_t));
-  return XXH3_64bits(facts.request_id.data(), facts.request_id.size());
-}
-
 std::string FormatSeconds(milliseconds time) {
   std::array<char, 32> text{};
   const double seconds = std::chrono::duration<double>(time).count();
@@ -123,14 +100,17 @@
 }
 
 asio::awaitable<void> ForwardSession::Run() {
-  const std::optional<unsigned> refusal = this->Classify();
+  const std::optional<Refusal> refusal =
+      ClassifyRequest(this->state.adapter, this->table.get(),
+                      this->exchange.Message(), this->request);
   if (refusal) {
-    co_await this->Refuse(*refusal, this->reason);
+    co_await this->Refuse(*refusal);
   } else {
     this->StartClock();
     if (this->state.refuse_beyond &&
         this->give_up_at > *this->state.refuse_beyond) {
-      co_await this->Refuse(kUnavailable, "draining");
+      const Refusal leaving{kUnavailable, "draining"};
+      co_await this->Refuse(leaving);
     } else {
       co_await this->Attempts();
     }
@@ -139,60 +119,17 @@
   this->WriteLog();
 }
 
-std::optional<unsigned> ForwardSession::Classify() {
-  const CallerMessage& message = this->exchange.Message();
-  if (!this->table) {
-    this->reason = "no_configuration";
-    return kUnavailable;
-  }
-  try {
-    this->facts = this->state.adapter.ReadCaller(message.base());
-  } catch (const RequestMalformed& error) {
-    LogLine(LogLevel::kInfo, "request_malformed", {{"reason", error.what()}});
-    this->reason = "malformed";
-    return kBadRequest;
-  }
-  if (message.count(http::field::host) != 1) {
-    this->reason = "malformed";
-    return kBadRequest;
-  }
-  const std::string_view target(message.target().data(),
-                                message.target().size());
-  this->route =
-      this->table->Match(HostOf(message), target.substr(0, target.find('?')));
-  if (this->route == nullptr) {
-    this->reason = "no_route";
-    return kNotFound;
-  }
-  return this->FindOrganisation();
-}
-
-std::optional<unsigned> ForwardSession::FindOrganisation() {
-  this->priority = this->route->priority;
-  if (this->route->needs_key && this->table->UsesKeys()) {
-    const Organisation* found = this->table->FindByKey(this->facts.api_key);
-    if (found == nullptr) {
-      this->reason = "unknown_key";
-      return kUnauthorized;
-    }
-    this->organisation = found->id;
-    this->priority = found->priority.value_or(this->priority);
-  }
-  this->service = this->route->ServiceFor(AffinityOf(this->facts));
-  return std::nullopt;
-}
-
 void ForwardSession::StartClock() {
-  milliseconds limit = this->route->timeout;
-  if (this->facts.deadline)
-    limit = std::min(limit, *this->facts.deadline);
+  milliseconds limit = this->request.route->timeout;
+  if (this->request.facts.deadline)
+    limit = std::min(limit, *this->request.facts.deadline);
   this->give_up_at = this->received_at + limit;
   this->limit_alarm.Set(this->give_up_at + kLimitMargin, [this] {
     this->is_time_up = true;
     this->Abort();
   });
   this->exchange.OnGone([this] { this->Abort(); });
-  this->state.LineOf(this->service).retries->CountFirstAttempt();
+  this->state.LineOf(this->request.service).retries->CountFirstAttempt();
 }
 
 milliseconds ForwardSession::TimeLeft() const {
@@ -219,16 +156,18 @@
       this->TimeLeft() < kLeastTimeLeft) {
     return false;
   }
-  RetryBudget& budget = *this->state.LineOf(this->service).retries;
+  RetryBudget& budget = *this->state.LineOf(this->request.service).retries;
   switch (end) {
     case AttemptEnd::kUnreachable:
       return ++this->unreachable < kMostUnreachable;
     case AttemptEnd::kNotExecuted:
-      return this->attempts < this->route->max_attempts && budget.TryTake();
+      return this->attempts < this->request.route->max_attempts &&
+             budget.TryTake();
     case AttemptEnd::kFailed:
     case AttemptEnd::kBroken:
-      return this->route->MayRepeat() &&
-             this->attempts < this->route->max_attempts && budget.TryTake();
+      return this->request.route->MayRepeat() &&
+             this->attempts < this->request.route->max_attempts &&
+             budget.TryTake();
     case AttemptEnd::kAnswered:
     case AttemptEnd::kNoRoom:
       return false;
@@ -237,8 +176,8 @@
 }
 
 EndpointHandle ForwardSession::ChooseEndpoint() const {
-  const EndpointQuery query{this->service, this->facts.parts, this->priority,
-                            this->excluded};
+  const EndpointQuery query{this->request.service, this->request.facts.parts,
+                            this->request.priority, this->excluded};
   return this->state.board.Choose(
       query, Clock::now(), [this](const EndpointBelief& endpoint) {
         return this->state.HasConnectionFor(endpoint);
@@ -248,24 +187,24 @@
 asio::awaitable<EndpointHandle> ForwardSession::FindRoom() {
   EndpointHandle chosen = this->ChooseEndpoint();
   if (chosen) {
-    this->unread_tokens =
-        this->state.board.NoteStart(*chosen, this->facts.parts, Clock::now());
+    this->unread_tokens = this->state.board.NoteStart(
+        *chosen, this->request.facts.parts, Clock::now());
     co_return chosen;
   }
-  ServiceLine& line = this->state.LineOf(this->service);
+  ServiceLine& line = this->state.LineOf(this->request.service);
   const milliseconds patience = this->TimeLeft() / kWaitingPart;
-  if (!this->state.board.HasUsable(this->service) ||
-      line.line.Forecast(this->priority, Clock::now()) > patience) {
+  if (!this->state.board.HasUsable(this->request.service) ||
+      line.line.Forecast(this->request.priority, Clock::now()) > patience) {
     co_return nullptr;
   }
-  const WaitTicket ticket = line.line.Add(this->priority);
+  const WaitTicket ticket = line.line.Add(this->request.priority);
   line.wake[ticket] = [this] {
     this->offered = this->ChooseEndpoint();
     if (!this->offered)
       return false;
     this->unread_tokens = this->state.board.NoteStart(
-        *this->offered, this->facts.parts, Clock::now());
-    ServiceLine& own = this->state.LineOf(this->service);
+        *this->offered, this->request.facts.parts, Clock::now());
+    ServiceLine& own = this->state.LineOf(this->request.service);
     own.line.Remove(this->wait_ticket);
     own.wake.erase(this->wait_ticket);
     this->room.Set();
@@ -282,8 +221,9 @@
     const EndpointBelief& endpoint) {
   const EndpointId& id = endpoint.Entry().id;
   const milliseconds most_idle =
-      this->route->MayRepeat() ? kAnyIdleTime
-                               : this->state.connections.TrustedIdleTime();
+      this->request.route->MayRepeat()
+          ? kAnyIdleTime
+          : this->state.connections.TrustedIdleTime();
   this->connection =
       this->state.connections.TakeIdle(id, most_idle, Clock::now());
   if (this->connection) {
@@ -342,30 +282,31 @@
     this->state.connections.Return(id, std::move(this->connection), is_whole,
                                    now);
   }
-  this->state.LineOf(this->service).line.NoteDeparture(now);
-  this->state.OfferRoom(this->service);
+  this->state.LineOf(this->request.service).line.NoteDeparture(now);
+  this->state.OfferRoom(this->request.service);
 }
 
 ForwardRequest ForwardSession::MakeRequest(
     const EndpointBelief& endpoint) const {
   const CallerMessage& message = this->exchange.Message();
   ForwardFacts forward;
-  forward.organisation = this->organisation;
+  forward.organisation = this->request.organisation;
   forward.time_left = std::max(this->TimeLeft(), milliseconds(1));
   forward.endpoint = endpoint.Entry().id;
-  forward.urgency = std::min(this->priority * kUrgencyStep, kLeastUrgent);
-  forward.is_model_request = !this->facts.parts.empty();
+  forward.urgency =
+      std::min(this->request.priority * kUrgencyStep, kLeastUrgent);
+  forward.is_model_request = !this->request.facts.parts.empty();
   forward.resume_after = this->relay.LastId();
-  ForwardRequest request;
-  request.method_string(message.method_string());
-  request.target(message.target());
-  request.version(11);
-  this->state.adapter.WriteForward(message.base(), forward, request.base());
+  ForwardRequest forwarded;
+  forwarded.method_string(message.method_string());
+  forwarded.target(message.target());
+  forwarded.version(11);
+  this->state.adapter.WriteForward(message.base(), forward, forwarded.base());
   if (message.has_content_length() || message.chunked()) {
-    request.body() = message.body();
-    request.content_length(message.body().size());
+    forwarded.body() = message.body();
+    forwarded.content_length(message.body().size());
   }
-  return request;
+  return forwarded;
 }
 
 asio::awaitable<AttemptEnd> ForwardSession::SendTo(EndpointBelief& endpoint) {
@@ -374,9 +315,9 @@
   this->may_have_run = true;
   this->sent_at = Clock::now();
   this->relay.BeginRun();
-  const ForwardRequest request = this->MakeRequest(endpoint);
+  const ForwardRequest forwarded = this->MakeRequest(endpoint);
   bool has_head = false;
-  const auto send_error = co_await this->connection->Send(request);
+  const auto send_error = co_await this->connection->Send(forwarded);
   if (!send_error)
     has_head = co_await this->ReadOwnHead();
   if (this->idle_before && !this->is_aborted)
@@ -396,7 +337,7 @@
     if (co_await this->connection->ReadHead(is_head))
       co_return false;
     this->answer = this->state.adapter.ReadAnswer(this->connection->Head());
-    if (this->answer.request_id == this->facts.request_id)
+    if (this->answer.request_id == this->request.facts.request_id)
       co_return true;
     // A late answer to an earlier request on this connection.
     ProcessMetrics().Add("foreign_answers_total");
@@ -493,10 +434,10 @@
 }
 
 asio::awaitable<AttemptEnd> ForwardSession::RelayStream(unsigned status) {
-  const bool may_resume = this->route->MayRepeat();
+  const bool may_resume = this->request.route->MayRepeat();
   Alarm stall(this->state.executor);
   const milliseconds patience =
-      std::max(kLeastStall, this->route->gap_target * kStalledPauses);
+      std::max(kLeastStall, this->request.route->gap_target * kStalledPauses);
   std::string piece;
   do {
     if (may_resume)
@@ -540,48 +481,52 @@
     co_return;
   }
   if (this->may_have_run) {
-    co_await this->Refuse(this->is_time_up ? kGatewayTimeout : kBadGateway,
-                          this->is_time_up ? "timeout" : "broken");
+    Refusal unknown{kBadGateway, "broken"};
+    if (this->is_time_up)
+      unknown = {kGatewayTimeout, "timeout"};
+    co_await this->Refuse(unknown);
     co_return;
   }
-  co_await this->Refuse(kUnavailable,
-                        kEndNames.at(static_cast<std::size_t>(end)));
+  const Refusal not_run{kUnavailable,
+                        kEndNames.at(static_cast<std::size_t>(end))};
+  co_await this->Refuse(not_run);
 }
 
 milliseconds ForwardSession::RetryAfter() const {
-  const auto line = this->state.lines.find(this->service);
+  const auto line = this->state.lines.find(this->request.service);
   if (line == this->state.lines.end())
     return kLeastRetryAfter;
   const milliseconds forecast =
-      line->second.line.Forecast(this->priority, Clock::now());
+      line->second.line.Forecast(this->request.priority, Clock::now());
   return std::clamp(
       forecast, kLeastRetryAfter,
       std::max(kLeastRetryAfter, this->TimeLeft() / kRetryAfterPart));
 }
 
-asio::awaitable<void> ForwardSession::Refuse(unsigned status, const char* why) {
-  this->reason = why;
-  this->final_status = status;
+asio::awaitable<void> ForwardSession::Refuse(Refusal refusal) {
+  this->reason = refusal.reason;
+  this->final_status = refusal.status;
   HeaderFieldList fields = {{"Content-Type", "application/json"}};
-  if (status == kUnavailable)
+  if (refusal.status == kUnavailable)
     fields.emplace_back("Retry-After", FormatSeconds(this->RetryAfter()));
-  nlohmann::json body = {{"reason", why}};
-  co_await this->exchange.Send(status, fields, body.dump());
+  const nlohmann::json body = {{"reason", refusal.reason}};
+  co_await this->exchange.Send(refusal.status, fields, body.dump());
 }
 
 void ForwardSession::WriteLog() const {
   const auto now = Clock::now();
-  const std::string route_name = this->route ? this->route->name : "";
+  const std::string route_name =
+      this->request.route ? this->request.route->name : "";
   ProcessMetrics().Add("requests_total",
                        "reason=\"" + std::string(this->reason) + "\"");
   ProcessMetrics().Observe("request_seconds", "", now - this->received_at);
   nlohmann::json line = {
-      {"request", this->facts.request_id},
+      {"request", this->request.facts.request_id},
       {"route", route_name},
-      {"organisation", this->organisation},
-      {"service", this->service},
+      {"organisation", this->request.organisation},
+      {"service", this->request.service},
       {"configuration", this->table ? this->table->Version() : 0},
-      {"priority", this->priority},
+      {"priority", this->request.priority},
       {"reason", this->reason},
       {"status", this->final_status},
       {"total_ms", Since(this->received_at, now).count()},
@@ -589,7 +534,7 @@
   if (this->state.published_at != Clock::time_point{})
     line["published_age_ms"] = Since(this->state.published_at, now).count();
   if (this->attempt_log.empty())
-    line["taken_share"] = this->state.board.TakenShare(this->service);
+    line["taken_share"] = this->state.board.TakenShare(this->request.service);
   if (this->sent_at != Clock::time_point{})
     line["sent_ms"] = Since(this->received_at, this->sent_at).count();
   if (this->first_byte_at != Clock::time_point{})
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -13,6 +13,7 @@
 #include "gateway/caller_connection.h"
 #include "gateway/event_relay.h"
 #include "gateway/gateway_state.h"
+#include "gateway/request_class.h"
 
 namespace buckthornpath {
 
@@ -49,9 +50,6 @@
     std::string body;
   };
 
-  /** @return Status of a refusal, or nothing if the request may go on. */
-  std::optional<unsigned> Classify();
-  std::optional<unsigned> FindOrganisation();
   void StartClock();
 
   asio::awaitable<void> Attempts();
@@ -78,7 +76,7 @@
   void NoteEnd(EndpointBelief& endpoint, AttemptEnd end);
 
   asio::awaitable<void> Conclude(AttemptEnd end);
-  asio::awaitable<void> Refuse(unsigned status, const char* reason);
+  asio::awaitable<void> Refuse(Refusal refusal);
   std::chrono::milliseconds RetryAfter() const;
   std::chrono::milliseconds TimeLeft() const;
 
@@ -88,12 +86,8 @@
 
   GatewayState& state;
   CallerExchange& exchange;
-  CallerFacts facts;
   std::shared_ptr<const RoutingTable> table;  ///< In force when it came.
-  const Route* route = nullptr;
-  ServiceName service;
-  OrganisationId organisation;
-  int priority = 0;
+  RequestClass request;
   Clock::time_point received_at;
   Clock::time_point give_up_at;  ///< Final answer is due.
   Alarm limit_alarm;
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -35,10 +35,6 @@
   std::string api_key;  ///< Empty if there is none.
   std::optional<std::chrono::milliseconds> deadline;  ///< Caller's patience.
   std::vector<PromptPart> parts;  ///< Parts of the prompt, in order.
-  std::uint64_t prompt_tokens = 0;
-  std::uint64_t output_tokens = 0;  ///< Most tokens that may be generated.
-  /** Last event that the caller has; a stream goes on after it. */
-  std::string last_event;
 };
 
 /** What the gateway sets in a request to an endpoint. */
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -109,7 +109,8 @@
   while (true) {
     co_await SleepFor(kLapseInterval);
     auto lapsed = this->held.TakeLapsed(Clock::now());
-    co_await this->PutInForce(std::move(lapsed));
+    if (!lapsed.empty())
+      co_await this->PutInForce(std::move(lapsed));
   }
 }
 
--- /dev/null
+++ b/src/gateway/request_class.cc
@@ -0,0 +1,81 @@
+/** @file request_class.cc What a request is and whether it may go on. */
+
+#include "gateway/request_class.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cctype>
+
+#include "kernel/log.h"
+
+namespace buckthornpath {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+std::string HostOf(const CallerMessage& message) {
+  std::string host(message[http::field::host]);
+  if (const std::size_t colon = host.rfind(':'); colon != std::string::npos)
+    host.resize(colon);
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return host;
+}
+
+/** @return Hash of what should stay with one service. */
+std::uint64_t AffinityOf(const CallerFacts& facts) {
+  if (facts.parts.size() >= 2) {
+    return XXH3_64bits(&facts.parts[facts.parts.size() - 2].id,
+                       sizeof(std::uint64_t));
+  }
+  return XXH3_64bits(facts.request_id.data(), facts.request_id.size());
+}
+
+std::optional<Refusal> FindOrganisation(const RoutingTable& table,
+                                        RequestClass& found) {
+  if (!found.route->needs_key || !table.UsesKeys())
+    return std::nullopt;
+  const Organisation* holder = table.FindByKey(found.facts.api_key);
+  if (holder == nullptr)
+    return Refusal{kUnauthorized, "unknown_key"};
+  found.organisation = holder->id;
+  found.priority = holder->priority.value_or(found.priority);
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<Refusal> ClassifyRequest(const PlatformAdapter& adapter,
+                                       const RoutingTable* table,
+                                       const CallerMessage& message,
+                                       RequestClass& found) {
+  if (table == nullptr)
+    return Refusal{kUnavailable, "no_configuration"};
+  try {
+    found.facts = adapter.ReadCaller(message.base());
+  } catch (const RequestMalformed& error) {
+    LogLine(LogLevel::kInfo, "request_malformed", {{"reason", error.what()}});
+    return Refusal{kBadRequest, "malformed"};
+  }
+  if (message.count(http::field::host) != 1)
+    return Refusal{kBadRequest, "malformed"};
+  const std::string_view target(message.target().data(),
+                                message.target().size());
+  found.route =
+      table->Match(HostOf(message), target.substr(0, target.find('?')));
+  if (found.route == nullptr)
+    return Refusal{kNotFound, "no_route"};
+  found.priority = found.route->priority;
+  found.service = found.route->ServiceFor(AffinityOf(found.facts));
+  return FindOrganisation(*table, found);
+}
+
+}  // namespace buckthornpath
--- a/test/stories/endpoint_board.cc
+++ b/test/stories/endpoint_board.cc
@@ -206,6 +206,24 @@
   CPPUNIT_ASSERT(chosen < 10);
 }
 
+void ColdEndpointIsUsedLast() {
+  View view(3);
+  EndpointEntry cold = Entry(1);
+  cold.cold_remaining = milliseconds(2000);
+  view.board.Publish(cold);
+  std::size_t chosen = 0;
+  for (std::uint64_t i = 0; i < 60; ++i)
+    chosen += view.Start({})->Entry().id == cold.id ? 1 : 0;
+  CPPUNIT_ASSERT_MESSAGE("used before the others are laden", chosen < 10);
+  // The others are full: better slow than turned away.
+  while (const EndpointHandle next = view.Start({}))
+    chosen += next->Entry().id == cold.id ? 1 : 0;
+  CPPUNIT_ASSERT_EQUAL(std::size_t{48}, chosen);
+  cold.cold_remaining = milliseconds(0);
+  view.board.Publish(cold);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{48}, view.board.Find(cold.id)->Running());
+}
+
 void NewAddressIsANewEndpoint() {
   View view(1);
   const EndpointHandle before = view.Start(Prompt(1, 1));
@@ -244,6 +262,8 @@
                 Then("a service is never shut out whole",
                      ServiceIsNeverShutOutWhole),
                 Then("one that fails gets less", FailingEndpointGetsLess),
+                Then("one that has just started is used last",
+                     ColdEndpointIsUsedLast),
                 Then("one with a new address starts from nothing",
                      NewAddressIsANewEndpoint)})});
 });
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -28,7 +28,7 @@
 }
 
 mutant src/gateway/forward_session.cc \
-  'return this->route->MayRepeat() &&' 'return true &&' 'ran [2-9] times'
+  'return this->request.route->MayRepeat() &&' 'return true &&' 'ran [2-9] times'
 mutant src/gateway/forward_session.cc \
   'if (this->may_have_run) {' 'if (false) {' 'refused as not run and had run'
 mutant src/gateway/event_relay.cc \
