Idle caller connections are kept for the time a request may be on its way

Cause: connections were closed exactly at the configured idle limit. Test: caller_connection, "a request that was sent just before the limit is awaited", failed first.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -18,6 +18,7 @@
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
+using std::chrono::milliseconds;
 
 /** Bytes asked for with one read of a request. */
 constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
@@ -176,11 +177,12 @@
   if (this->is_busy || this->is_gone)
     return;
   const CallerLimits limits = this->context.Limits();
+  // A request that its caller sent within the idle limit may be on its way.
+  const milliseconds longest = limits.idle_timeout + limits.header_timeout;
   if (this->received_at == Clock::time_point{}) {
-    if (now - this->idle_since > limits.idle_timeout)
+    if (now - this->idle_since > longest)
       this->CloseIfIdle();
-  } else if (now - this->received_at >
-             limits.header_timeout + limits.idle_timeout) {
+  } else if (now - this->received_at > longest) {
     ProcessMetrics().Add("requests_unread_total",
                          "status=\"" + std::to_string(kRequestTimeout) + "\"");
     this->BreakOff();
--- a/test/stories/caller_connection.cc
+++ b/test/stories/caller_connection.cc
@@ -135,10 +135,23 @@
   CPPUNIT_ASSERT(link.Connection().IsGone());
 }
 
+void RequestSentAtTheLimitIsAwaited() {
+  Link link;
+  const CallerLimits limits;
+  const auto begun = Clock::now();
+  link.Connection().Sweep(begun + limits.idle_timeout +
+                          limits.header_timeout / 2);
+  CPPUNIT_ASSERT(!link.Connection().IsGone());
+  link.SendRequest();
+  CPPUNIT_ASSERT(link.HasAnswer());
+}
+
 const Story kStory("caller_connection", [] {
   return Section(
       "given a connection that has been idle for longer than it may",
       {Then("it is closed", IdleConnectionIsClosed),
+       Then("a request that was sent just before the limit is awaited",
+            RequestSentAtTheLimitIsAwaited),
        Section("when a request arrives beside the sweep, at any step",
                {Then("it is answered", SweepNeverCutsWhatArrived)}),
        Section("when the connection is closed before the request is taken up",
