A repeated SIGTERM cuts nothing off

Cause: a second signal of any kind cut off what was in flight. SIGTERM may now be repeated; SIGINT during a drain cuts off, as a person at a terminal means it.

--- a/src/daemon/drain.cc
+++ b/src/daemon/drain.cc
@@ -24,9 +24,9 @@
   this->pool.Spawn(this->Run());
 }
 
-void Drain::Signal() {
-  if (++this->signals > 1) {
-    this->CutOff("second_signal");
+void Drain::Interrupt() {
+  if (this->requested) {
+    this->CutOff("interrupt");
     return;
   }
   this->Request();
--- a/src/daemon/drain.h
+++ b/src/daemon/drain.h
@@ -14,8 +14,8 @@
 enum class ExitCode { kDrained = 0, kFault = 1, kCutOff = 3 };
 
 /**
- * Ends a process once all calls in flight have been answered. Only a second
- * signal or the drain timeout cuts a call off.
+ * Ends a process once all calls in flight have been answered. Only an
+ * interrupt during the drain or the drain timeout cuts a call off.
  */
 class Drain {
  public:
@@ -25,8 +25,8 @@
   /** Begins the drain; a further request changes nothing. */
   void Request();
 
-  /** Begins the drain; a second signal cuts off what is in flight. */
-  void Signal();
+  /** Begins the drain; once it has begun, cuts off what is in flight. */
+  void Interrupt();
 
   /** @return How the process ended. */
   ExitCode Result() const { return this->result; }
@@ -52,7 +52,6 @@
   Role& role;
   std::chrono::milliseconds limit;
   std::atomic<bool> requested = false;
-  std::atomic<int> signals = 0;
   std::atomic<ExitCode> result = ExitCode::kDrained;
 };
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -36,11 +36,17 @@
 /** Longest wait for log lines to be written when the process ends. */
 constexpr std::chrono::milliseconds kLogFlushTimeout{200};
 
-/** Tells the drain of each of the signals that end a process. */
+/**
+ * Tells the drain of each of the signals that end a process. A supervisor may
+ * repeat SIGTERM; only a person at a terminal means to cut calls off.
+ */
 asio::awaitable<void> WatchSignals(asio::signal_set& signals, Drain& drain) {
   while (true) {
-    co_await signals.async_wait(asio::use_awaitable);
-    drain.Signal();
+    const int signal = co_await signals.async_wait(asio::use_awaitable);
+    if (signal == SIGINT)
+      drain.Interrupt();
+    else
+      drain.Request();
   }
 }
 
--- a/test/stories/gateway_shutdown.cc
+++ b/test/stories/gateway_shutdown.cc
@@ -46,6 +46,36 @@
   CPPUNIT_ASSERT_EQUAL(0, fleet.Gateway(0).WaitForExit(kEndTime));
 }
 
+void RepeatedTerminationCutsNothingOff() {
+  GatewayFleet fleet({});
+  std::atomic<bool> begun = false;
+  std::atomic<bool> may_answer = false;
+  fleet.Ledger(0).SetScript([&](ScriptedCall& call) {
+    begun = true;
+    WaitUntil([&] { return may_answer.load(); });
+    call.Answer(200, "whole");
+  });
+  CallerText text;
+  text.path = "/issue/x";
+  ByteConnection connection(fleet.Caller(0));
+  connection.Send(TextOf(text));
+  CPPUNIT_ASSERT(WaitUntil([&] { return begun.load(); }));
+  fleet.Gateway(0).Signal(SIGTERM);
+  CPPUNIT_ASSERT(WaitUntil([&] { return !fleet.IsReady(0); }));
+  fleet.Gateway(0).Signal(SIGTERM);
+  // A pending signal is taken before a reload that was asked for after it.
+  fleet.Gateway(0).Signal(SIGHUP);
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const std::string log = fleet.Log(0);
+    return log.find("settings_reloaded") != std::string::npos ||
+           log.find("cut_off") != std::string::npos;
+  }));
+  may_answer = true;
+  const RawAnswer answer = ParseRawAnswer(connection.ReadToEnd());
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(0, fleet.Gateway(0).WaitForExit(kEndTime));
+}
+
 void NewRequestsAreServedUntilOutOfRotation() {
   GatewayFleet fleet({});
   ByteConnection kept(fleet.Caller(0));
@@ -114,6 +144,8 @@
       {Section("when requests run or come",
                {Then("what runs is answered, and the connection is closed",
                      RunningRequestIsAnswered),
+                Then("being told again cuts nothing off",
+                     RepeatedTerminationCutsNothingOff),
                 Then("what comes is served while it may be in rotation",
                      NewRequestsAreServedUntilOutOfRotation),
                 Then("no moment of the shutdown loses a request",
