--- a/test/harness/child_process.h
+++ b/test/harness/child_process.h
@@ -39,6 +39,9 @@
 
   bool IsRunning();
 
+  /** @return Its id; -1 once it has ended. */
+  pid_t Id() const { return this->pid; }
+
  private:
   pid_t pid = -1;
   int exit_code = -1;
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -4,7 +4,7 @@
 # Usage: tools/mutants.sh <build directory with test/soak> [seeds per mutant]
 set -eu
 build=$(realpath "$1")
-seeds=${2:-2}
+seeds=${2:-3}
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 git clone -q . "$scratch/tree"
@@ -28,7 +28,8 @@
 }
 
 mutant src/gateway/forward_session.cc \
-  'return this->request.route->MayRepeat() &&' 'return true &&' 'ran [2-9] times'
+  'return this->request.route->MayRepeat() &&' 'return true &&' \
+  'ran [2-9] times'
 mutant src/gateway/forward_session.cc \
   'if (this->may_have_run) {' 'if (false) {' 'refused as not run and had run'
 mutant src/gateway/event_relay.cc \
@@ -39,5 +40,40 @@
     return false;' '' 'after it had left'
 mutant platform/wire_names.h 'kApiKey,' '' 'with the key'
 mutant src/gateway/forward_session.cc \
-  'piece = this->relay.Feed(piece);' 'piece = "";' 'nothing was served\|short stream'
+  'piece = this->relay.Feed(piece);' 'piece = "";' \
+  'nothing was served\|short stream'
+mutant src/gateway/publication_follower.cc \
+  'this->state.table = std::move(table);' \
+  'if (!this->state.table) this->state.table = std::move(table);' \
+  'although its route is in force'
+mutant src/gateway/publication_follower.cc \
+  'this->state.table = std::move(table);' \
+  'static const auto oldest = table;
+  this->state.table = table->Version() % 3 == 0 ? oldest : std::move(table);' \
+  'by an older configuration than before'
+mutant src/gateway/gateway_state.cc \
+  'kRetryShareUsed = 0.7' 'kRetryShareUsed = 70' 'repeats of'
+mutant src/gateway/caller_connection.cc \
+  'this->is_busy = true;' \
+  'this->is_busy = true; (new std::string(1 << 20, 1))->shrink_to_fit();' \
+  'holds [0-9]* bytes'
+mutant src/kernel/log.cc \
+  '(is_request && state.bytes_left <= 0)' 'false' 'logged [0-9]* bytes'
+mutant src/gateway/forward_session.cc \
+  'this->exchange.OnGone([this] { this->Abort(); });' '' \
+  'ran on after their callers had left'
+mutant src/daemon/drain.cc \
+  'if (this->requested.exchange(true))
+    return;' 'if (this->requested.exchange(true)) {
+    this->CutOff("again");
+    return;
+  }' 'closed unanswered'
+mutant src/gateway/forward_session.cc \
+  'this->limit_alarm.Set(this->give_up_at + kLimitMargin, [this] {' \
+  'this->limit_alarm.Set(Clock::time_point::max(), [this] {' \
+  'no final answer by its route'
+mutant src/gateway/gateway_role.cc \
+  'const bool is_ready = !this->state.is_draining && this->state.is_published;' \
+  'const bool is_ready = this->state.published_at == Clock::time_point{};' \
+  'not every gateway has recovered'
 exit "$failed"
