Metrics: histograms by service, priority and outcome

Quantiles of one process can't be added up over a fleet, and the gateway's counters told neither ranks nor services apart. Observe() now fills a histogram (Boost.Histogram) with bounds from a table; requests are counted by service, priority and reason, timed by outcome and to their first byte. Story gateway_logs, "kinds of request and their outcomes are told apart", against the metrics address.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -513,13 +513,29 @@
   co_await this->exchange.Send(refusal.status, fields, body.dump());
 }
 
+void ForwardSession::CountEnd(Clock::time_point now) const {
+  const std::string kind = "service=\"" + this->request.service.str() +
+                           "\",priority=\"" +
+                           std::to_string(this->request.priority) + "\"";
+  const char* outcome = IsSuccess(this->final_status) ? "served" : "failed";
+  if (this->final_status == kUnavailable)
+    outcome = "refused";
+  else if (this->exchange.IsGone())
+    outcome = "caller_left";
+  Metrics& metrics = ProcessMetrics();
+  metrics.Add("requests_total", kind + ",reason=\"" + this->reason + "\"");
+  metrics.Observe("request_seconds", kind + ",outcome=\"" + outcome + "\"",
+                  now - this->received_at);
+  if (this->first_byte_at != Clock::time_point{})
+    metrics.Observe("first_byte_seconds", kind,
+                    this->first_byte_at - this->received_at);
+}
+
 void ForwardSession::WriteLog() const {
   const auto now = Clock::now();
   const std::string route_name =
       this->request.route ? this->request.route->name : "";
-  ProcessMetrics().Add("requests_total",
-                       "reason=\"" + std::string(this->reason) + "\"");
-  ProcessMetrics().Observe("request_seconds", "", now - this->received_at);
+  this->CountEnd(now);
   nlohmann::json line = {
       {"request", this->request.facts.request_id},
       {"route", route_name},
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -83,6 +83,7 @@
   /** Ends what is in progress: the caller left or the time is up. */
   void Abort();
   void WriteLog() const;
+  void CountEnd(Clock::time_point now) const;
 
   GatewayState& state;
   CallerExchange& exchange;
--- a/src/kernel/lock_order.h
+++ b/src/kernel/lock_order.h
@@ -22,7 +22,7 @@
   kOutcomeTable,    ///< Calls known to an endpoint process.
   kOutcomeRecord,   ///< One call's answer.
   kModelOrders,     ///< What is shown of an engine's model.
-  kMetrics,         ///< Counters and quantiles.
+  kMetrics,         ///< Counters and histograms.
 };
 
 /** Mutex that checks its rank against those the thread holds. */
--- a/src/kernel/metrics.cc
+++ b/src/kernel/metrics.cc
@@ -1,37 +1,39 @@
-/** @file metrics.cc Counters and latency quantiles by Boost.Accumulators. */
+/** @file metrics.cc Counters and histograms by Boost.Histogram. */
 
 #include "kernel/metrics.h"
 
 #include <array>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/make_histogram.hpp>
 #include <map>
 #include <sstream>
 #include <utility>
 
-// g++ 12 warns of members that the quantile's constructor does set.
-#ifndef __clang__
-#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
-#endif
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
-
 #include "kernel/lock_order.h"
 
 namespace buckthornpath {
 
 namespace {
 
-namespace acc = boost::accumulators;
-
-constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+/** Bounds of the buckets in seconds, from a plain answer to the longest limit
+ * of a stream, two or three for each power of ten. */
+constexpr std::array<double, 15> kBucketBounds = {
+    0,    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+    0.25, 0.5,   1.0,    2.5,   5.0,  10.0,  30.0};
+
+namespace histogram = boost::histogram;
+using Buckets = histogram::axis::variable<double,
+                                          histogram::use_default,
+                                          histogram::axis::option::overflow_t>;
+
+/** Durations of one series. */
+struct Durations {
+  decltype(histogram::make_histogram(std::declval<Buckets>())) buckets =
+      histogram::make_histogram(
+          Buckets(kBucketBounds.begin(), kBucketBounds.end()));
+  double sum = 0;  ///< Seconds.
+};
 
-using Summary =
-    acc::accumulator_set<double,
-                         acc::stats<acc::tag::count,
-                                    acc::tag::sum,
-                                    acc::tag::extended_p_square_quantile>>;
 using Key = std::pair<std::string, std::string>;  ///< Name and labels.
 
 std::string Series(const Key& key, const std::string& more = "") {
@@ -42,13 +44,35 @@
          (labels.empty() ? "" : "{" + labels + "}");
 }
 
+/** Writes a series' cumulative buckets, count and sum. */
+void RenderDurations(const Key& key,
+                     const Durations& durations,
+                     std::ostringstream& text) {
+  const Key bucket{key.first + "_bucket", key.second};
+  double count = 0;
+  for (std::size_t i = 0; i < durations.buckets.size(); ++i) {
+    count += durations.buckets.at(static_cast<int>(i));
+    std::ostringstream label;
+    label << "le=\"";
+    if (i + 1 < kBucketBounds.size())
+      label << kBucketBounds.at(i + 1);
+    else
+      label << "+Inf";
+    label << "\"";
+    text << Series(bucket, label.str()) << " " << count << "\n";
+  }
+  text << Series({key.first + "_count", key.second}) << " " << count << "\n";
+  text << Series({key.first + "_sum", key.second}) << " " << durations.sum
+       << "\n";
+}
+
 }  // namespace
 
 struct Metrics::State {
   mutable OrderedMutex mutex{LockRank::kMetrics};
   std::map<Key, std::uint64_t> counters;
   std::map<Key, double> gauges;
-  std::map<Key, Summary> summaries;
+  std::map<Key, Durations> durations;
 };
 
 Metrics::Metrics() : state(std::make_unique<State>()) {}
@@ -74,9 +98,9 @@
                       std::chrono::nanoseconds duration) {
   const std::chrono::duration<double> seconds = duration;
   const OrderedLock lock(this->state->mutex);
-  auto [found, added] = this->state->summaries.try_emplace(
-      {name, labels}, acc::extended_p_square_probabilities = kQuantiles);
-  found->second(seconds.count());
+  Durations& durations = this->state->durations[{name, labels}];
+  durations.buckets(seconds.count());
+  durations.sum += seconds.count();
 }
 
 std::uint64_t Metrics::Count(const std::string& name,
@@ -95,19 +119,8 @@
   for (const auto& [key, value] : this->state->gauges) {
     text << Series(key) << " " << value << "\n";
   }
-  for (const auto& [key, summary] : this->state->summaries) {
-    for (const double quantile : kQuantiles) {
-      std::ostringstream label;
-      label << "quantile=\"" << quantile << "\"";
-      text << Series(key, label.str()) << " "
-           << acc::quantile(summary, acc::quantile_probability = quantile)
-           << "\n";
-    }
-    text << Series({key.first + "_count", key.second}) << " "
-         << acc::count(summary) << "\n";
-    text << Series({key.first + "_sum", key.second}) << " " << acc::sum(summary)
-         << "\n";
-  }
+  for (const auto& [key, durations] : this->state->durations)
+    RenderDurations(key, durations, text);
   return text.str();
 }
 
--- a/src/kernel/metrics.h
+++ b/src/kernel/metrics.h
@@ -28,7 +28,7 @@
   /** Sets a gauge. */
   void Set(const std::string& name, const std::string& labels, double value);
 
-  /** Records one duration for quantiles. */
+  /** Records one duration in a histogram. */
   void Observe(const std::string& name,
                const std::string& labels,
                std::chrono::nanoseconds duration);
--- a/test/stories/gateway_logs.cc
+++ b/test/stories/gateway_logs.cc
@@ -87,6 +87,36 @@
   AssertSays(wrong.output, "see buckthornpath --help\n");
 }
 
+/** @return What a gateway serves on its metrics address. */
+std::string MetricsOf(const GatewayFleet& fleet) {
+  HttpRequest request;
+  request.target = "/metrics";
+  return CallHttp(fleet.Operator(0), request).body;
+}
+
+void MetricsTellKindsAndOutcomesApart() {
+  GatewayFleet fleet({});
+  fleet.Ledger(0).SetScript([](ScriptedCall& call) {
+    if (call.Id() == "cut")
+      call.Close(true);
+    else
+      call.Answer(200, "served");
+  });
+  fleet.Call(0, TextOf(Named("good", "/lookup/x")));
+  fleet.Call(0, TextOf(Named("cut", "/issue/x")));
+  fleet.LogOf(0, "cut");
+  const std::string metrics = MetricsOf(fleet);
+  const std::string name = "buckthornpath_";
+  const std::string kind = "{service=\"ledger\",priority=\"1\",";
+  AssertSays(metrics, name + "requests_total" + kind + "reason=\"served\"} 1");
+  AssertSays(metrics, name + "requests_total" + kind + "reason=\"broken\"} 1");
+  AssertSays(metrics, name + "request_seconds_bucket" + kind +
+                          "outcome=\"failed\",le=\"+Inf\"} 1");
+  AssertSays(metrics, name + "request_seconds_bucket" + kind +
+                          "outcome=\"served\",le=\"30\"} 1");
+  AssertSays(metrics, name + "first_byte_seconds_count");
+}
+
 void KeysAreNeverLogged() {
   GatewayFleet fleet({});
   fleet.Call(0, TextOf(Named("a", "/issue/x")));
@@ -146,6 +176,9 @@
                 Then("one sent by a stale view is explained", SentByAStaleView),
                 Then("an unknown one and a wrong command are said",
                      UnknownRequestIsSaid)}),
+       Section("when metrics are read",
+               {Then("kinds of request and their outcomes are told apart",
+                     MetricsTellKindsAndOutcomesApart)}),
        Section("when lines hold what callers sent",
                {Then("keys are never among it", KeysAreNeverLogged)}),
        Section("when logs are not read, or are too many",
