Log events and their fields are a table that the compiler checks

LogLine took any text as event and field, so docs, tool and checks could drift from the code. Events are rows of src/table/log_table.h; names are built by consteval constructors that look them up, so an unknown event or field does not compile. `buckthornpath help log` prints docs/LOG_EVENTS.md (compared by command_line); the story gateway_logs checks that lines of a real process have only their event's fields, seen failing with a field of another event.

--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,7 @@
 pages: build
 	$(BUILD)/buckthornpath help settings > docs/SETTINGS.md
 	$(BUILD)/buckthornpath help profiles > docs/PROFILES.md
+	$(BUILD)/buckthornpath help log > docs/LOG_EVENTS.md
 
 # Latency added to a direct call, and time from silence to resumed stream.
 latency: build
--- a/src/cli/help_cmd.cc
+++ b/src/cli/help_cmd.cc
@@ -6,6 +6,7 @@
 #include "cli/reference_page.h"
 #include "fleet/published_type.h"
 #include "kernel/settings.h"
+#include "table/log_table.h"
 
 namespace buckthornpath {
 
@@ -30,6 +31,19 @@
   return CommandResult::kDone;
 }
 
+CommandResult HelpLog(const CommandOptions& /*options*/) {
+  std::cout << "# Log events\n\nOne JSON object a line on standard output; "
+               "every line has `"
+            << kCommonLogFields
+            << "`.\nThis page is printed by `buckthornpath help log`.\n\n"
+               "| event | means | fields |\n| --- | --- | --- |\n";
+  for (const LogEventRow& row : kLogEvents) {
+    std::cout << "| `" << row.name << "` | " << row.meaning << " | "
+              << row.fields << " |\n";
+  }
+  return CommandResult::kDone;
+}
+
 const Command kSettings("help settings",
                         "",
                         "Prints the reference page of the settings.",
@@ -38,6 +52,10 @@
                         "",
                         "Prints the reference page of published documents.",
                         HelpProfiles);
+const Command kLog("help log",
+                   "",
+                   "Prints the reference page of the log's events.",
+                   HelpLog);
 
 }  // namespace
 
--- a/src/daemon/drain.cc
+++ b/src/daemon/drain.cc
@@ -43,7 +43,7 @@
     this->CutOff("drain_timeout");
     co_return;
   }
-  LogLine(LogLevel::kInfo, "drained", nlohmann::json::object());
+  LogLine(LogLevel::kInfo, "drained");
   this->pool.Stop();
 }
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -98,7 +98,7 @@
   operators.Start();
   LogLine(LogLevel::kNotice, "started", {{"role", factory.Name()}});
   pool.Run();
-  LogLine(LogLevel::kNotice, "stopped", nlohmann::json::object());
+  LogLine(LogLevel::kNotice, "stopped");
   FlushLog(kLogFlushTimeout);
   std::quick_exit(static_cast<int>(drain.Result()));
 }
--- a/src/fleet/gossip.cc
+++ b/src/fleet/gossip.cc
@@ -262,7 +262,7 @@
   while (true) {
     if (this->members.Tick()) {
       ProcessMetrics().Add("pauses_total");
-      LogLine(LogLevel::kWarning, "woke_after_pause", nlohmann::json::object());
+      LogLine(LogLevel::kWarning, "woke_after_pause");
       this->Spread();
     }
     for (Peer& peer : this->ChoosePeers(1)) {
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -536,7 +536,7 @@
   const std::string route_name =
       this->request.route ? this->request.route->name : "";
   this->CountEnd(now);
-  nlohmann::json line = {
+  std::vector<LogField> line = {
       {"request", this->request.facts.request_id},
       {"route", route_name},
       {"organisation", this->request.organisation},
@@ -547,15 +547,22 @@
       {"status", this->final_status},
       {"total_ms", Since(this->received_at, now).count()},
       {"attempts", this->attempt_log}};
-  if (this->state.published_at != Clock::time_point{})
-    line["published_age_ms"] = Since(this->state.published_at, now).count();
-  if (this->attempt_log.empty())
-    line["taken_share"] = this->state.board.TakenShare(this->request.service);
-  if (this->sent_at != Clock::time_point{})
-    line["sent_ms"] = Since(this->received_at, this->sent_at).count();
-  if (this->first_byte_at != Clock::time_point{})
-    line["first_byte_ms"] =
-        Since(this->received_at, this->first_byte_at).count();
+  if (this->state.published_at != Clock::time_point{}) {
+    line.push_back(
+        {"published_age_ms", Since(this->state.published_at, now).count()});
+  }
+  if (this->attempt_log.empty()) {
+    line.push_back(
+        {"taken_share", this->state.board.TakenShare(this->request.service)});
+  }
+  if (this->sent_at != Clock::time_point{}) {
+    line.push_back(
+        {"sent_ms", Since(this->received_at, this->sent_at).count()});
+  }
+  if (this->first_byte_at != Clock::time_point{}) {
+    line.push_back({"first_byte_ms",
+                    Since(this->received_at, this->first_byte_at).count()});
+  }
   LogLine(LogLevel::kInfo, "request", line);
 }
 
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -101,8 +101,10 @@
   if (reached == this->is_store_reached)
     return;
   this->is_store_reached = reached;
-  LogLine(reached ? LogLevel::kNotice : LogLevel::kWarning,
-          reached ? "store_regained" : "store_lost", {{"reason", fault}});
+  if (reached)
+    LogLine(LogLevel::kNotice, "store_regained");
+  else
+    LogLine(LogLevel::kWarning, "store_lost", {{"reason", fault}});
 }
 
 asio::awaitable<void> PublicationFollower::SweepLapsed() {
@@ -180,8 +182,9 @@
 void PublicationFollower::PutEndpointInForce(const EndpointEntry& entry) {
   const EndpointHandle known = this->state.board.Find(entry.id);
   if (!known || known->Entry().leaving != entry.leaving) {
-    LogLine(LogLevel::kNotice,
-            entry.leaving ? "endpoint_leaving" : "endpoint_up",
+    constexpr LogEventName kUp("endpoint_up");
+    constexpr LogEventName kLeaving("endpoint_leaving");
+    LogLine(LogLevel::kNotice, entry.leaving ? kLeaving : kUp,
             {{"endpoint", entry.id},
              {"service", entry.service},
              {"address", entry.address}});
--- a/src/kernel/log.cc
+++ b/src/kernel/log.cc
@@ -98,17 +98,17 @@
 }
 
 std::string Format(LogLevel level,
-                   std::string_view event,
-                   const nlohmann::json& fields) {
+                   LogEventName event,
+                   const std::vector<LogField>& fields) {
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   nlohmann::ordered_json line = {
       {"time_ms", now.count()},
       {"level", kLevelNames.at(static_cast<std::size_t>(level))},
       {"process", State().process},
-      {"event", event}};
-  for (const auto& [name, value] : fields.items())
-    line[name] = value;
+      {"event", event.Text()}};
+  for (const LogField& field : fields)
+    line[std::string(field.name.Text())] = field.value;
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -165,8 +165,8 @@
 }
 
 void LogLine(LogLevel level,
-             std::string_view event,
-             const nlohmann::json& fields) {
+             LogEventName event,
+             const std::vector<LogField>& fields) {
   if (level < State().lowest)
     return;
   const std::string line = Format(level, event, fields);
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -8,6 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "table/log_table.h"
 
 namespace buckthornpath {
 
@@ -41,14 +44,20 @@
 /** Waits until all lines are written, or for the time given. */
 void FlushLog(std::chrono::milliseconds timeout);
 
+/** One member of a line. */
+struct LogField {
+  LogFieldName name;
+  nlohmann::json value;
+};
+
 /**
  * Writes one line with the time, the level, the process and the event.
- * @param event Name of what happened.
- * @param fields Further members of the line; an object.
+ * @param event What happened, by its name in the table of events.
+ * @param fields Further members of the line.
  */
 void LogLine(LogLevel level,
-             std::string_view event,
-             const nlohmann::json& fields);
+             LogEventName event,
+             const std::vector<LogField>& fields = {});
 
 }  // namespace buckthornpath
 
--- a/test/stories/command_line.cc
+++ b/test/stories/command_line.cc
@@ -247,6 +247,8 @@
                        RunTool({"help", "settings"}).output);
   CPPUNIT_ASSERT_EQUAL(ReadWholeFile(docs / "PROFILES.md"),
                        RunTool({"help", "profiles"}).output);
+  CPPUNIT_ASSERT_EQUAL(ReadWholeFile(docs / "LOG_EVENTS.md"),
+                       RunTool({"help", "log"}).output);
 }
 
 const Story kStory("command_line", [] {
--- a/test/stories/gateway_logs.cc
+++ b/test/stories/gateway_logs.cc
@@ -3,11 +3,15 @@
 #include <cppunit/TestAssert.h>
 
 #include <atomic>
+#include <csignal>
+#include <set>
+#include <sstream>
 #include <thread>
 
 #include "harness/caller.h"
 #include "harness/gateway_fleet.h"
 #include "harness/story.h"
+#include "table/log_table.h"
 
 namespace buckthornpath {
 
@@ -117,6 +121,54 @@
   AssertSays(metrics, name + "first_byte_seconds_count");
 }
 
+/** Brings a gateway to write lines of as many events as it can. */
+void ProvokeEvents(GatewayFleet& fleet) {
+  fleet.Call(0, TextOf(Named("served", "/lookup/x")));
+  fleet.Call(0, "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n");
+  fleet.Store().SetMode(StoreMode::kBusy);
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] { return fleet.Log(0).find("store_lost") != std::string::npos; }));
+  fleet.Store().SetMode(StoreMode::kServing);
+  fleet.PublishEndpoint("ledger", 0, "draining");
+  fleet.Store().Put("servers/odd", nlohmann::json({{"service", 7}}));
+  fleet.Gateway(0).Signal(SIGHUP);
+  for (const char* event : {"store_regained", "endpoint_leaving",
+                            "item_unusable", "settings_reloaded"}) {
+    CPPUNIT_ASSERT_MESSAGE(event, WaitUntil([&] {
+                             return fleet.Log(0).find(event) !=
+                                    std::string::npos;
+                           }));
+  }
+  fleet.Call(0, TextOf(Named("refused", "/lookup/x")));
+  fleet.Gateway(0).Signal(SIGTERM);
+  fleet.Gateway(0).WaitForExit(kCallerTimeout);
+}
+
+void LinesHoldWhatTheTableSays() {
+  GatewayPlan plan;
+  plan.gateways = 2;
+  GatewayFleet fleet(plan);
+  ProvokeEvents(fleet);
+  std::istringstream lines(fleet.Log(0));
+  std::set<std::string> seen;
+  for (std::string text; std::getline(lines, text);) {
+    const nlohmann::json line = nlohmann::json::parse(text);
+    const std::string event = line.at("event");
+    seen.insert(event);
+    const LogEventRow* row = FindLogEvent(event);
+    CPPUNIT_ASSERT_MESSAGE(event, row != nullptr);
+    for (const auto& [field, value] : line.items()) {
+      CPPUNIT_ASSERT_MESSAGE(
+          event + " has " + field,
+          HoldsWord(kCommonLogFields, field) || HoldsWord(row->fields, field));
+    }
+  }
+  for (const char* event : {"started", "request", "request_malformed",
+                            "peer_found", "out_of_rotation", "stopped"}) {
+    CPPUNIT_ASSERT_MESSAGE(event, seen.contains(event));
+  }
+}
+
 void KeysAreNeverLogged() {
   GatewayFleet fleet({});
   fleet.Call(0, TextOf(Named("a", "/issue/x")));
@@ -180,7 +232,9 @@
                {Then("kinds of request and their outcomes are told apart",
                      MetricsTellKindsAndOutcomesApart)}),
        Section("when lines hold what callers sent",
-               {Then("keys are never among it", KeysAreNeverLogged)}),
+               {Then("keys are never among it", KeysAreNeverLogged),
+                Then("events and fields are those of the table",
+                     LinesHoldWhatTheTableSays)}),
        Section("when logs are not read, or are too many",
                {Then("service goes on", ServiceGoesOnWithoutAReader),
                 Then("lines about requests are dropped first, and counted",
