Silence of an endpoint counts from the first unanswered request

Cause: an endpoint that had not been used for 1.5 s was doubted as soon as a request had been sent to it, until its first byte came: silence was measured from the last sign of life, not from the request. Test: endpoint_board, "silence counts from the first unanswered request", failed first.

--- a/include/buckthornpath/endpoint_board.h
+++ b/include/buckthornpath/endpoint_board.h
@@ -102,6 +102,7 @@
   TimePoint stated_at{};
   TimePoint heard_at{};  ///< Last sign of life to a request.
   TimePoint sent_at{};   ///< Last request sent.
+  TimePoint asked_at{};  ///< First request sent since the last sign of life.
   TimePoint shunned_until{};
   std::chrono::milliseconds shun_time{};
   double failure_share = 0;  ///< Moving mean of failed requests.
--- a/src/decision/endpoint_board.cc
+++ b/src/decision/endpoint_board.cc
@@ -144,8 +144,8 @@
   if (now < endpoint.shunned_until)
     return true;
   const bool is_silent = endpoint.own > 0 &&
-                         endpoint.sent_at > endpoint.heard_at &&
-                         now - endpoint.heard_at > kSilence &&
+                         endpoint.asked_at > endpoint.heard_at &&
+                         now - endpoint.asked_at > kSilence &&
                          now - endpoint.sent_at < kLongestShun;
   return is_silent && endpoint.heard_at != TimePoint{};
 }
@@ -244,6 +244,8 @@
 std::int64_t EndpointBoard::NoteStart(EndpointBelief& endpoint,
                                       std::span<const PromptPart> parts,
                                       TimePoint now) {
+  if (endpoint.own == 0 || endpoint.asked_at <= endpoint.heard_at)
+    endpoint.asked_at = now;
   ++endpoint.own;
   endpoint.sent_at = now;
   std::int64_t unread = 0;
--- a/test/stories/endpoint_board.cc
+++ b/test/stories/endpoint_board.cc
@@ -224,6 +224,23 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{48}, view.board.Find(cold.id)->Running());
 }
 
+/** Chats return after a pause, two of them at once, through one gateway. */
+void SilenceCountsFromTheFirstUnansweredRequest() {
+  View view(12);
+  const EndpointHandle home = view.Start(Prompt(1, 1));
+  view.board.NoteEnd(*home);
+  view.now += std::chrono::seconds(10);
+  view.board.NoteStart(*home, Prompt(1, 2), view.now);
+  view.now += milliseconds(100);
+  CPPUNIT_ASSERT_MESSAGE("doubted a moment after it was asked",
+                         view.Choose(Prompt(1, 3)) == home);
+  view.now += milliseconds(1500);
+  CPPUNIT_ASSERT_MESSAGE("believed although it does not answer",
+                         view.Choose(Prompt(1, 4)) != home);
+  view.board.NoteHeard(*home, view.now);
+  CPPUNIT_ASSERT(view.Choose(Prompt(1, 5)) == home);
+}
+
 void NewAddressIsANewEndpoint() {
   View view(1);
   const EndpointHandle before = view.Start(Prompt(1, 1));
@@ -262,6 +279,8 @@
                 Then("a service is never shut out whole",
                      ServiceIsNeverShutOutWhole),
                 Then("one that fails gets less", FailingEndpointGetsLess),
+                Then("silence counts from the first unanswered request",
+                     SilenceCountsFromTheFirstUnansweredRequest),
                 Then("one that has just started is used last",
                      ColdEndpointIsUsedLast),
                 Then("one with a new address starts from nothing",
