--- a/test/stories/gateway_logs.cc
+++ b/test/stories/gateway_logs.cc
@@ -158,9 +158,8 @@
     const LogEventRow* row = FindLogEvent(event);
     CPPUNIT_ASSERT_MESSAGE(event, row != nullptr);
     for (const auto& [field, value] : line.items()) {
-      CPPUNIT_ASSERT_MESSAGE(
-          event + " has " + field,
-          HoldsWord(kCommonLogFields, field) || HoldsWord(row->fields, field));
+      CPPUNIT_ASSERT_MESSAGE(text, HoldsWord(kCommonLogFields, field) ||
+                                       HoldsWord(row->fields, field));
     }
   }
   for (const char* event : {"started", "request", "request_malformed",
