Story: thousands of callers that send parts of requests

2,000 connections with 8,000 bytes of a larger request each; the gateway serves another caller and stays below the 160 MB of the platform's smallest machine. Reading a process's memory moves from the soak to ChildProcess.

--- a/test/harness/child_process.cc
+++ b/test/harness/child_process.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <thread>
 
@@ -100,6 +101,14 @@
   return false;
 }
 
+std::uint64_t ChildProcess::ResidentBytes() const {
+  std::ifstream pages("/proc/" + std::to_string(this->pid) + "/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  pages >> total >> resident;
+  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
 int ChildProcess::WaitForExit(std::chrono::milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (this->IsRunning()) {
--- a/test/harness/child_process.h
+++ b/test/harness/child_process.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -39,8 +40,8 @@
 
   bool IsRunning();
 
-  /** @return Its id; -1 once it has ended. */
-  pid_t Id() const { return this->pid; }
+  /** @return Bytes of memory that it holds; 0 once it has ended. */
+  std::uint64_t ResidentBytes() const;
 
  private:
   pid_t pid = -1;
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -2,13 +2,10 @@
 
 #include "soak/soak_run.h"
 
-#include <unistd.h>
-
 #include <array>
 #include <atomic>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <random>
 #include <thread>
 
@@ -50,15 +47,6 @@
       kShortestPause.count(), kLongestPause.count())(random));
 }
 
-/** @return Memory of a process; 0 if there is none. */
-std::uint64_t ResidentBytes(pid_t process) {
-  std::ifstream pages("/proc/" + std::to_string(process) + "/statm");
-  std::uint64_t total = 0;
-  std::uint64_t resident = 0;
-  pages >> total >> resident;
-  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
-}
-
 /** Faults that come from outside the processes, one after the other. */
 class FaultInjector {
  public:
@@ -193,7 +181,7 @@
 
   void NoteMemory() {
     for (std::size_t i = 0; i < this->plan.gateways; ++i) {
-      this->history.NoteMemory(i, ResidentBytes(this->fleet.Gateway(i).Id()));
+      this->history.NoteMemory(i, this->fleet.Gateway(i).ResidentBytes());
     }
   }
 
--- a/test/stories/gateway_requests.cc
+++ b/test/stories/gateway_requests.cc
@@ -2,6 +2,9 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <list>
+
+#include "harness/byte_connection.h"
 #include "harness/caller.h"
 #include "harness/gateway_fleet.h"
 #include "harness/story.h"
@@ -127,6 +130,29 @@
   CPPUNIT_ASSERT_EQUAL(503U, StatusFor(fleet, text));
 }
 
+/** Callers that send part of a large body and then nothing more. */
+void HalfSentRequestsHoldLittle() {
+  constexpr int kConnections = 2000;
+  constexpr std::size_t kSent = 8000;
+  // The smallest machine of the platform's large installations.
+  constexpr std::uint64_t kMostMemory = std::uint64_t{160} * 1024 * 1024;
+  GatewayFleet fleet({});
+  CallerText text;
+  text.body = std::string(60000, 'x');
+  const std::string part = TextOf(text).substr(0, kSent);
+  std::list<ByteConnection> connections;
+  for (int i = 0; i < kConnections; ++i)
+    connections.emplace_back(fleet.Caller(0)).Send(part);
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const auto status = LocalFleet::StatusOf(fleet.Operator(0));
+    return status.is_object() && status.value("connections", 0) == kConnections;
+  }));
+  CallerText next;
+  next.id = "next";
+  CPPUNIT_ASSERT_EQUAL(200U, StatusFor(fleet, next));
+  CPPUNIT_ASSERT(fleet.Gateway(0).ResidentBytes() < kMostMemory);
+}
+
 const Story kStory("gateway_requests", [] {
   return Section(
       "given a gateway before endpoints",
@@ -143,6 +169,9 @@
                 Then("what is too large is refused", SizesAreBounded)}),
        Section("when a body comes in chunks",
                {Then("it arrives whole", ChunkedBodiesArriveWhole)}),
+       Section("when thousands of callers send parts of requests",
+               {Then("it serves on, in the memory that it has",
+                     HalfSentRequestsHoldLittle)}),
        Section("when it knows no configuration",
                {Then("it is not ready and says that nothing ran",
                      WithoutConfigurationNothingIsDenied)})});
