Chats wait behind one long prompt at their home

Cause: reading a part again weighed 10 of its tokens, so a chat of 700 shared tokens left its home as soon as one long prompt waited there, read its part elsewhere, and displaced other work. Test: endpoint_board, "a chat waits behind one long prompt at its home, not two", failed first.

--- a/src/decision/endpoint_board.cc
+++ b/src/decision/endpoint_board.cc
@@ -52,8 +52,10 @@
 constexpr double kColdCost = 10000.0;
 
 /** Cost of reading a shared part again, in its tokens: it delays every stream
- * of the endpoint and displaces other parts, not only this request. */
-constexpr double kReadAgainWeight = 10.0;
+ * of the endpoint and displaces other parts. With it a chat's prompt of 700
+ * tokens waits at its home behind one prompt of 12,000, about a tenth of a
+ * second, and not behind two. */
+constexpr double kReadAgainWeight = 25.0;
 
 /** Part of that cost that is saved at a part's home while no reading of it is
  * known there. */
--- a/test/stories/endpoint_board.cc
+++ b/test/stories/endpoint_board.cc
@@ -97,6 +97,20 @@
   CPPUNIT_ASSERT(view.board.TakeNewParts().empty());
 }
 
+/** Short prompts of returning chats meet long ones at their home. */
+void ChatWaitsBehindOneLongPromptNotTwo() {
+  View view(12);
+  const auto chat = [](std::uint64_t request) {
+    return std::vector<PromptPart>{{2, 120}, {77, 580}, {request, 130}};
+  };
+  const EndpointHandle home = view.Start(chat(1));
+  view.board.NoteEnd(*home);
+  view.board.NoteStart(*home, Prompt(5, 50), view.now);
+  CPPUNIT_ASSERT_MESSAGE("behind one", view.Choose(chat(2)) == home);
+  view.board.NoteStart(*home, Prompt(6, 60), view.now);
+  CPPUNIT_ASSERT_MESSAGE("behind two", view.Choose(chat(3)) != home);
+}
+
 /** One prompt brings a fifth of a flood, as on a day with a hot key. */
 void HotPartSpreadsWithinTheBound() {
   View view(12);
@@ -263,6 +277,8 @@
             Then("gateways choose the same home without talking",
                  GatewaysAgreeWithoutTalking),
             Then("places that peers tell of are used", PartsToldByPeersAreUsed),
+            Then("a chat waits behind one long prompt at its home, not two",
+                 ChatWaitsBehindOneLongPromptNotTwo),
             Then("one hot part spreads, none above the platform's bound",
                  HotPartSpreadsWithinTheBound)}),
        Section("when a flood fills every endpoint",
