--- a/test/stories/gateway_soak.cc
+++ b/test/stories/gateway_soak.cc
@@ -20,6 +20,8 @@
   CPPUNIT_ASSERT_MESSAGE(all, result.violations.empty());
 }
 
+// Seeds that have failed stay here. 1 and 2: a second SIGTERM to a draining
+// gateway closed connections whose requests had run.
 const Story kStory("gateway_soak", [] {
   return Section("given gateways under signals, broken links and changes",
                  {Then("every promise holds under seed 1", [] { Soak(1); }),
