--- a/test/stories/gateway_shutdown.cc
+++ b/test/stories/gateway_shutdown.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <optional>
 #include <stdexcept>
 #include <thread>
 #include <vector>
@@ -21,59 +22,61 @@
 /** Time that a process may take to end after SIGTERM with nothing to do. */
 constexpr milliseconds kEndTime{8000};
 
-void RunningRequestIsAnswered() {
-  GatewayFleet fleet({});
+/** A gateway whose endpoint works on a request until it may answer. */
+struct RunningRequest {
+  RunningRequest() {
+    this->fleet.Ledger(0).SetScript([this](ScriptedCall& call) {
+      this->begun = true;
+      WaitUntil([&] { return this->may_answer.load(); });
+      call.Answer(200, "whole");
+    });
+    CallerText text;
+    text.path = "/issue/x";
+    text.keeps_open = true;
+    this->connection.emplace(this->fleet.Caller(0));
+    this->connection->Send(TextOf(text));
+    CPPUNIT_ASSERT(WaitUntil([&] { return this->begun.load(); }));
+  }
+
+  /** Lets the endpoint answer. @return What the caller gets. */
+  RawAnswer Finish() {
+    this->may_answer = true;
+    return ParseRawAnswer(this->connection->ReadToEnd());
+  }
+
   std::atomic<bool> begun = false;
   std::atomic<bool> may_answer = false;
-  fleet.Ledger(0).SetScript([&](ScriptedCall& call) {
-    begun = true;
-    WaitUntil([&] { return may_answer.load(); });
-    call.Answer(200, "whole");
-  });
-  CallerText text;
-  text.path = "/issue/x";
-  text.keeps_open = true;
-  ByteConnection connection(fleet.Caller(0));
-  connection.Send(TextOf(text));
-  CPPUNIT_ASSERT(WaitUntil([&] { return begun.load(); }));
-  fleet.Gateway(0).Signal(SIGTERM);
-  CPPUNIT_ASSERT(WaitUntil([&] { return !fleet.IsReady(0); }));
-  may_answer = true;
-  const RawAnswer answer = ParseRawAnswer(connection.ReadToEnd());
+  GatewayFleet fleet{{}};
+  std::optional<ByteConnection> connection;
+};
+
+void RunningRequestIsAnswered() {
+  RunningRequest running;
+  ChildProcess& gateway = running.fleet.Gateway(0);
+  gateway.Signal(SIGTERM);
+  CPPUNIT_ASSERT(WaitUntil([&] { return !running.fleet.IsReady(0); }));
+  const RawAnswer answer = running.Finish();
   CPPUNIT_ASSERT_EQUAL(200U, answer.status);
   CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.body);
   CPPUNIT_ASSERT(answer.head.find("Connection: close") != std::string::npos);
-  CPPUNIT_ASSERT_EQUAL(0, fleet.Gateway(0).WaitForExit(kEndTime));
+  CPPUNIT_ASSERT_EQUAL(0, gateway.WaitForExit(kEndTime));
 }
 
 void RepeatedTerminationCutsNothingOff() {
-  GatewayFleet fleet({});
-  std::atomic<bool> begun = false;
-  std::atomic<bool> may_answer = false;
-  fleet.Ledger(0).SetScript([&](ScriptedCall& call) {
-    begun = true;
-    WaitUntil([&] { return may_answer.load(); });
-    call.Answer(200, "whole");
-  });
-  CallerText text;
-  text.path = "/issue/x";
-  ByteConnection connection(fleet.Caller(0));
-  connection.Send(TextOf(text));
-  CPPUNIT_ASSERT(WaitUntil([&] { return begun.load(); }));
-  fleet.Gateway(0).Signal(SIGTERM);
-  CPPUNIT_ASSERT(WaitUntil([&] { return !fleet.IsReady(0); }));
-  fleet.Gateway(0).Signal(SIGTERM);
+  RunningRequest running;
+  ChildProcess& gateway = running.fleet.Gateway(0);
+  gateway.Signal(SIGTERM);
+  CPPUNIT_ASSERT(WaitUntil([&] { return !running.fleet.IsReady(0); }));
+  gateway.Signal(SIGTERM);
   // A pending signal is taken before a reload that was asked for after it.
-  fleet.Gateway(0).Signal(SIGHUP);
+  gateway.Signal(SIGHUP);
   CPPUNIT_ASSERT(WaitUntil([&] {
-    const std::string log = fleet.Log(0);
+    const std::string log = running.fleet.Log(0);
     return log.find("settings_reloaded") != std::string::npos ||
            log.find("cut_off") != std::string::npos;
   }));
-  may_answer = true;
-  const RawAnswer answer = ParseRawAnswer(connection.ReadToEnd());
-  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
-  CPPUNIT_ASSERT_EQUAL(0, fleet.Gateway(0).WaitForExit(kEndTime));
+  CPPUNIT_ASSERT_EQUAL(200U, running.Finish().status);
+  CPPUNIT_ASSERT_EQUAL(0, gateway.WaitForExit(kEndTime));
 }
 
 void NewRequestsAreServedUntilOutOfRotation() {
