Gateways name another part of their peers in each datagram

Cause: a datagram named the eight peers with the lowest addresses, always the same ones, so that with more gateways than that some pairs never heard of each other: loads, places of parts and the number of gateways, by which connections and saved-up retries are shared out, were short. Ruled out: lost datagrams, as the same addresses were missing for good. Each datagram now goes on after the address that was named last. Test: gateway_publication, "all come to know each other through one address", with 24 gateways; failed first.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -115,20 +115,29 @@
          static_cast<std::int64_t>(kFewPeers);
 }
 
-std::string PeerExchange::Datagram() const {
+json PeerExchange::PeersToName() {
+  // Another part of them each time, so that all come to know each other.
+  json named = json::array();
+  auto next = this->peers.upper_bound(this->named_last);
+  for (std::size_t i = 0; i < std::min(kPeersNamed, this->peers.size()); ++i) {
+    if (next == this->peers.end())
+      next = this->peers.begin();
+    named.push_back(next->first);
+    this->named_last = next->first;
+    ++next;
+  }
+  return named;
+}
+
+std::string PeerExchange::Datagram() {
   json uses = json::object();
   for (const auto& [id, endpoint] : this->state.board.All()) {
     if (endpoint->Own() != 0 || endpoint->OwnUnread() != 0)
       uses[id.str()] = {endpoint->Own(), endpoint->OwnUnread()};
   }
-  json named = json::array();
-  for (const auto& [address, peer] : this->peers) {
-    if (named.size() < kPeersNamed)
-      named.push_back(address);
-  }
   const json datagram = {{"from", this->own_address},
                          {"revision", this->follower.Held().Revision()},
-                         {"peers", std::move(named)},
+                         {"peers", this->PeersToName()},
                          {"parts", this->PartsToTell()},
                          {"uses", std::move(uses)}};
   std::string bytes;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -47,7 +47,8 @@
   asio::awaitable<void> Serve(HttpExchange& exchange);
   void Take(std::string_view datagram);
   void TellAll();
-  std::string Datagram() const;
+  std::string Datagram();
+  nlohmann::json PeersToName();
   nlohmann::json PartsToTell() const;
   void Drop(const std::string& address);
   void NoteLoads(const PeerLoads::Changed& changed);
@@ -60,6 +61,7 @@
   asio::ip::udp::socket socket;
   HttpServer server;
   std::map<std::string, Peer> peers;  ///< By address.
+  std::string named_last;             ///< Address that was named last.
   std::vector<std::string> seeds;
   PeerLoads loads;
   std::vector<PartPlace> last_parts;  ///< Named first in the last datagram.
--- a/test/stories/gateway_publication.cc
+++ b/test/stories/gateway_publication.cc
@@ -173,6 +173,17 @@
   }
 }
 
+/** More gateways than one datagram names, and one address to begin with. */
+void AllGatewaysComeToKnowEachOther() {
+  constexpr std::size_t kGateways = 24;
+  GatewayPlan plan;
+  plan.gateways = kGateways;
+  // Waits until each knows all others, and throws if one does not in time.
+  GatewayFleet fleet(plan);
+  const auto status = LocalFleet::StatusOf(fleet.Operator(kGateways - 1));
+  CPPUNIT_ASSERT_EQUAL(kGateways - 1, status.value("peers", std::size_t{0}));
+}
+
 const Story kStory("gateway_publication", [] {
   return Section(
       "given a gateway that reads what operators publish",
@@ -197,7 +208,9 @@
            "when a process starts",
            {Then("the first version makes it ready", FirstVersionMakesReady),
             Then("callers that come at once are served",
-                 CallersOfAStartingProcessWait)})});
+                 CallersOfAStartingProcessWait),
+            Then("all come to know each other through one address",
+                 AllGatewaysComeToKnowEachOther)})});
 });
 
 }  // namespace
