One function splits a list of addresses

peer_exchange.cc had written again what fleet_state.cc had; both call SplitAddresses() of kernel/socket_address.h now. PeerExchange's random engine had no reader and is gone.

--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <random>
-#include <sstream>
 
 #include "fleet/uptime.h"
 #include "kernel/log.h"
@@ -45,8 +44,7 @@
 
 std::vector<Peer> ParseSeeds(const std::string& text) {
   std::vector<Peer> seeds;
-  std::istringstream stream(text);
-  for (std::string address; std::getline(stream, address, ',');)
+  for (const std::string& address : SplitAddresses(text))
     seeds.push_back({VmId(), FailureDomainId(), ParseSocketAddress(address)});
   return seeds;
 }
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -51,17 +51,6 @@
   return {parsed.address(), parsed.port()};
 }
 
-std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> list;
-  std::size_t begin = 0;
-  while (begin < text.size()) {
-    const std::size_t end = std::min(text.find(',', begin), text.size());
-    list.push_back(text.substr(begin, end - begin));
-    begin = end + 1;
-  }
-  return list;
-}
-
 json EncodeItems(const PublishedItems& all) {
   json items = json::array();
   for (const PublishedItem& item : all.items) {
@@ -98,7 +87,7 @@
              ParseSocketAddress(this->own_address),
              {},
              [this](HttpExchange& exchange) { return this->Serve(exchange); }),
-      seeds(SplitList(state.settings.gossip_seeds)) {
+      seeds(SplitAddresses(state.settings.gossip_seeds)) {
   std::erase(this->seeds, this->own_address);
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 
 #include "buckthornpath/peer_loads.h"
@@ -66,7 +65,6 @@
   PeerLoads loads;
   std::vector<PartPlace> last_parts;  ///< Named first in the last datagram.
   std::vector<PartPlace> told_parts;  ///< Named in the datagram being made.
-  std::mt19937_64 random{std::random_device{}()};
 };
 
 }  // namespace buckthornpath
--- a/src/kernel/socket_address.cc
+++ b/src/kernel/socket_address.cc
@@ -32,6 +32,14 @@
   return {ip, port};
 }
 
+std::vector<std::string> SplitAddresses(const std::string& list) {
+  std::vector<std::string> addresses;
+  std::istringstream stream(list);
+  for (std::string address; std::getline(stream, address, ',');)
+    addresses.push_back(address);
+  return addresses;
+}
+
 std::string FormatSocketAddress(const SocketAddress& address) {
   std::ostringstream text;
   text << address;
--- a/src/kernel/socket_address.h
+++ b/src/kernel/socket_address.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
+#include <vector>
 
 namespace buckthornpath {
 
@@ -16,6 +17,9 @@
  */
 SocketAddress ParseSocketAddress(const std::string& text);
 
+/** @return The addresses of a list separated by commas, not looked at. */
+std::vector<std::string> SplitAddresses(const std::string& list);
+
 /** @return "127.0.0.1:8000" or "[::1]:8000". */
 std::string FormatSocketAddress(const SocketAddress& address);
 
