Common log fields have one list; the row of `route` names what is written

`explain` kept a list of its own of the fields that every line has; it asks the table of events now. The row of the event `route` named a field that no line of it has.

--- a/src/cli/explain_cmd.cc
+++ b/src/cli/explain_cmd.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "cli/command.h"
+#include "table/log_table.h"
 
 namespace buckthornpath {
 
@@ -97,9 +98,11 @@
 }
 
 void Print(const LogEntry& entry, const RequestTrace& trace) {
-  json rest = entry.line;
-  for (const char* name : {"time_ms", "level", "process", "event"})
-    rest.erase(name);
+  json rest = json::object();
+  for (const auto& [name, value] : entry.line.items()) {
+    if (!HoldsWord(kCommonLogFields, name))
+      rest[name] = value;
+  }
   std::cout << (entry.time - trace.begun).count() << " ms  "
             << entry.line.value("process", "") << "  "
             << entry.line.value("event", "") << "  " << rest.dump() << "\n";
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -56,7 +56,7 @@
     {"connection_failed", "reason", "A caller's connection ended with an exception"},
     {"exchange_failed", "target reason", "A handler of an HTTP server failed"},
     // Calls through routers and endpoint processes
-    {"route", "request chat organisation profile rank attempt candidates believed_loads choice reason", "A router chose an endpoint"},
+    {"route", "organisation profile rank chat attempt candidates believed_loads choice reason", "A router chose an endpoint"},
     {"refused", "request organisation rank reason detail outcome count mean mean_known bound wait_ms", "A call was refused"},
     {"cancelled", "request outcome reason", "A call was cancelled"},
     {"endpoint_unreached", "endpoint reason", "A router could not reach an endpoint"},
