What is told of a request is a class of its own

Names and verdicts of an attempt's end are one table instead of two arrays by the same index, choosing an endpoint and starting there is one step instead of three copies, TakeWhole() says whether the answer is whole instead of an end that a caller threw away, and the ticket of a wait is no member any more.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -4,18 +4,16 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/core/string.hpp>
 #include <cstdio>
+#include <nlohmann/json.hpp>
+#include <utility>
 
-#include "kernel/json_types.h"
-#include "kernel/log.h"
 #include "kernel/metrics.h"
 
 namespace buckthornpath {
 
 namespace {
 
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
@@ -77,21 +75,33 @@
   return std::string(text.data(), static_cast<std::size_t>(size));
 }
 
-milliseconds Since(ForwardSession::Clock::time_point from,
-                   ForwardSession::Clock::time_point to) {
-  return std::chrono::duration_cast<milliseconds>(to - from);
+/** What an attempt's end is called in the log, and what it says of the
+ * endpoint. */
+struct AttemptEndRow {
+  const char* name;
+  EndpointVerdict verdict;
+};
+
+constexpr std::array<AttemptEndRow, 6> kAttemptEnds = {{
+    {"answered", EndpointVerdict::kServed},
+    {"no_room", EndpointVerdict::kFull},
+    {"unreachable", EndpointVerdict::kUnreachable},
+    {"not_executed", EndpointVerdict::kFull},
+    {"failed", EndpointVerdict::kFailed},
+    {"broken", EndpointVerdict::kBroken},
+}};
+
+const AttemptEndRow& RowOf(AttemptEnd end) {
+  return kAttemptEnds.at(static_cast<std::size_t>(end));
 }
 
-constexpr std::array<const char*, 6> kEndNames = {
-    "answered", "no_room", "unreachable", "not_executed", "failed", "broken"};
-
 }  // namespace
 
 ForwardSession::ForwardSession(GatewayState& state, CallerExchange& exchange)
     : state(state),
       exchange(exchange),
       table(state.table),
-      received_at(exchange.ReceivedAt()),
+      record(exchange.ReceivedAt()),
       limit_alarm(state.executor),
       room(state.executor) {}
 
@@ -116,14 +126,16 @@
     }
     this->limit_alarm.Cancel();
   }
-  this->WriteLog();
+  this->record.Write(this->request, this->state,
+                     this->table ? this->table->Version() : 0,
+                     this->exchange.IsGone());
 }
 
 void ForwardSession::StartClock() {
   milliseconds limit = this->request.route->timeout;
   if (this->request.facts.deadline)
     limit = std::min(limit, *this->request.facts.deadline);
-  this->give_up_at = this->received_at + limit;
+  this->give_up_at = this->exchange.ReceivedAt() + limit;
   this->limit_alarm.Set(this->give_up_at + kLimitMargin, [this] {
     this->is_time_up = true;
     this->Abort();
@@ -133,7 +145,7 @@
 }
 
 milliseconds ForwardSession::TimeLeft() const {
-  return Since(Clock::now(), this->give_up_at) - kReturnMargin;
+  return Elapsed(Clock::now(), this->give_up_at) - kReturnMargin;
 }
 
 void ForwardSession::Abort() {
@@ -175,22 +187,24 @@
   return false;
 }
 
-EndpointHandle ForwardSession::ChooseEndpoint() const {
+EndpointHandle ForwardSession::TakePlace() {
   const EndpointQuery query{this->request.service, this->request.facts.parts,
                             this->request.priority, this->excluded};
-  return this->state.board.Choose(
+  EndpointHandle chosen = this->state.board.Choose(
       query, Clock::now(), [this](const EndpointBelief& endpoint) {
         return this->state.HasConnectionFor(endpoint);
       });
-}
-
-asio::awaitable<EndpointHandle> ForwardSession::FindRoom() {
-  EndpointHandle chosen = this->ChooseEndpoint();
   if (chosen) {
     this->unread_tokens = this->state.board.NoteStart(
         *chosen, this->request.facts.parts, Clock::now());
-    co_return chosen;
   }
+  return chosen;
+}
+
+asio::awaitable<EndpointHandle> ForwardSession::FindRoom() {
+  EndpointHandle chosen = this->TakePlace();
+  if (chosen)
+    co_return chosen;
   ServiceLine& line = this->state.LineOf(this->request.service);
   const milliseconds patience = this->TimeLeft() / kWaitingPart;
   if (!this->state.board.HasUsable(this->request.service) ||
@@ -198,19 +212,16 @@
     co_return nullptr;
   }
   const WaitTicket ticket = line.line.Add(this->request.priority);
-  line.wake[ticket] = [this] {
-    this->offered = this->ChooseEndpoint();
+  line.wake[ticket] = [this, &line, ticket] {
+    this->offered = this->TakePlace();
     if (!this->offered)
       return false;
-    this->unread_tokens = this->state.board.NoteStart(
-        *this->offered, this->request.facts.parts, Clock::now());
-    ServiceLine& own = this->state.LineOf(this->request.service);
-    own.line.Remove(this->wait_ticket);
-    own.wake.erase(this->wait_ticket);
+    line.line.Remove(ticket);
+    // This handler is held by its caller, so that it may take itself out.
+    line.wake.erase(ticket);
     this->room.Set();
     return true;
   };
-  this->wait_ticket = ticket;
   co_await this->room.WaitUntil(Clock::now() + patience);
   line.line.Remove(ticket);
   line.wake.erase(ticket);
@@ -227,7 +238,7 @@
   this->connection =
       this->state.connections.TakeIdle(id, most_idle, Clock::now());
   if (this->connection) {
-    this->idle_before = Since(this->connection->idle_since, Clock::now());
+    this->idle_before = Elapsed(this->connection->idle_since, Clock::now());
     co_return true;
   }
   this->idle_before.reset();
@@ -256,24 +267,12 @@
 void ForwardSession::NoteEnd(EndpointBelief& endpoint, AttemptEnd end) {
   const auto now = Clock::now();
   const EndpointId id = endpoint.Entry().id;
-  this->attempt_log.push_back(
-      {{"endpoint", id},
-       {"end", kEndNames.at(static_cast<std::size_t>(end))},
-       {"running", endpoint.Running()},
-       {"after_ms", Since(this->received_at, now).count()}});
-  if (this->unread_tokens > 0)
-    this->state.board.NoteUnreadEnd(endpoint, this->unread_tokens);
-  this->unread_tokens = 0;
+  this->record.NoteAttempt(endpoint, RowOf(end).name, now);
+  this->ReleaseUnread(endpoint);
   this->state.board.NoteEnd(endpoint);
-  constexpr std::array kVerdicts = {
-      EndpointVerdict::kServed,      EndpointVerdict::kFull,
-      EndpointVerdict::kUnreachable, EndpointVerdict::kFull,
-      EndpointVerdict::kFailed,      EndpointVerdict::kBroken};
   // What the caller or the clock has ended says nothing of the endpoint.
-  if (!this->is_aborted) {
-    this->state.board.NoteVerdict(
-        endpoint, kVerdicts.at(static_cast<std::size_t>(end)), now);
-  }
+  if (!this->is_aborted)
+    this->state.board.NoteVerdict(endpoint, RowOf(end).verdict, now);
   if (end != AttemptEnd::kAnswered)
     this->excluded.push_back(id);
   if (this->connection) {
@@ -286,6 +285,11 @@
   this->state.OfferRoom(this->request.service);
 }
 
+void ForwardSession::ReleaseUnread(EndpointBelief& endpoint) {
+  this->state.board.NoteUnreadEnd(endpoint,
+                                  std::exchange(this->unread_tokens, 0));
+}
+
 ForwardRequest ForwardSession::MakeRequest(
     const EndpointBelief& endpoint) const {
   const CallerMessage& message = this->exchange.Message();
@@ -313,7 +317,7 @@
   ++this->attempts;
   const bool ran_before = this->may_have_run;
   this->may_have_run = true;
-  this->sent_at = Clock::now();
+  this->record.NoteSent(Clock::now());
   this->relay.BeginRun();
   const ForwardRequest forwarded = this->MakeRequest(endpoint);
   bool has_head = false;
@@ -352,25 +356,22 @@
 
 void ForwardSession::NoteAnswerHead(EndpointBelief& endpoint) {
   const auto now = Clock::now();
-  this->state.board.NoteUnreadEnd(endpoint, this->unread_tokens);
-  this->unread_tokens = 0;
+  this->ReleaseUnread(endpoint);
   this->state.board.NoteHeard(endpoint, now);
   if (this->answer.load)
     this->state.board.NoteStated(endpoint, *this->answer.load, now);
   this->connection->idle_time = this->answer.idle_time;
-  if (this->first_byte_at == Clock::time_point{})
-    this->first_byte_at = now;
+  this->record.NoteFirstByte(now);
 }
 
 asio::awaitable<AttemptEnd> ForwardSession::TakeAnswer(
     EndpointBelief& endpoint) {
   const unsigned status = this->connection->Head().result_int();
   if (this->answer.not_executed || status == kMisdirected) {
-    const AttemptEnd end = co_await this->TakeWhole(status);
+    // The endpoint has said so in the head; a spoiled body changes nothing.
+    co_await this->TakeWhole(status);
     if (status == kMisdirected)
       this->state.board.NoteMisdirected(endpoint, Clock::now());
-    // The endpoint has said so in the head; a spoiled body changes nothing.
-    (void)end;
     co_return AttemptEnd::kNotExecuted;
   }
   const std::string_view type =
@@ -379,29 +380,31 @@
     co_return AttemptEnd::kBroken;
   if (IsSuccess(status) && type.starts_with("text/event-stream"))
     co_return co_await this->RelayStream(status);
-  const AttemptEnd end = co_await this->TakeWhole(status);
-  if (end == AttemptEnd::kBroken || IsServerFailure(status))
-    co_return end == AttemptEnd::kBroken ? end : AttemptEnd::kFailed;
+  const bool is_whole = co_await this->TakeWhole(status);
+  if (!is_whole)
+    co_return AttemptEnd::kBroken;
+  if (IsServerFailure(status))
+    co_return AttemptEnd::kFailed;
   co_await this->SendHeld();
   co_return AttemptEnd::kAnswered;
 }
 
-asio::awaitable<AttemptEnd> ForwardSession::TakeWhole(unsigned status) {
+asio::awaitable<bool> ForwardSession::TakeWhole(unsigned status) {
   HeldAnswer whole;
   whole.status = status;
   whole.fields = this->CallerFields();
   std::string piece;
   do {
     if (co_await this->connection->ReadBody(piece))
-      co_return AttemptEnd::kBroken;
+      co_return false;
     whole.body += piece;
   } while (!this->connection->IsAnswerComplete());
   this->held = std::move(whole);
-  co_return AttemptEnd::kAnswered;
+  co_return true;
 }
 
 asio::awaitable<void> ForwardSession::SendHeld() {
-  this->final_status = this->held->status;
+  this->record.NoteStatus(this->held->status);
   co_await this->exchange.Send(this->held->status, this->held->fields,
                                std::move(this->held->body));
   this->held.reset();
@@ -426,7 +429,7 @@
     co_await this->exchange.SendPiece(piece);
   } else if (!piece.empty()) {
     this->is_head_sent = true;
-    this->final_status = status;
+    this->record.NoteStatus(status);
     const HeaderFieldList fields = this->CallerFields();
     co_await this->exchange.BeginStream(status, fields, piece);
   }
@@ -455,7 +458,7 @@
   if (!this->is_head_sent) {
     const HeaderFieldList fields = this->CallerFields();
     co_await this->exchange.Send(status, fields, std::string());
-    this->final_status = status;
+    this->record.NoteStatus(status);
     co_return AttemptEnd::kAnswered;
   }
   co_await this->exchange.EndStream();
@@ -466,17 +469,17 @@
   if (end == AttemptEnd::kAnswered)
     co_return;
   if (this->exchange.IsGone()) {
-    this->reason = "caller_left";
+    this->record.NoteReason("caller_left");
     this->exchange.BreakOff();
     co_return;
   }
   if (this->is_head_sent) {
-    this->reason = this->is_time_up ? "timeout" : "stream_broken";
+    this->record.NoteReason(this->is_time_up ? "timeout" : "stream_broken");
     this->exchange.BreakOff();
     co_return;
   }
   if (this->held && end == AttemptEnd::kFailed) {
-    this->reason = "endpoint_failed";
+    this->record.NoteReason("endpoint_failed");
     co_await this->SendHeld();
     co_return;
   }
@@ -487,8 +490,7 @@
     co_await this->Refuse(unknown);
     co_return;
   }
-  const Refusal not_run{kUnavailable,
-                        kEndNames.at(static_cast<std::size_t>(end))};
+  const Refusal not_run{kUnavailable, RowOf(end).name};
   co_await this->Refuse(not_run);
 }
 
@@ -504,8 +506,8 @@
 }
 
 asio::awaitable<void> ForwardSession::Refuse(Refusal refusal) {
-  this->reason = refusal.reason;
-  this->final_status = refusal.status;
+  this->record.NoteReason(refusal.reason);
+  this->record.NoteStatus(refusal.status);
   HeaderFieldList fields = {{"Content-Type", "application/json"}};
   if (refusal.status == kUnavailable)
     fields.emplace_back("Retry-After", FormatSeconds(this->RetryAfter()));
@@ -513,57 +515,4 @@
   co_await this->exchange.Send(refusal.status, fields, body.dump());
 }
 
-void ForwardSession::CountEnd(Clock::time_point now) const {
-  const std::string kind = "service=\"" + this->request.service.str() +
-                           "\",priority=\"" +
-                           std::to_string(this->request.priority) + "\"";
-  const char* outcome = IsSuccess(this->final_status) ? "served" : "failed";
-  if (this->final_status == kUnavailable)
-    outcome = "refused";
-  else if (this->exchange.IsGone())
-    outcome = "caller_left";
-  Metrics& metrics = ProcessMetrics();
-  metrics.Add("requests_total", kind + ",reason=\"" + this->reason + "\"");
-  metrics.Observe("request_seconds", kind + ",outcome=\"" + outcome + "\"",
-                  now - this->received_at);
-  if (this->first_byte_at != Clock::time_point{})
-    metrics.Observe("first_byte_seconds", kind,
-                    this->first_byte_at - this->received_at);
-}
-
-void ForwardSession::WriteLog() const {
-  const auto now = Clock::now();
-  const std::string route_name =
-      this->request.route ? this->request.route->name : "";
-  this->CountEnd(now);
-  std::vector<LogField> line = {
-      {"request", this->request.facts.request_id},
-      {"route", route_name},
-      {"organisation", this->request.organisation},
-      {"service", this->request.service},
-      {"configuration", this->table ? this->table->Version() : 0},
-      {"priority", this->request.priority},
-      {"reason", this->reason},
-      {"status", this->final_status},
-      {"total_ms", Since(this->received_at, now).count()},
-      {"attempts", this->attempt_log}};
-  if (this->state.published_at != Clock::time_point{}) {
-    line.push_back(
-        {"published_age_ms", Since(this->state.published_at, now).count()});
-  }
-  if (this->attempt_log.empty()) {
-    line.push_back(
-        {"taken_share", this->state.board.TakenShare(this->request.service)});
-  }
-  if (this->sent_at != Clock::time_point{}) {
-    line.push_back(
-        {"sent_ms", Since(this->received_at, this->sent_at).count()});
-  }
-  if (this->first_byte_at != Clock::time_point{}) {
-    line.push_back({"first_byte_ms",
-                    Since(this->received_at, this->first_byte_at).count()});
-  }
-  LogLine(LogLevel::kInfo, "request", line);
-}
-
 }  // namespace buckthornpath
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -4,7 +4,6 @@
 #define SRC_GATEWAY_FORWARD_SESSION_H_
 
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,6 +13,7 @@
 #include "gateway/event_relay.h"
 #include "gateway/gateway_state.h"
 #include "gateway/request_class.h"
+#include "gateway/request_record.h"
 
 namespace buckthornpath {
 
@@ -58,7 +58,9 @@
 
   /** @return The endpoint to use, or null if the wait is over. */
   asio::awaitable<EndpointHandle> FindRoom();
-  EndpointHandle ChooseEndpoint() const;
+
+  /** Chooses an endpoint and starts there. @return Null if none has room. */
+  EndpointHandle TakePlace();
   asio::awaitable<bool> OpenConnection(const EndpointBelief& endpoint);
   ForwardRequest MakeRequest(const EndpointBelief& endpoint) const;
 
@@ -67,12 +69,17 @@
   /** Reads the head of the answer that belongs to this request. */
   asio::awaitable<bool> ReadOwnHead();
   asio::awaitable<AttemptEnd> TakeAnswer(EndpointBelief& endpoint);
-  asio::awaitable<AttemptEnd> TakeWhole(unsigned status);
+
+  /** Holds a whole answer. @return False if it broke off. */
+  asio::awaitable<bool> TakeWhole(unsigned status);
   asio::awaitable<void> SendHeld();
   asio::awaitable<AttemptEnd> RelayStream(unsigned status);
   asio::awaitable<bool> PassOn(unsigned status, std::string_view piece);
   HeaderFieldList CallerFields() const;
   void NoteAnswerHead(EndpointBelief& endpoint);
+
+  /** Its prompt no longer waits to be read. */
+  void ReleaseUnread(EndpointBelief& endpoint);
   void NoteEnd(EndpointBelief& endpoint, AttemptEnd end);
 
   asio::awaitable<void> Conclude(AttemptEnd end);
@@ -82,19 +89,16 @@
 
   /** Ends what is in progress: the caller left or the time is up. */
   void Abort();
-  void WriteLog() const;
-  void CountEnd(Clock::time_point now) const;
 
   GatewayState& state;
   CallerExchange& exchange;
   std::shared_ptr<const RoutingTable> table;  ///< In force when it came.
   RequestClass request;
-  Clock::time_point received_at;
+  RequestRecord record;
   Clock::time_point give_up_at;  ///< Final answer is due.
   Alarm limit_alarm;
   WakeSignal room;
   EndpointHandle offered;  ///< Endpoint that a wait has found.
-  WaitTicket wait_ticket{};
   bool is_aborted = false;
   bool is_time_up = false;
   bool may_have_run = false;  ///< An endpoint may have begun to work on it.
@@ -109,11 +113,6 @@
   EventRelay relay;
   AnswerFacts answer;  ///< Of the head that was read last.
   std::optional<HeldAnswer> held;
-  unsigned final_status = 0;
-  const char* reason = "served";
-  Clock::time_point sent_at{};
-  Clock::time_point first_byte_at{};
-  nlohmann::json attempt_log = nlohmann::json::array();
 };
 
 }  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/request_record.cc
@@ -0,0 +1,91 @@
+/** @file request_record.cc What is told of a request once it has ended. */
+
+#include "gateway/request_record.h"
+
+#include <string>
+#include <vector>
+
+#include "kernel/json_types.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+constexpr unsigned kUnavailable = 503;
+
+}  // namespace
+
+void RequestRecord::NoteFirstByte(Clock::time_point now) {
+  if (this->first_byte_at == Clock::time_point{})
+    this->first_byte_at = now;
+}
+
+void RequestRecord::NoteAttempt(const EndpointBelief& endpoint,
+                                const char* end,
+                                Clock::time_point now) {
+  this->attempts.push_back(
+      {{"endpoint", endpoint.Entry().id},
+       {"end", end},
+       {"running", endpoint.Running()},
+       {"after_ms", Elapsed(this->received_at, now).count()}});
+}
+
+void RequestRecord::Count(const RequestClass& request,
+                          bool is_gone,
+                          Clock::time_point now) const {
+  const std::string kind = "service=\"" + request.service.str() +
+                           "\",priority=\"" + std::to_string(request.priority) +
+                           "\"";
+  const char* outcome = this->final_status / 100 == 2 ? "served" : "failed";
+  if (this->final_status == kUnavailable)
+    outcome = "refused";
+  else if (is_gone)
+    outcome = "caller_left";
+  Metrics& metrics = ProcessMetrics();
+  metrics.Add("requests_total", kind + ",reason=\"" + this->reason + "\"");
+  metrics.Observe("request_seconds", kind + ",outcome=\"" + outcome + "\"",
+                  now - this->received_at);
+  if (this->first_byte_at != Clock::time_point{}) {
+    metrics.Observe("first_byte_seconds", kind,
+                    this->first_byte_at - this->received_at);
+  }
+}
+
+void RequestRecord::Write(const RequestClass& request,
+                          const GatewayState& state,
+                          std::uint64_t version,
+                          bool is_gone) const {
+  const auto now = Clock::now();
+  this->Count(request, is_gone, now);
+  std::vector<LogField> line = {
+      {"request", request.facts.request_id},
+      {"route", request.route ? request.route->name : ""},
+      {"organisation", request.organisation},
+      {"service", request.service},
+      {"configuration", version},
+      {"priority", request.priority},
+      {"reason", this->reason},
+      {"status", this->final_status},
+      {"total_ms", Elapsed(this->received_at, now).count()},
+      {"attempts", this->attempts}};
+  if (state.published_at != Clock::time_point{}) {
+    line.push_back(
+        {"published_age_ms", Elapsed(state.published_at, now).count()});
+  }
+  if (this->attempts.empty()) {
+    line.push_back({"taken_share", state.board.TakenShare(request.service)});
+  }
+  if (this->sent_at != Clock::time_point{}) {
+    line.push_back(
+        {"sent_ms", Elapsed(this->received_at, this->sent_at).count()});
+  }
+  if (this->first_byte_at != Clock::time_point{}) {
+    line.push_back({"first_byte_ms",
+                    Elapsed(this->received_at, this->first_byte_at).count()});
+  }
+  LogLine(LogLevel::kInfo, "request", line);
+}
+
+}  // namespace buckthornpath
