Settings: take fractions and missing figures of the platform's settings file

Cause: a bound is a whole number, a fraction, or absent; the settings took whole numbers only and the template put zeros behind graceS, so that a small twin of the large site ended at once with "/retry_slack: must be of type number". Change: the template renders figures as texts; numbers and times are taken as fractions or texts with a unit, rounded down, and a blank one leaves the default. One that cannot be used is named with its value and what was expected.

--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -2,9 +2,14 @@
 
 #include "kernel/settings.h"
 
+#include <charconv>
+#include <cmath>
 #include <fstream>
+#include <map>
+#include <optional>
 #include <set>
 #include <sstream>
+#include <string_view>
 
 #include "kernel/socket_address.h"
 #include "table/role_requirement_table.h"
@@ -51,6 +56,88 @@
   }
 }
 
+/** Suffixes of times, in milliseconds. */
+const std::map<std::string_view, double> kTimeUnits = {
+    {"", 1.0}, {"ms", 1.0}, {"s", 1000.0}};
+
+/** Largest number that a setting can hold exactly as a double. */
+constexpr double kMaxExactNumber = 9007199254740992.0;
+
+/** A number with an optional suffix, as in "8.5s". */
+struct NumberText {
+  std::optional<double> number;  ///< Empty for a blank text or a mere suffix.
+  std::string_view suffix;
+};
+
+NumberText SplitNumber(std::string_view text) {
+  NumberText split;
+  double number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error == std::errc()) {
+    split.number = number;
+    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+  }
+  split.suffix = text;
+  return split;
+}
+
+/**
+ * Converts a number, or a text that holds one, to an integer. Fractions are
+ * rounded down, so that no limit exceeds what was configured.
+ * @return The integer; null if the value states none; the value itself if it
+ * cannot be converted.
+ */
+nlohmann::json ToInteger(const nlohmann::json& value, bool is_time) {
+  NumberText split;
+  if (value.is_number_float()) {
+    split.number = value.get<double>();
+  } else if (value.is_string()) {
+    split = SplitNumber(value.get_ref<const std::string&>());
+  } else {
+    return value;
+  }
+  const auto unit = kTimeUnits.find(split.suffix);
+  if (unit == kTimeUnits.end() || (!is_time && !split.suffix.empty()))
+    return value;
+  if (!split.number)
+    return nullptr;
+  const double scaled = std::floor(*split.number * unit->second);
+  if (!(std::abs(scaled) <= kMaxExactNumber))
+    return value;
+  return static_cast<std::int64_t>(scaled);
+}
+
+/**
+ * Replaces numbers and times that a platform's template has rendered as
+ * fractions or texts by integers, and removes those that are null or blank so
+ * that the default applies.
+ */
+void NormaliseNumbers(nlohmann::json& object,
+                      std::vector<DocumentFault>& faults) {
+  if (!object.is_object())
+    return;
+  for (const FieldRow<Settings>& row : kSettingRows) {
+    const FieldRule rule = RuleOf(row);
+    const auto found = object.find(rule.name);
+    const bool is_time = rule.type == "time";
+    if (found == object.end() || (rule.type != "number" && !is_time))
+      continue;
+    const nlohmann::json number = ToInteger(*found, is_time);
+    if (number.is_null()) {
+      object.erase(found);
+    } else if (number.is_number_integer()) {
+      *found = number;
+    } else {
+      faults.push_back(
+          {"/" + rule.name,
+           "is " + found->dump() + ", must be a number" +
+               (is_time ? " of ms or a text such as \"8.5s\"" : "")});
+      object.erase(found);
+    }
+  }
+}
+
 }  // namespace
 
 std::span<const FieldRow<Settings>> SettingRows() {
@@ -59,7 +146,8 @@
 
 Settings ParseSettings(const std::string& text) {
   std::vector<DocumentFault> faults;
-  const nlohmann::json object = ParseJsonWithComments(text);
+  nlohmann::json object = ParseJsonWithComments(text);
+  NormaliseNumbers(object, faults);
   Settings settings = ReadDocument(object, SettingRows(), "", faults);
   CheckAddresses(settings, faults);
   CheckTimeouts(settings, faults);
