Gateways: hubs read the store and sum the loads of their failure domain

Change: the gateways of a failure domain rank each other alike (bandwidth of the link, then a hash); the first two are hubs. Members report their load to the hubs every 200 ms, leaders exchange sums and send members the sum of the fleet, with newly cached prompt segments. Gateways of the version before are still understood and answered in their form.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -212,6 +212,10 @@
                    std::int64_t requests,
                    std::int64_t prefill_tokens);
 
+  /** Sets the time of which the loads of other gateways are, on average. */
+  void SetPeerLoadsTime(TimePoint time) { this->peer_loads_at = time; }
+  TimePoint PeerLoadsTime() const { return this->peer_loads_at; }
+
   /** @return Estimated occupied share of a service's slots: 0 when idle, above
    * 1 when overloaded, 1 for a service without slots. */
   double Utilisation(const ServiceName& service) const;
@@ -249,6 +253,7 @@
 
   FailureDomainId own_domain;
   EndpointSelectorLimits limits;
+  TimePoint peer_loads_at{};
   std::map<EndpointId, EndpointHandle> endpoints;
   std::unordered_map<ServiceName, std::vector<EndpointHandle>>
       endpoints_by_service;
--- a/include/buckthornpath/peer_loads.h
+++ b/include/buckthornpath/peer_loads.h
@@ -40,6 +40,9 @@
   /** @return The total load of all peers at an endpoint. */
   EndpointUsage Sum(const EndpointId& endpoint) const;
 
+  /** @return The total load of all peers at every endpoint that has any. */
+  const EndpointUsageMap& Sums() const { return this->sums; }
+
  private:
   std::map<std::string, EndpointUsageMap> reports;
   EndpointUsageMap sums;
--- /dev/null
+++ b/src/gateway/gateway_message.cc
@@ -0,0 +1,122 @@
+/** @file gateway_message.cc Datagrams between gateways. */
+
+#include "gateway/gateway_message.h"
+
+#include <nlohmann/json.hpp>
+
+#include "kernel/cbor.h"
+#include "kernel/socket_address.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+json EncodeMember(const GatewayMember& member) {
+  return {member.address, member.failure_domain.str(), member.capacity,
+          member.leaving};
+}
+
+GatewayMember DecodeMember(const json& value) {
+  GatewayMember member;
+  member.address = value.at(0).get<std::string>();
+  ParseSocketAddress(member.address);
+  member.failure_domain = FailureDomainId(value.at(1).get<std::string>());
+  member.capacity = value.at(2).get<std::int64_t>();
+  member.leaving = value.at(3).get<bool>();
+  return member;
+}
+
+json EncodeUses(const EndpointUsageMap& uses) {
+  json encoded = json::object();
+  for (const auto& [id, use] : uses)
+    encoded[id.str()] = {use.requests, use.prefill_tokens};
+  return encoded;
+}
+
+EndpointUsageMap DecodeUses(const json& value) {
+  EndpointUsageMap uses;
+  for (const auto& [id, use] : value.items()) {
+    uses[EndpointId(id)] = {use.at(0).get<std::int64_t>(),
+                            use.at(1).get<std::int64_t>()};
+  }
+  return uses;
+}
+
+/** Reads the members that only gateways of this version send. */
+void DecodeCurrentFields(const json& value, GatewayMessage& message) {
+  const auto kind = value.at("kind").get<unsigned>();
+  if (kind > static_cast<unsigned>(GatewayMessageKind::kView))
+    throw MalformedGatewayMessage("unknown kind of message: " +
+                                  std::to_string(kind));
+  message.kind = static_cast<GatewayMessageKind>(kind);
+  message.sender = DecodeMember(value.at("sender"));
+  message.sequence = value.at("sequence").get<std::uint64_t>();
+  message.acknowledged = value.at("acknowledged").get<std::uint64_t>();
+  message.gateway_count = value.at("gateways").get<std::size_t>();
+  for (const json& entry : value.at("roster")) {
+    message.roster.push_back(
+        {DecodeMember(entry.at(0)),
+         milliseconds(entry.at(1).get<std::uint32_t>())});
+  }
+}
+
+GatewayMessage DecodeFields(const json& value) {
+  GatewayMessage message;
+  message.sender.address = value.at("from").get<std::string>();
+  ParseSocketAddress(message.sender.address);
+  if (value.contains("kind"))
+    DecodeCurrentFields(value, message);
+  message.revision = value.at("revision").get<std::uint64_t>();
+  if (value.contains("uses"))
+    message.uses = DecodeUses(value.at("uses"));
+  for (const json& known : value.at("peers")) {
+    message.known_addresses.push_back(known.get<std::string>());
+    ParseSocketAddress(message.known_addresses.back());
+  }
+  for (const json& place : value.at("parts")) {
+    message.segments.push_back({EndpointId(place.at(0).get<std::string>()),
+                                place.at(1).get<std::uint64_t>()});
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeGatewayMessage(const GatewayMessage& message) {
+  json roster = json::array();
+  for (const RosterEntry& entry : message.roster)
+    roster.push_back({EncodeMember(entry.member), entry.age.count()});
+  json segments = json::array();
+  for (const SegmentLocation& place : message.segments)
+    segments.push_back({place.endpoint.str(), place.segment});
+  json value = {{"from", message.sender.address},
+                {"revision", message.revision},
+                {"peers", message.known_addresses},
+                {"parts", std::move(segments)},
+                {"kind", static_cast<unsigned>(message.kind)},
+                {"sender", EncodeMember(message.sender)},
+                {"sequence", message.sequence},
+                {"acknowledged", message.acknowledged},
+                {"gateways", message.gateway_count},
+                {"roster", std::move(roster)}};
+  if (message.uses)
+    value["uses"] = EncodeUses(*message.uses);
+  std::string bytes;
+  json::to_cbor(value, bytes);
+  return bytes;
+}
+
+GatewayMessage DecodeGatewayMessage(std::string_view datagram) {
+  try {
+    return DecodeFields(ParseCbor(datagram));
+  } catch (const json::exception& error) {
+    throw MalformedGatewayMessage(error.what());
+  } catch (const std::invalid_argument& error) {
+    throw MalformedGatewayMessage(error.what());
+  }
+}
+
+}  // namespace buckthornpath
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -109,6 +109,7 @@
         {"endpoints", this->state.selector.All().size()},
         {"peers", this->peers.PeerCount()},
         {"store_reached", this->follower.IsStoreReachable()},
+        {"gossip", this->peers.Status()},
         {"connections", this->connections.size()}};
   }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "buckthornpath/endpoint_selector.h"
+#include "buckthornpath/gateway_roster.h"
 #include "buckthornpath/retry_budget.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/waiting_queue.h"
@@ -56,6 +57,7 @@
   EndpointSelector selector;
   EndpointConnectionPool connection_pool;
   std::unordered_map<ServiceName, ServiceQueue> queues;
+  GatewayRoster roster;
   std::size_t gateway_count = 1;  ///< Live gateways, this one included.
   bool is_draining = false;
   /** Set once the process is out of rotation: requests whose deadline is later
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -3,9 +3,10 @@
 #include "gateway/peer_exchange.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
-#include "gateway/wake_signal.h"
+#include "gateway/publication_feed.h"
 #include "kernel/cbor.h"
 #include "kernel/http_client.h"
 #include "kernel/json_types.h"
@@ -19,15 +20,38 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-/** Gossip interval up to kBaseIntervalPeers peers. */
+/** Gossip interval of failure domains with up to kBaseIntervalMembers
+ * gateways. */
 constexpr milliseconds kBaseInterval{200};
 
-/** Number of peers above which the interval grows in proportion, which keeps
- * the rate of datagrams per process constant. */
-constexpr std::size_t kBaseIntervalPeers = 8;
+/** Members of a failure domain above which the interval grows in proportion,
+ * which keeps the rate of datagrams of its leader constant. */
+constexpr std::size_t kBaseIntervalMembers = 24;
 
-/** Time without a datagram after which a peer is considered dead. */
-constexpr milliseconds kPeerTimeout{2500};
+/** Interval until a process that starts has found other gateways, and the time
+ * after which it stops to hurry. */
+constexpr milliseconds kStartInterval{50};
+constexpr int kStartRounds = 40;
+
+/** Rounds after which the leader sends the roster again. */
+constexpr std::size_t kRosterRounds = 3;
+
+/** Time without word from a gateway after which it is considered dead, in
+ * addition to some intervals. */
+constexpr milliseconds kPeerTimeout{1000};
+constexpr int kPeerTimeoutIntervals = 4;
+
+/** Intervals without a view after which a member looks for another hub. */
+constexpr int kViewTimeoutIntervals = 4;
+
+/** Members that are asked for hubs in each round then. */
+constexpr std::size_t kMaxAskedMembers = 3;
+
+/** Limit of addresses that are named to gateways of version 1. */
+constexpr std::size_t kMaxKnownAddresses = 32;
+
+/** Interval of messages to seeds that are not known to be alive. */
+constexpr milliseconds kHelloInterval{1000};
 
 /** Interval of the checks for a peer with a newer revision. */
 constexpr milliseconds kSyncInterval{250};
@@ -35,15 +59,11 @@
 /** Timeout for reading all published items from a peer. */
 constexpr milliseconds kSyncTimeout{800};
 
-/** Limit of the size of a datagram, set by the receive buffer. Datagrams should
- * avoid IP fragmentation where possible. */
-constexpr std::size_t kMaxDatagramBytes = std::size_t{16} * 1024;
-
-/** Limit of peer addresses in one datagram. */
-constexpr std::size_t kMaxPeersPerDatagram = 8;
+/** Limit of the size of a datagram. */
+constexpr std::size_t kMaxDatagramBytes = std::size_t{64} * 1024;
 
-/** Limit of newly cached prompt segments announced in one datagram. */
-constexpr std::size_t kMaxSegmentsPerDatagram = 128;
+/** Limit of segments announced in one round. */
+constexpr std::size_t kMaxSegmentsPerRound = 128;
 
 constexpr char kSnapshotPath[] = "/fleet/published";
 
@@ -75,21 +95,42 @@
   return all;
 }
 
+/** @return True for a gateway of version 1, which names no failure domain and
+ * exchanges its load with all others directly. */
+bool IsVersion1(const GatewayMember& member) {
+  return member.failure_domain.str().empty();
+}
+
+bool Contains(const std::vector<std::string>& list, const std::string& text) {
+  return std::find(list.begin(), list.end(), text) != list.end();
+}
+
 }  // namespace
 
+void PeerExchange::SegmentOutbox::Add(const SegmentLocation& place) {
+  if (this->current.size() < kMaxSegmentsPerRound)
+    this->current.push_back(place);
+}
+
+std::vector<SegmentLocation> PeerExchange::SegmentOutbox::TakeRound() {
+  std::vector<SegmentLocation> round = std::move(this->previous);
+  round.insert(round.end(), this->current.begin(), this->current.end());
+  this->previous = std::exchange(this->current, {});
+  return round;
+}
+
 PeerExchange::PeerExchange(GatewayState& state,
                            PublicationFollower& follower,
                            WorkerPool& pool)
     : state(state),
       follower(follower),
-      own_address(state.settings.gossip_address),
-      socket(state.executor, UdpEndpoint(this->own_address)),
+      socket(state.executor, UdpEndpoint(state.settings.gossip_address)),
       server(pool,
-             ParseSocketAddress(this->own_address),
+             ParseSocketAddress(state.settings.gossip_address),
              {},
              [this](HttpExchange& exchange) { return this->Serve(exchange); }),
       seeds(SplitAddresses(state.settings.gossip_seeds)) {
-  std::erase(this->seeds, this->own_address);
+  std::erase(this->seeds, state.settings.gossip_address);
 }
 
 void PeerExchange::Start() {
@@ -99,112 +140,246 @@
   WorkerPool::SpawnOn(this->state.executor, this->SyncFromPeers());
 }
 
+std::size_t PeerExchange::PeerCount() const {
+  return this->state.gateway_count - 1;
+}
+
+json PeerExchange::Status() const {
+  const auto age = std::chrono::duration_cast<milliseconds>(
+      Clock::now() - this->state.selector.PeerLoadsTime());
+  return {{"role", this->role},
+          {"hubs", this->hubs},
+          {"loads_age_ms", age.count()},
+          {"reads_store", this->follower.IsReadingStore()},
+          {"followed_hub", this->follower.Hub()}};
+}
+
 milliseconds PeerExchange::Interval() const {
-  const std::size_t peer_count =
-      std::max(this->peers.size(), kBaseIntervalPeers);
-  return kBaseInterval * static_cast<std::int64_t>(peer_count) /
-         static_cast<std::int64_t>(kBaseIntervalPeers);
-}
-
-json PeerExchange::NextPeerAddresses() {
-  // Successive datagrams list different peers, so that each gateway learns of
-  // all others.
-  json named = json::array();
-  auto next = this->peers.upper_bound(this->last_sent_address);
-  for (std::size_t i = 0;
-       i < std::min(kMaxPeersPerDatagram, this->peers.size()); ++i) {
-    if (next == this->peers.end())
-      next = this->peers.begin();
-    named.push_back(next->first);
-    this->last_sent_address = next->first;
-    ++next;
-  }
-  return named;
+  const std::size_t members =
+      this->state.roster.CountOf(this->state.roster.Self().failure_domain);
+  return kBaseInterval *
+         static_cast<std::int64_t>(std::max(members, kBaseIntervalMembers)) /
+         static_cast<std::int64_t>(kBaseIntervalMembers);
 }
 
-std::string PeerExchange::EncodeDatagram() {
-  json uses = json::object();
+EndpointUsageMap PeerExchange::OwnUses() const {
+  EndpointUsageMap uses;
   for (const auto& [id, endpoint] : this->state.selector.All()) {
     if (endpoint->OwnRequests() != 0 || endpoint->OwnPrefillTokens() != 0)
-      uses[id.str()] = {endpoint->OwnRequests(), endpoint->OwnPrefillTokens()};
+      uses[id] = {endpoint->OwnRequests(), endpoint->OwnPrefillTokens()};
+  }
+  return uses;
+}
+
+std::vector<std::string> PeerExchange::HubsOfOtherDomains() const {
+  std::vector<std::string> hubs;
+  std::vector<FailureDomainId> seen = {
+      this->state.roster.Self().failure_domain};
+  for (const auto& [address, contact] : this->state.roster.Others()) {
+    const FailureDomainId& domain = contact.member.failure_domain;
+    if (IsVersion1(contact.member) ||
+        std::find(seen.begin(), seen.end(), domain) != seen.end())
+      continue;
+    seen.push_back(domain);
+    for (std::string& hub : this->state.roster.HubsOf(domain))
+      hubs.push_back(std::move(hub));
+  }
+  return hubs;
+}
+
+std::vector<RosterEntry> PeerExchange::RosterFor(
+    const FailureDomainId& domain) const {
+  const std::vector<std::string> hubs = this->HubsOfOtherDomains();
+  const auto now = Clock::now();
+  std::vector<RosterEntry> entries = {{this->state.roster.Self(), {}}};
+  for (const auto& [address, contact] : this->state.roster.Others()) {
+    const GatewayMember& member = contact.member;
+    if (member.failure_domain == domain || IsVersion1(member) ||
+        Contains(hubs, address)) {
+      entries.push_back({member, std::chrono::duration_cast<milliseconds>(
+                                     now - contact.heard_at)});
+    }
+  }
+  return entries;
+}
+
+GatewayMessage PeerExchange::MakeMessage(GatewayMessageKind kind) const {
+  GatewayMessage message;
+  message.kind = kind;
+  message.sender = this->state.roster.Self();
+  message.revision = this->follower.Published().Revision();
+  message.gateway_count = this->state.gateway_count;
+  return message;
+}
+
+void PeerExchange::SendTo(const std::string& address,
+                          const GatewayMessage& message) {
+  boost::system::error_code error;
+  const std::string bytes = EncodeGatewayMessage(message);
+  this->socket.send_to(asio::buffer(bytes), UdpEndpoint(address), 0, error);
+  if (error)
+    ProcessMetrics().Add("peer_send_faults_total");
+}
+
+void PeerExchange::SendRosterTo(const GatewayMember& receiver) {
+  GatewayMessage message = this->MakeMessage(GatewayMessageKind::kView);
+  message.roster = this->RosterFor(receiver.failure_domain);
+  this->SendTo(receiver.address, message);
+}
+
+void PeerExchange::SendReport() {
+  GatewayMessage report = this->MakeMessage(GatewayMessageKind::kReport);
+  report.uses = this->OwnUses();
+  report.sequence = this->loads.RecordOwnReport(*report.uses);
+  report.segments = this->own_segments.TakeRound();
+  const auto now = Clock::now();
+  std::vector<std::string> targets = this->hubs;
+  const bool is_leader = this->role == "leader";
+  const bool is_view_late =
+      now - this->view_at > this->Interval() * kViewTimeoutIntervals;
+  std::size_t asked = 0;
+  // Gateways of version 1 learn of others from these addresses only.
+  const bool has_version_1 = std::any_of(
+      this->state.roster.Others().begin(), this->state.roster.Others().end(),
+      [](const auto& entry) { return IsVersion1(entry.second.member); });
+  for (const auto& [address, contact] : this->state.roster.Others()) {
+    if (has_version_1 && report.known_addresses.size() < kMaxKnownAddresses)
+      report.known_addresses.push_back(address);
+    const bool may_know_hubs =
+        !is_leader && is_view_late && asked < kMaxAskedMembers;
+    if (IsVersion1(contact.member)) {
+      targets.push_back(address);
+    } else if (may_know_hubs && !Contains(this->hubs, address)) {
+      targets.push_back(address);
+      ++asked;
+    }
   }
-  const json datagram = {{"from", this->own_address},
-                         {"revision", this->follower.Published().Revision()},
-                         {"peers", this->NextPeerAddresses()},
-                         {"parts", this->EncodeSegments()},
-                         {"uses", std::move(uses)}};
-  std::string bytes;
-  json::to_cbor(datagram, bytes);
-  return bytes;
-}
-
-json PeerExchange::EncodeSegments() const {
-  json segments = json::array();
-  for (const SegmentLocation& place : this->outgoing_segments)
-    segments.push_back({place.endpoint.str(), place.segment});
-  return segments;
-}
-
-void PeerExchange::SendToPeers() {
-  // Each segment is sent in two datagrams, as one may be lost.
-  std::vector<SegmentLocation> new_segments =
-      this->state.selector.TakeNewSegments();
-  if (new_segments.size() > kMaxSegmentsPerDatagram)
-    new_segments.resize(kMaxSegmentsPerDatagram);
-  this->outgoing_segments =
-      std::exchange(this->previous_segments, new_segments);
-  this->outgoing_segments.insert(this->outgoing_segments.end(),
-                                 new_segments.begin(), new_segments.end());
-  std::vector<std::string> targets;
-  for (const auto& [address, peer] : this->peers)
-    targets.push_back(address);
+  std::erase(targets, this->state.roster.Self().address);
+  for (const std::string& target : targets)
+    this->SendTo(target, report);
+}
+
+void PeerExchange::SendHellos(Clock::time_point now) {
+  const bool is_starting =
+      this->round < kStartRounds && this->state.roster.Count() == 1;
+  if (!is_starting && now - this->hello_at < kHelloInterval)
+    return;
+  this->hello_at = now;
+  GatewayMessage hello = this->MakeMessage(GatewayMessageKind::kReport);
+  // Gateways of version 1 require the loads.
+  hello.uses = this->OwnUses();
   for (const std::string& seed : this->seeds) {
-    if (!this->peers.contains(seed))
-      targets.push_back(seed);
+    if (!this->state.roster.Contains(seed))
+      this->SendTo(seed, hello);
   }
-  const std::string bytes = this->EncodeDatagram();
-  for (const std::string& target : targets) {
-    boost::system::error_code error;
-    this->socket.send_to(asio::buffer(bytes), UdpEndpoint(target), 0, error);
-    if (error)
-      ProcessMetrics().Add("peer_send_faults_total");
+}
+
+void PeerExchange::SendAsLeader(bool with_roster) {
+  const GatewayRoster& roster = this->state.roster;
+  const FailureDomainId& domain = roster.Self().failure_domain;
+  const EndpointUsageMap own = this->OwnUses();
+  const std::vector<RosterEntry> entries =
+      with_roster ? this->RosterFor(domain) : std::vector<RosterEntry>{};
+  GatewayMessage digest = this->MakeMessage(GatewayMessageKind::kDigest);
+  digest.uses = this->loads.DomainSum(own);
+  digest.segments = this->domain_segments.TakeRound();
+  digest.roster = entries;
+  for (const std::string& hub : this->HubsOfOtherDomains())
+    this->SendTo(hub, digest);
+  GatewayMessage view = this->MakeMessage(GatewayMessageKind::kView);
+  view.uses = this->loads.FleetSum(own);
+  view.segments = this->foreign_segments.TakeRound();
+  view.segments.insert(view.segments.end(), digest.segments.begin(),
+                       digest.segments.end());
+  view.roster = entries;
+  for (const auto& [address, contact] : roster.Others()) {
+    if (contact.member.failure_domain != domain)
+      continue;
+    view.acknowledged = this->loads.LastSequence(address);
+    this->SendTo(address, view);
+  }
+}
+
+void PeerExchange::SendRound() {
+  const auto now = Clock::now();
+  this->RemoveSilentPeers(now);
+  this->UpdateRole();
+  const bool is_leader = this->role == "leader";
+  for (const SegmentLocation& place : this->state.selector.TakeNewSegments()) {
+    this->own_segments.Add(place);
+    if (is_leader)
+      this->domain_segments.Add(place);
+  }
+  if (is_leader) {
+    this->SendAsLeader(this->round % kRosterRounds == 0);
+    this->RecordLoadsTime(now);
   }
+  this->SendReport();
+  this->SendHellos(now);
+  ++this->round;
 }
 
 asio::awaitable<void> PeerExchange::Send() {
   while (true) {
-    this->SendToPeers();
-    this->RemoveSilentPeers(Clock::now());
+    this->SendRound();
     this->state.WakeAllWaiting();
-    co_await SleepFor(this->Interval());
+    const bool is_starting =
+        this->round < kStartRounds && this->state.roster.Count() == 1;
+    co_await SleepFor(is_starting ? kStartInterval : this->Interval());
   }
 }
 
 void PeerExchange::RemoveSilentPeers(Clock::time_point now) {
-  const milliseconds timeout = kPeerTimeout + this->Interval() * 2;
-  std::vector<std::string> silent;
-  for (const auto& [address, peer] : this->peers) {
-    if (now - peer.last_seen > timeout)
-      silent.push_back(address);
+  const milliseconds timeout =
+      kPeerTimeout + this->Interval() * kPeerTimeoutIntervals;
+  for (const GatewayMember& member :
+       this->state.roster.RemoveSilent(now, timeout)) {
+    LogLine(LogLevel::kNotice, "peer_lost", {{"peer", member.address}});
+    this->revisions.erase(member.address);
+    this->ApplyLoads(this->loads.ForgetMember(member.address));
+    if (this->state.roster.CountOf(member.failure_domain) == 0)
+      this->ApplyLoads(this->loads.ForgetDomain(member.failure_domain));
   }
-  for (const std::string& address : silent)
-    this->RemovePeer(address);
+  this->UpdateGatewayCount();
 }
 
-void PeerExchange::RemovePeer(const std::string& address) {
-  LogLine(LogLevel::kNotice, "peer_lost", {{"peer", address}});
-  this->peers.erase(address);
-  this->ApplyLoads(this->loads.Forget(address));
-  this->state.SetGatewayCount(this->peers.size() + 1);
+void PeerExchange::UpdateRole() {
+  if (this->state.is_draining)
+    this->state.roster.AnnounceLeave();
+  const GatewayRoster& roster = this->state.roster;
+  std::vector<std::string> hubs = roster.HubsOf(roster.Self().failure_domain);
+  const bool is_hub = Contains(hubs, roster.Self().address);
+  const bool is_leader = is_hub && hubs.front() == roster.Self().address;
+  const std::string role = is_leader ? "leader" : is_hub ? "hub" : "member";
+  if (hubs == this->hubs && role == this->role)
+    return;
+  this->hubs = std::move(hubs);
+  this->role = role;
+  LogLine(LogLevel::kNotice, "hub_role",
+          {{"role", this->role}, {"hubs", this->hubs}});
+  this->ApplyLoads(this->loads.SetLeader(is_leader));
+}
+
+void PeerExchange::UpdateGatewayCount() {
+  const bool is_view_current =
+      Clock::now() - this->view_at < kPeerTimeout + 2 * this->Interval();
+  const std::size_t known = this->state.roster.Count();
+  this->state.SetGatewayCount(
+      is_view_current ? std::max(known, this->reported_count) : known);
 }
 
-void PeerExchange::ApplyLoads(const PeerLoads::Changed& changed) {
+void PeerExchange::ApplyLoads(const FleetLoads::Changed& changed) {
   for (const EndpointId& id : changed) {
-    const EndpointUsage sum = this->loads.Sum(id);
-    this->state.selector.SetPeerLoad(id, sum.requests, sum.prefill_tokens);
+    const EndpointUsage load = this->loads.PeerLoad(id);
+    this->state.selector.SetPeerLoad(id, load.requests, load.prefill_tokens);
   }
 }
 
+void PeerExchange::RecordLoadsTime(Clock::time_point time) {
+  // The reports in a sum are an interval old on average when it is used.
+  this->state.selector.SetPeerLoadsTime(time - this->Interval() / 2);
+}
+
 asio::awaitable<void> PeerExchange::Receive() {
   std::string buffer(kMaxDatagramBytes, '\0');
   while (true) {
@@ -215,48 +390,112 @@
       continue;
     try {
       this->HandleDatagram(std::string_view(buffer).substr(0, size));
-    } catch (const json::exception& fault) {
-      LogLine(LogLevel::kWarning, "peer_message_unreadable",
-              {{"reason", fault.what()}});
-    } catch (const std::invalid_argument& fault) {
+    } catch (const MalformedGatewayMessage& fault) {
       LogLine(LogLevel::kWarning, "peer_message_unreadable",
               {{"reason", fault.what()}});
     }
   }
 }
 
+bool PeerExchange::RecordContact(const GatewayMember& member,
+                                 Clock::time_point heard_at) {
+  if (!this->state.roster.RecordContact(member, heard_at))
+    return false;
+  LogLine(LogLevel::kNotice, "peer_found", {{"peer", member.address}});
+  return true;
+}
+
 void PeerExchange::HandleDatagram(std::string_view datagram) {
-  const json message = ParseCbor(datagram);
-  const auto sender_address = message.at("from").get<std::string>();
-  ParseSocketAddress(sender_address);
-  if (sender_address == this->own_address)
+  GatewayMessage message = DecodeGatewayMessage(datagram);
+  if (message.sender.address == this->state.roster.Self().address)
     return;
-  const auto [peer, added] = this->peers.try_emplace(sender_address);
-  peer->second.last_seen = Clock::now();
-  peer->second.revision = message.at("revision").get<std::uint64_t>();
-  if (added) {
-    LogLine(LogLevel::kNotice, "peer_found", {{"peer", sender_address}});
-    this->state.SetGatewayCount(this->peers.size() + 1);
+  const auto now = Clock::now();
+  const std::size_t count_before = this->state.roster.Count();
+  this->RecordContact(message.sender, now);
+  this->revisions[message.sender.address] = message.revision;
+  for (const RosterEntry& entry : message.roster) {
+    if (entry.age < kPeerTimeout)
+      this->RecordContact(entry.member, now - entry.age);
   }
-  EndpointUsageMap uses;
-  for (const auto& [id, use] : message.at("uses").items()) {
-    uses[EndpointId(id)] = {use.at(0).get<std::int64_t>(),
-                            use.at(1).get<std::int64_t>()};
+  for (const SegmentLocation& place : message.segments)
+    this->state.selector.RecordSegment(place, now);
+  using Handler = void (PeerExchange::*)(GatewayMessage&);
+  constexpr std::array<Handler, 3> kHandlers = {&PeerExchange::HandleReport,
+                                                &PeerExchange::HandleDigest,
+                                                &PeerExchange::HandleView};
+  const Handler handler =
+      IsVersion1(message.sender)
+          ? &PeerExchange::HandleVersion1
+          : kHandlers.at(static_cast<std::size_t>(message.kind));
+  (this->*handler)(message);
+  if (this->state.roster.Count() != count_before) {
+    this->UpdateRole();
+    this->UpdateGatewayCount();
   }
-  this->ApplyLoads(this->loads.SetLoads(sender_address, std::move(uses)));
-  for (const json& place : message.at("parts")) {
-    this->state.selector.RecordSegment(
-        {EndpointId(place.at(0).get<std::string>()),
-         place.at(1).get<std::uint64_t>()},
-        peer->second.last_seen);
+}
+
+void PeerExchange::HandleReport(GatewayMessage& message) {
+  const GatewayRoster& roster = this->state.roster;
+  const bool is_member = message.sender.failure_domain ==
+                         roster.Self().failure_domain;
+  if (is_member && message.uses) {
+    this->ApplyLoads(this->loads.ApplyReport(
+        message.sender.address, std::move(*message.uses), message.sequence));
   }
-  for (const json& named : message.at("peers")) {
-    const auto address = named.get<std::string>();
-    if (address == this->own_address || this->peers.contains(address))
-      continue;
-    boost::system::error_code ignored;
-    const std::string bytes = this->EncodeDatagram();
-    this->socket.send_to(asio::buffer(bytes), UdpEndpoint(address), 0, ignored);
+  if (is_member && this->role == "leader") {
+    for (const SegmentLocation& place : message.segments)
+      this->domain_segments.Add(place);
+  }
+  // The sender takes this gateway for a hub, or does not know one.
+  if (!is_member || this->role == "member")
+    this->SendRosterTo(message.sender);
+}
+
+void PeerExchange::HandleDigest(GatewayMessage& message) {
+  if (message.sender.failure_domain ==
+      this->state.roster.Self().failure_domain)
+    return;
+  const std::vector<std::string> known_hubs =
+      this->state.roster.HubsOf(message.sender.failure_domain);
+  const bool is_leader =
+      !known_hubs.empty() && known_hubs.front() == message.sender.address;
+  if (!is_leader) {
+    this->SendRosterTo(message.sender);
+    return;
+  }
+  if (message.uses) {
+    this->ApplyLoads(this->loads.ApplyDigest(message.sender.failure_domain,
+                                             std::move(*message.uses)));
+  }
+  if (this->role == "leader") {
+    for (const SegmentLocation& place : message.segments)
+      this->foreign_segments.Add(place);
+  }
+}
+
+void PeerExchange::HandleView(GatewayMessage& message) {
+  if (!message.uses)
+    return;
+  this->view_at = Clock::now();
+  this->reported_count = message.gateway_count;
+  this->UpdateGatewayCount();
+  if (this->role == "leader")
+    return;
+  this->ApplyLoads(
+      this->loads.ApplyView(std::move(*message.uses), message.acknowledged));
+  this->RecordLoadsTime(this->view_at - this->Interval() / 2);
+}
+
+void PeerExchange::HandleVersion1(GatewayMessage& message) {
+  GatewayMessage hello = this->MakeMessage(GatewayMessageKind::kReport);
+  hello.uses = this->OwnUses();
+  for (const std::string& address : message.known_addresses) {
+    if (!this->state.roster.Contains(address))
+      this->SendTo(address, hello);
+  }
+  if (message.uses) {
+    this->ApplyLoads(this->loads.ApplyDirect(message.sender.address,
+                                             std::move(*message.uses)));
   }
 }
 
@@ -266,10 +505,10 @@
     const std::uint64_t own_revision = this->follower.Published().Revision();
     std::string newest_peer;
     std::uint64_t revision = own_revision;
-    for (const auto& [address, peer] : this->peers) {
-      if (peer.revision > revision) {
+    for (const auto& [address, peer_revision] : this->revisions) {
+      if (peer_revision > revision) {
         newest_peer = address;
-        revision = peer.revision;
+        revision = peer_revision;
       }
     }
     if (newest_peer.empty())
@@ -297,6 +536,10 @@
 }
 
 asio::awaitable<void> PeerExchange::Serve(HttpExchange& exchange) {
+  if (exchange.request().Path() == kFeedPath) {
+    co_await this->follower.Feed().Serve(exchange);
+    co_return;
+  }
   HttpResponse response;
   if (exchange.request().Path() == kSnapshotPath) {
     response.headers.Append("Content-Type", "application/cbor");
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -3,13 +3,13 @@
 #ifndef SRC_GATEWAY_PEER_EXCHANGE_H_
 #define SRC_GATEWAY_PEER_EXCHANGE_H_
 
-#include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <map>
-#include <memory>
 #include <string>
+#include <vector>
 
-#include "buckthornpath/peer_loads.h"
+#include "buckthornpath/fleet_loads.h"
+#include "gateway/gateway_message.h"
 #include "gateway/gateway_state.h"
 #include "gateway/publication_follower.h"
 #include "kernel/http_server.h"
@@ -17,9 +17,10 @@
 namespace buckthornpath {
 
 /**
- * Gossip between gateways. Sends datagrams with this gateway's load at each
- * endpoint, the revision it holds and the peers it knows. Peers with an older
- * revision read all published items over HTTP at the same address.
+ * Gossip between gateways. Members of a failure domain report their load to its
+ * hubs; the leaders of the failure domains exchange sums and hand them on to
+ * their members, together with the roster and newly cached prompt segments.
+ * Serves the published items over HTTP at the same address.
  */
 class PeerExchange {
  public:
@@ -32,13 +33,21 @@
   /** Starts the HTTP server, and sending and receiving. */
   void Start();
 
-  /** @return Number of peers that are considered alive. */
-  std::size_t PeerCount() const { return this->peers.size(); }
+  /** @return Number of other gateways that are considered alive. */
+  std::size_t PeerCount() const;
+
+  /** @return Role of this gateway, the hubs and the age of the loads. */
+  nlohmann::json Status() const;
 
  private:
-  struct Peer {
-    Clock::time_point last_seen{};
-    std::uint64_t revision = 0;
+  /** Segments to announce; each is sent in two rounds, as datagrams get lost.
+   */
+  struct SegmentOutbox {
+    std::vector<SegmentLocation> current;
+    std::vector<SegmentLocation> previous;
+
+    void Add(const SegmentLocation& place);
+    std::vector<SegmentLocation> TakeRound();
   };
 
   asio::awaitable<void> Receive();
@@ -46,27 +55,47 @@
   asio::awaitable<void> SyncFromPeers();
   asio::awaitable<void> Serve(HttpExchange& exchange);
   void HandleDatagram(std::string_view datagram);
-  void SendToPeers();
-  std::string EncodeDatagram();
-  nlohmann::json NextPeerAddresses();
-  nlohmann::json EncodeSegments() const;
-  void RemovePeer(const std::string& address);
-  void ApplyLoads(const PeerLoads::Changed& changed);
+  void HandleReport(GatewayMessage& message);
+  void HandleDigest(GatewayMessage& message);
+  void HandleView(GatewayMessage& message);
+  void HandleVersion1(GatewayMessage& message);
+
+  void SendRound();
+  void SendReport();
+  void SendAsLeader(bool with_roster);
+  void SendHellos(Clock::time_point now);
+  void SendRosterTo(const GatewayMember& receiver);
+  void SendTo(const std::string& address, const GatewayMessage& message);
+
+  GatewayMessage MakeMessage(GatewayMessageKind kind) const;
+  EndpointUsageMap OwnUses() const;
+  std::vector<RosterEntry> RosterFor(const FailureDomainId& domain) const;
+  std::vector<std::string> HubsOfOtherDomains() const;
+
+  bool RecordContact(const GatewayMember& member, Clock::time_point heard_at);
+  void RecordLoadsTime(Clock::time_point time);
+  void ApplyLoads(const FleetLoads::Changed& changed);
   void RemoveSilentPeers(Clock::time_point now);
+  void UpdateRole();
+  void UpdateGatewayCount();
   std::chrono::milliseconds Interval() const;
 
   GatewayState& state;
   PublicationFollower& follower;
-  std::string own_address;
   asio::ip::udp::socket socket;
   HttpServer server;
-  std::map<std::string, Peer> peers;  ///< By address.
-  std::string last_sent_address;      ///< Address that was sent last.
   std::vector<std::string> seeds;
-  PeerLoads loads;
-  std::vector<SegmentLocation>
-      previous_segments;  ///< New in the last datagram.
-  std::vector<SegmentLocation> outgoing_segments;  ///< In the current datagram.
+  FleetLoads loads;
+  std::map<std::string, std::uint64_t> revisions;  ///< By gateway address.
+  std::string role = "member";
+  std::vector<std::string> hubs;        ///< Of the own failure domain.
+  std::size_t reported_count = 0;       ///< Gateways that the leader knows.
+  Clock::time_point view_at{};          ///< Last view with loads.
+  Clock::time_point hello_at{};         ///< Last hello to unknown seeds.
+  std::size_t round = 0;
+  SegmentOutbox own_segments;
+  SegmentOutbox domain_segments;   ///< Leader: from members and itself.
+  SegmentOutbox foreign_segments;  ///< Leader: from other failure domains.
 };
 
 }  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/publication_feed.cc
@@ -0,0 +1,121 @@
+/** @file publication_feed.cc Hands published items on to other gateways. */
+
+#include "gateway/publication_feed.h"
+
+#include <charconv>
+#include <random>
+#include <utility>
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Interval of records without changes; several fit into the time after which
+ * a reader considers its items stale. */
+constexpr milliseconds kConfirmInterval{300};
+
+/** @return A number of the query; 0 if it is missing or malformed. */
+std::uint64_t NumberOf(const HttpRequest& request, std::string_view name) {
+  const std::string text = request.QueryParameter(name).value_or("");
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/** Registers a reader's signal for the lifetime of the object. */
+class Registration {
+ public:
+  Registration(std::set<WakeSignal*>& readers, WakeSignal& signal)
+      : readers(readers), signal(signal) {
+    this->readers.insert(&this->signal);
+  }
+  ~Registration() { this->readers.erase(&this->signal); }
+  Registration(const Registration&) = delete;
+  Registration& operator=(const Registration&) = delete;
+
+ private:
+  std::set<WakeSignal*>& readers;
+  WakeSignal& signal;
+};
+
+}  // namespace
+
+PublicationFeed::PublicationFeed(const PublicationState& published,
+                                 asio::any_io_executor executor)
+    : published(published),
+      executor(std::move(executor)),
+      process(std::mt19937_64(std::random_device{}())()) {}
+
+std::string PublicationFeed::TargetOf(const FeedPosition& position) {
+  return std::string(kFeedPath) +
+         "?process=" + std::to_string(position.process) +
+         "&changes=" + std::to_string(position.change_count);
+}
+
+void PublicationFeed::Publish(bool is_fresh) {
+  if (this->is_fresh != is_fresh)
+    this->last_frame.reset();
+  this->is_fresh = is_fresh;
+  for (WakeSignal* reader : this->readers)
+    reader->Set();
+}
+
+FeedRecord PublicationFeed::NextRecord(FeedPosition reader) const {
+  FeedRecord record;
+  // Before the first read there is no state that a reader could rely on.
+  const bool is_loaded = this->published.Revision() > 0;
+  record.is_fresh = this->is_fresh && is_loaded;
+  record.position = {this->process, this->published.ChangeCount()};
+  std::optional<PublishedItems> changes;
+  if (reader.process == this->process)
+    changes = this->published.ChangesSince(reader.change_count);
+  record.is_snapshot = !changes && is_loaded;
+  if (changes) {
+    record.items = std::move(*changes);
+  } else if (is_loaded) {
+    record.items = this->published.All();
+  } else {
+    record.position = {};
+  }
+  return record;
+}
+
+std::shared_ptr<const std::string> PublicationFeed::NextFrame(
+    FeedPosition& reader) {
+  // Positions of other processes all need the same snapshot.
+  const FeedPosition from =
+      reader.process == this->process ? reader : FeedPosition{};
+  const FeedPosition to{this->process, this->published.ChangeCount()};
+  const bool is_shared =
+      this->last_frame && this->last_from == from && this->last_to == to;
+  if (!is_shared) {
+    const FeedRecord record = this->NextRecord(from);
+    this->last_frame =
+        std::make_shared<const std::string>(EncodeFeedFrame(record));
+    this->last_from = from;
+    this->last_to = record.position;
+  }
+  reader = this->last_to;
+  return this->last_frame;
+}
+
+asio::awaitable<void> PublicationFeed::Serve(HttpExchange& exchange) {
+  FeedPosition reader{NumberOf(exchange.request(), "process"),
+                      NumberOf(exchange.request(), "changes")};
+  WakeSignal signal(this->executor);
+  const Registration registration(this->readers, signal);
+  HttpResponse head;
+  head.headers.Append("Content-Type", "application/cbor");
+  co_await exchange.BeginStream(std::move(head));
+  while (true) {
+    const auto frame = this->NextFrame(reader);
+    co_await exchange.WriteChunk(*frame);
+    // Changes that were applied meanwhile have set the signal.
+    co_await signal.WaitUntil(std::chrono::steady_clock::now() +
+                              kConfirmInterval);
+  }
+}
+
+}  // namespace buckthornpath
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -2,9 +2,12 @@
 
 #include "gateway/publication_follower.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <random>
 
+#include "kernel/http_client.h"
 #include "kernel/json_types.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -30,15 +33,50 @@
 constexpr milliseconds kInitialBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
 
+/** Interval of the checks whether this process has become a hub, or needs
+ * one. */
+constexpr milliseconds kRoleCheckInterval{25};
+
+/** Time for which a process that starts waits for the answer of a seed. All
+ * processes may start within 0.3 s of each other. */
+constexpr milliseconds kSeedTime{400};
+
+/** Limit of the time to connect to a hub, and to send a request. */
+constexpr milliseconds kHubConnectTimeout{400};
+
+/** Time without a record after which a hub counts as failed. */
+constexpr milliseconds kHubSilence{900};
+
+/** @return A number from 0 to 1 that differs between addresses. */
+double SpreadOf(const std::string& address) {
+  constexpr std::uint64_t kSteps = 997;
+  return static_cast<double>(XXH3_64bits(address.data(), address.size()) %
+                             kSteps) /
+         static_cast<double>(kSteps);
+}
+
 }  // namespace
 
 PublicationFollower::PublicationFollower(GatewayState& state)
     : state(state),
       source(state.adapter.MakeSource(state.settings)),
-      published(kRemovalGrace) {}
+      published(kRemovalGrace),
+      feed(this->published, state.executor),
+      upstream(SpreadOf(state.settings.gossip_address)) {}
 
 void PublicationFollower::Start() {
+  const std::vector<std::string> seeds =
+      SplitAddresses(this->state.settings.gossip_seeds);
+  const bool has_other_seeds =
+      !seeds.empty() &&
+      std::find(seeds.begin(), seeds.end(),
+                this->state.settings.gossip_address) == seeds.end();
+  // The seeds read the store at once, so that others have a hub to ask.
+  if (has_other_seeds)
+    this->hub_expected_until = Clock::now() + kSeedTime;
+  this->upstream.ExpectHub(this->hub_expected_until);
   WorkerPool::SpawnOn(this->state.executor, this->FollowStore());
+  WorkerPool::SpawnOn(this->state.executor, this->FollowHubs());
   WorkerPool::SpawnOn(this->state.executor, this->RunDeferredRemovals());
 }
 
@@ -51,6 +89,12 @@
   std::mt19937_64 random{std::random_device{}()};
   milliseconds backoff = kInitialBackoff;
   while (true) {
+    if (!this->MustReadStore()) {
+      this->StopReadingStore();
+      co_await SleepFor(kRoleCheckInterval);
+      continue;
+    }
+    this->is_reading_store = true;
     std::string fault;
     try {
       co_await this->ReadNext();
@@ -74,6 +118,99 @@
   }
 }
 
+bool PublicationFollower::MustReadStore() const {
+  const auto now = Clock::now();
+  if (this->state.roster.Count() == 1 && now < this->hub_expected_until)
+    return false;
+  return this->state.roster.IsHub() || this->upstream.MustReadStore(now);
+}
+
+void PublicationFollower::StopReadingStore() {
+  if (!this->is_reading_store)
+    return;
+  this->is_reading_store = false;
+  this->PublishToFeed();
+}
+
+void PublicationFollower::PublishToFeed() {
+  // A follower's word that its items are current would not count: two
+  // gateways could confirm each other's.
+  this->feed.Publish(this->is_reading_store && this->is_store_reachable);
+}
+
+std::optional<std::string> PublicationFollower::HubToFollow() const {
+  if (this->state.roster.IsHub())
+    return std::nullopt;
+  return this->upstream.ChooseHub(
+      this->state.roster.HubsOf(this->state.roster.Self().failure_domain),
+      Clock::now());
+}
+
+asio::awaitable<void> PublicationFollower::FollowHubs() {
+  while (true) {
+    const std::optional<std::string> chosen = this->HubToFollow();
+    if (!chosen) {
+      co_await SleepFor(kRoleCheckInterval);
+      continue;
+    }
+    std::string fault;
+    try {
+      co_await this->ReadFeed(*chosen);
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    this->hub.clear();
+    if (fault.empty())
+      continue;
+    this->upstream.RecordFault(*chosen, Clock::now());
+    LogLine(LogLevel::kNotice, "hub_lost",
+            {{"peer", *chosen}, {"reason", fault}});
+  }
+}
+
+asio::awaitable<void> PublicationFollower::ReadFeed(std::string address) {
+  HttpRequest request;
+  request.target = PublicationFeed::TargetOf(this->feed_position);
+  const auto stream = co_await HttpResponseStream::Open(
+      ParseSocketAddress(address), std::move(request), kHubConnectTimeout);
+  this->hub = address;
+  LogLine(LogLevel::kNotice, "hub_followed", {{"peer", address}});
+  FeedFrameReader frames;
+  while (this->HubToFollow() == address) {
+    const auto bytes = co_await stream->ReadSome(kHubSilence);
+    if (!bytes)
+      throw HttpError("feed ended");
+    frames.Append(*bytes);
+    while (std::optional<FeedRecord> record = frames.Next())
+      co_await this->ApplyRecord(address, std::move(*record));
+  }
+}
+
+asio::awaitable<void> PublicationFollower::ApplyRecord(
+    const std::string& address,
+    FeedRecord record) {
+  const bool is_loaded = record.position.process != 0;
+  if (is_loaded && !record.is_fresh) {
+    // Changes that the hub has missed may include removals without an event.
+    this->read_revision = 0;
+    this->upstream.RecordFault(address, Clock::now());
+  }
+  if (record.is_snapshot) {
+    co_await this->ApplyAll(record.items);
+  } else if (!record.items.items.empty()) {
+    auto changed = this->published.MergeChanges(record.items, Clock::now());
+    co_await this->ApplyItems(std::move(changed));
+  }
+  this->feed_position = record.position;
+  if (record.is_fresh) {
+    this->state.confirmed_at = Clock::now();
+    // If the hub dies, a watch of the store continues from here.
+    if (!this->is_reading_store)
+      this->read_revision = this->published.Revision();
+    this->upstream.RecordFresh(address, Clock::now());
+  }
+}
+
 asio::awaitable<void> PublicationFollower::ReadNext() {
   if (this->read_revision == 0) {
     const PublishedItems all = co_await this->source->ReadAll();
@@ -100,9 +237,12 @@
     // Items may have been removed during the outage without a change event.
     this->read_revision = 0;
   }
-  if (is_reachable == this->is_store_reachable)
+  if (is_reachable == this->is_store_reachable) {
+    this->PublishToFeed();
     return;
+  }
   this->is_store_reachable = is_reachable;
+  this->PublishToFeed();
   if (is_reachable)
     LogLine(LogLevel::kNotice, "store_regained");
   else
@@ -136,8 +276,10 @@
   for (const PublishedItem& item : changed)
     co_await this->ApplyItem(item);
   this->state.is_loaded = this->state.table != nullptr;
-  if (!changed.empty())
+  if (!changed.empty()) {
+    this->PublishToFeed();
     this->state.WakeAllWaiting();
+  }
 }
 
 asio::awaitable<void> PublicationFollower::ApplyItem(PublishedItem item) {
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -4,16 +4,22 @@
 #define SRC_GATEWAY_PUBLICATION_FOLLOWER_H_
 
 #include <memory>
+#include <optional>
+#include <string>
 
+#include "buckthornpath/upstream_selector.h"
 #include "gateway/gateway_state.h"
+#include "gateway/publication_feed.h"
 #include "gateway/publication_state.h"
 
 namespace buckthornpath {
 
 /**
- * Reads the published items from the store, watches for changes and applies
- * them to the gateway's state. Also accepts items from peers, for a process
- * that cannot reach the store.
+ * Keeps the published items current and applies them to the gateway's state.
+ * The hubs of a failure domain read the platform's store and watch it for
+ * changes; the other gateways follow the feed of a hub, and read the store
+ * themselves while no hub confirms its items. Also accepts items from peers,
+ * for a process that cannot reach the store.
  */
 class PublicationFollower {
  public:
@@ -21,9 +27,18 @@
 
   explicit PublicationFollower(GatewayState& state);
 
-  /** Starts reading the store. */
+  /** Starts to follow a hub or the store. */
   void Start();
 
+  /** The feed for gateways that follow this one. */
+  PublicationFeed& Feed() { return this->feed; }
+
+  /** @return Address of the hub that is followed; empty if there is none. */
+  const std::string& Hub() const { return this->hub; }
+
+  /** @return True if this process reads the store itself. */
+  bool IsReadingStore() const { return this->is_reading_store; }
+
   /** Applies all items of a peer; ignored if their revision is not newer. */
   asio::awaitable<void> ApplyFromPeer(PublishedItems all);
 
@@ -38,6 +53,17 @@
  private:
   asio::awaitable<void> FollowStore();
   asio::awaitable<void> ReadNext();
+  asio::awaitable<void> FollowHubs();
+
+  /** Applies the records of a hub until another one is to be followed.
+   * @throws std::exception If the hub fails or falls silent. */
+  asio::awaitable<void> ReadFeed(std::string address);
+  asio::awaitable<void> ApplyRecord(const std::string& address,
+                                    FeedRecord record);
+  std::optional<std::string> HubToFollow() const;
+  bool MustReadStore() const;
+  void StopReadingStore();
+  void PublishToFeed();
   asio::awaitable<void> RunDeferredRemovals();
   void RecordStoreResult(bool is_reachable, const std::string& fault);
   asio::awaitable<void> ApplyAll(const PublishedItems& all);
@@ -49,7 +75,13 @@
   GatewayState& state;
   std::unique_ptr<PublicationSource> source;
   PublicationState published;
+  PublicationFeed feed;
+  UpstreamSelector upstream;
+  std::string hub;             ///< The hub that is followed, if any.
+  FeedPosition feed_position;  ///< Read from the feeds of hubs so far.
+  Clock::time_point hub_expected_until{};
   std::uint64_t read_revision = 0;  ///< Read from the store; 0: read all.
+  bool is_reading_store = false;
   bool is_store_reachable = true;
 };
 
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -24,13 +24,19 @@
   if (held.revision >= item.revision)
     return false;
   held = item;
+  this->changed_at[item.key] = ++this->change_count;
   return true;
 }
 
 void PublicationState::RecordRemoval(const std::string& key,
                                      std::uint64_t at_revision) {
-  if (this->removals.size() >= kMaxRemovals)
+  if (this->removals.size() >= kMaxRemovals) {
     this->removals.clear();
+    this->oldest_known_change = this->change_count;
+    std::erase_if(this->changed_at, [this](const auto& change) {
+      return !this->items.contains(change.first);
+    });
+  }
   std::uint64_t& newest = this->removals[key];
   newest = std::max(newest, at_revision);
 }
@@ -56,6 +62,7 @@
   this->items.erase(held);
   this->deferred_removals.erase(key);
   this->RecordRemoval(key, at_revision);
+  this->changed_at[key] = ++this->change_count;
   changed.push_back({key, "", at_revision, true});
 }
 
@@ -112,6 +119,26 @@
   return changed;
 }
 
+std::optional<PublishedItems> PublicationState::ChangesSince(
+    std::uint64_t count) const {
+  if (count < this->oldest_known_change || count > this->change_count)
+    return std::nullopt;
+  PublishedItems changes;
+  changes.revision = this->revision;
+  for (const auto& [key, changed] : this->changed_at) {
+    if (changed <= count)
+      continue;
+    const auto held = this->items.find(key);
+    if (held != this->items.end()) {
+      changes.items.push_back(held->second);
+    } else if (const auto removal = this->removals.find(key);
+               removal != this->removals.end()) {
+      changes.items.push_back({key, "", removal->second, true});
+    }
+  }
+  return changes;
+}
+
 PublishedItems PublicationState::All() const {
   PublishedItems all;
   all.revision = this->revision;
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,16 @@
   /** @return All items, for peers. */
   PublishedItems All() const;
 
+  /** @return Number of changes that this process has applied. */
+  std::uint64_t ChangeCount() const { return this->change_count; }
+
+  /**
+   * @param count A value that ChangeCount() has returned.
+   * @return The items changed since then, removed ones included; nothing if
+   * older removals are no longer known.
+   */
+  std::optional<PublishedItems> ChangesSince(std::uint64_t count) const;
+
   std::uint64_t Revision() const { return this->revision; }
 
   /** @return Revision of an item's last change; 0 if there is no such item. */
@@ -70,6 +81,11 @@
   std::map<std::string, PublishedItem> items;
   /** Revision of the latest removal of each removed key. */
   std::map<std::string, std::uint64_t> removals;
+  std::uint64_t change_count = 0;
+  /** Value of `change_count` after the last change of each key. */
+  std::map<std::string, std::uint64_t> changed_at;
+  /** Changes up to this count may lack removals. */
+  std::uint64_t oldest_known_change = 0;
   /** Removed items in their grace period, with the end of it. */
   std::map<std::string, TimePoint> deferred_removals;
   TimePoint last_outage{};
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -38,6 +38,9 @@
     {"published_by_peer", "revision", "A peer had a newer revision of the published items"},
     {"peer_found", "peer", "Another gateway was discovered"},
     {"peer_lost", "peer", "Nothing was received from a gateway for too long"},
+    {"hub_role", "role hubs", "This gateway has become leader, hub or member of its failure domain"},
+    {"hub_followed", "peer", "The published items are read from a hub"},
+    {"hub_lost", "peer reason", "The hub that was followed failed"},
     {"peer_unread", "peer reason", "The published items of a peer could not be read"},
     {"peer_message_unreadable", "reason", "A datagram from a peer could not be decoded and was dropped"},
     // Life cycle and faults of a process
