Selector: late loads count as the mean; plain services admit a share

Load pattern: short requests for a few endpoints through a hundred gateways. A limit of slots on such loads makes all gateways stop and start together. Change: what an endpoint's load differs from the mean counts less with its age, and nothing once requests of that service last shorter than that; endpoints of a plain service are used in turn, whatever the failure domain, and may hold requests beyond their slots; under overload each gateway admits a share that follows its own slow and refused requests (AdmissionRatio). Retry-After grows with the share that is refused.

--- /dev/null
+++ b/include/buckthornpath/admission_ratio.h
@@ -0,0 +1,53 @@
+/** @file admission_ratio.h Share of requests that an overloaded service gets.
+ */
+
+#ifndef BUCKTHORNPATH_ADMISSION_RATIO_H_
+#define BUCKTHORNPATH_ADMISSION_RATIO_H_
+
+#include <chrono>
+
+namespace buckthornpath {
+
+/**
+ * Admits a share of the requests for a service whose endpoints queue. Handles a
+ * load beyond the capacity of a service that hundreds of gateways share, each
+ * of which sends it a few requests a second: loads that are known late would
+ * make all of them stop and start at the same time. Each gateway instead lowers
+ * its share when its own responses are slow or its requests are refused, and
+ * raises it otherwise (additive increase, multiplicative decrease). Does no
+ * I/O. Not thread-safe.
+ */
+class AdmissionRatio {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  /**
+   * Decides on a new request. Admitted requests are evenly spread.
+   * @return False if the request is to be refused at once.
+   */
+  bool TryAdmit(TimePoint now);
+
+  /** Records a response. @param target Time that it should have taken. */
+  void RecordResponse(std::chrono::milliseconds took,
+                      std::chrono::milliseconds target,
+                      TimePoint now);
+
+  /** Records that an endpoint refused a request as overloaded. */
+  void RecordFull(TimePoint now);
+
+  /** @return Share of the requests that is admitted, from above 0 to 1. */
+  double Ratio() const { return this->ratio; }
+
+ private:
+  void Raise(TimePoint now);
+  void Lower(TimePoint now);
+
+  double ratio = 1.0;
+  double credit = 1.0;  ///< Admissions that are due.
+  TimePoint raised_at{};
+  TimePoint lowered_at{};
+};
+
+}  // namespace buckthornpath
+
+#endif  // BUCKTHORNPATH_ADMISSION_RATIO_H_
--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -67,6 +67,9 @@
   int priority = 0;                         ///< 0 is the most urgent.
   /** Endpoints at which this request has failed already. */
   std::span<const EndpointId> excluded;
+  /** The service takes no prompts: its requests are short, and its few
+   * endpoints queue those beyond their slots. */
+  bool is_plain = false;
 };
 
 /** Endpoint with its estimated load and health. */
@@ -123,15 +126,21 @@
   double mean_slack = 2.5;
   /** Fraction of an endpoint's slots reserved for priority 0. */
   double urgent_reserve = 0.15;
+  /** Requests that an endpoint of a plain service may hold, relative to its
+   * slots. */
+  double plain_slots_multiple = 8.0;
 };
 
 /**
  * Endpoints of all services, with the choice of one for each request. Handles
- * three load patterns. Overload of all endpoints: none is chosen beyond its
+ * four load patterns. Overload of all endpoints: none is chosen beyond its
  * slots, and the last slots are reserved for urgent requests. Many requests
  * with a common prompt prefix: they go to one endpoint until its load exceeds
  * a multiple of the mean. Endpoints that fail, stop responding or are warming
- * up: they are avoided unless no other endpoint is left. Not thread-safe.
+ * up: they are avoided unless no other endpoint is left. Loads of other
+ * gateways that are older than their requests last: gateways that all choose
+ * the endpoint with the least load of a moment ago would crowd it; instead such
+ * loads count as the mean. Not thread-safe.
  */
 class EndpointSelector {
  public:
@@ -166,8 +175,9 @@
   EndpointHandle Choose(const EndpointQuery& query,
                         TimePoint now,
                         HasRoom room) const {
-    return this->ChooseFrom(this->EligibleEndpoints(query, now, room), query,
-                            now);
+    const PeerBasis basis = this->BasisOf(query.service, now);
+    return this->ChooseFrom(this->EligibleEndpoints(query, basis, now, room),
+                            query, basis, now);
   }
 
   /**
@@ -198,6 +208,14 @@
   /** Records that a request has ended. */
   void RecordEnd(EndpointState& endpoint);
 
+  /** Records how long a request has occupied its endpoint. */
+  void RecordHoldingTime(const ServiceName& service,
+                         std::chrono::milliseconds time);
+
+  /** Records how long the prompt of a request has waited for its prefill. */
+  void RecordPrefillTime(const ServiceName& service,
+                         std::chrono::milliseconds time);
+
   void RecordResult(EndpointState& endpoint,
                     EndpointResult result,
                     TimePoint now);
@@ -221,14 +239,41 @@
   double Utilisation(const ServiceName& service) const;
 
  private:
+  /** Mean of recent durations. */
+  struct MeanTime {
+    double seconds;
+    int samples = 0;
+
+    void Add(std::chrono::milliseconds time);
+  };
+
+  /** Mean durations in a service. */
+  struct ServiceTimes {
+    MeanTime holding;
+    MeanTime prefill;
+  };
+
+  /**
+   * How the loads of other gateways are weighed. Requests that a load counts
+   * end while it ages: what is left of an endpoint's difference from the mean
+   * falls with its age, relative to the time that requests last.
+   */
+  struct PeerBasis {
+    double mean_requests = 0;
+    double mean_prefill_tokens = 0;
+    double request_freshness = 1;  ///< 1: as it is now; 0: unknown.
+    double prefill_freshness = 1;
+  };
+
   template <class HasRoom>
   std::vector<EndpointHandle> EligibleEndpoints(const EndpointQuery& query,
+                                                const PeerBasis& basis,
                                                 TimePoint now,
                                                 HasRoom room) const {
     std::vector<EndpointHandle> usable;
     std::vector<EndpointHandle> suspect;
     for (const EndpointHandle& endpoint : this->EndpointsOf(query.service)) {
-      if (!this->IsEligible(*endpoint, query) || !room(*endpoint))
+      if (!this->IsEligible(*endpoint, query, basis) || !room(*endpoint))
         continue;
       (this->IsSuspect(*endpoint, now) ? suspect : usable).push_back(endpoint);
     }
@@ -239,21 +284,33 @@
 
   const std::vector<EndpointHandle>& EndpointsOf(const ServiceName& name) const;
   void RemoveFromService(const EndpointHandle& endpoint);
+  static const ServiceTimes kDefaultTimes;
+
+  PeerBasis BasisOf(const ServiceName& service, TimePoint now) const;
+  ServiceTimes& TimesOf(const ServiceName& service);
+  static double RequestsAt(const EndpointState& endpoint,
+                           const PeerBasis& basis);
+  static double PrefillTokensAt(const EndpointState& endpoint,
+                                const PeerBasis& basis);
   bool IsEligible(const EndpointState& endpoint,
-                  const EndpointQuery& query) const;
+                  const EndpointQuery& query,
+                  const PeerBasis& basis) const;
   bool IsSuspect(const EndpointState& endpoint, TimePoint now) const;
   EndpointHandle ChooseFrom(const std::vector<EndpointHandle>& usable,
                             const EndpointQuery& query,
+                            const PeerBasis& basis,
                             TimePoint now) const;
   double EstimateCost(const EndpointState& endpoint,
                       const EndpointQuery& query,
+                      const PeerBasis& basis,
                       bool is_home,
                       TimePoint now) const;
-  double MeanRunning(const ServiceName& service) const;
+  double MeanRunning(const ServiceName& service, const PeerBasis& basis) const;
 
   FailureDomainId own_domain;
   EndpointSelectorLimits limits;
-  TimePoint peer_loads_at{};
+  TimePoint peer_loads_at{};  ///< Zero: the loads are always current.
+  std::unordered_map<ServiceName, ServiceTimes> times;
   std::map<EndpointId, EndpointHandle> endpoints;
   std::unordered_map<ServiceName, std::vector<EndpointHandle>>
       endpoints_by_service;
@@ -263,4 +320,4 @@
 
 }  // namespace buckthornpath
 
-#endif  // BUCKTHORNPATH_ENDPOINT_BOARD_H_
+#endif  // BUCKTHORNPATH_ENDPOINT_SELECTOR_H_
--- a/include/buckthornpath/fleet_loads.h
+++ b/include/buckthornpath/fleet_loads.h
@@ -24,7 +24,8 @@
  public:
   using Changed = PeerLoads::Changed;
 
-  /** Records the report that this gateway sends. @return Its sequence number. */
+  /** Records the report that this gateway sends. @return Its sequence number.
+   */
   std::uint64_t RecordOwnReport(EndpointUsageMap uses);
 
   /** Applies the report of a member of the own failure domain. */
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -36,6 +37,13 @@
 /** Maximum age of a load report. */
 constexpr milliseconds kMaxLoadReportAge{1500};
 
+/** Mean durations before the first sample. */
+constexpr double kDefaultHoldingSeconds = 0.2;
+constexpr double kDefaultPrefillSeconds = 0.1;
+
+/** Number of requests that a mean duration covers. */
+constexpr int kMeanTimeSamples = 20;
+
 /** Smoothing factor of the failure rate, per request. */
 constexpr double kFailureRateSmoothing = 0.15;
 
@@ -44,6 +52,10 @@
  * tokens. */
 constexpr double kRunningRequestCost = 150.0;
 
+/** Cost of one running request of a plain service, in the same unit:
+ * a difference of a few requests outweighs the distance. */
+constexpr double kPlainRequestCost = 1000.0;
+
 /** Cost of a different failure domain, in prompt tokens: about half a
  * millisecond of latency each way. */
 constexpr double kCrossDomainCost = 100.0;
@@ -74,6 +86,21 @@
   return segments.size() < 2 ? nullptr : &segments[segments.size() - 2];
 }
 
+double ToSeconds(std::chrono::steady_clock::duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+/**
+ * @return The share of a difference between endpoints that is left after a
+ * time, if requests last for `mean_seconds`. Nothing once most requests have
+ * ended: all gateways would choose the same endpoint because of a trace.
+ */
+double Freshness(double age_seconds, double mean_seconds) {
+  if (age_seconds >= mean_seconds)
+    return 0;
+  return std::exp(-age_seconds / mean_seconds);
+}
+
 std::uint64_t RendezvousScore(std::uint64_t segment, const EndpointId& id) {
   return XXH3_64bits_withSeed(id.str().data(), id.str().size(), segment);
 }
@@ -134,19 +161,96 @@
   });
 }
 
+const EndpointSelector::ServiceTimes EndpointSelector::kDefaultTimes = {
+    {kDefaultHoldingSeconds},
+    {kDefaultPrefillSeconds}};
+
+void EndpointSelector::MeanTime::Add(milliseconds time) {
+  this->samples = std::min(this->samples + 1, kMeanTimeSamples);
+  this->seconds += (ToSeconds(time) - this->seconds) / this->samples;
+}
+
+EndpointSelector::ServiceTimes& EndpointSelector::TimesOf(
+    const ServiceName& service) {
+  return this->times.try_emplace(service, kDefaultTimes).first->second;
+}
+
+void EndpointSelector::RecordHoldingTime(const ServiceName& service,
+                                         milliseconds time) {
+  this->TimesOf(service).holding.Add(time);
+}
+
+void EndpointSelector::RecordPrefillTime(const ServiceName& service,
+                                         milliseconds time) {
+  this->TimesOf(service).prefill.Add(time);
+}
+
+EndpointSelector::PeerBasis EndpointSelector::BasisOf(
+    const ServiceName& service,
+    TimePoint now) const {
+  PeerBasis basis;
+  if (this->peer_loads_at == TimePoint{})
+    return basis;
+  double count = 0;
+  for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
+    if (endpoint->entry.leaving)
+      continue;
+    basis.mean_requests += static_cast<double>(endpoint->peer_requests);
+    basis.mean_prefill_tokens +=
+        static_cast<double>(endpoint->peer_prefill_tokens);
+    ++count;
+  }
+  if (count == 0)
+    return basis;
+  basis.mean_requests /= count;
+  basis.mean_prefill_tokens /= count;
+  const auto found = this->times.find(service);
+  const ServiceTimes& mean =
+      found == this->times.end() ? kDefaultTimes : found->second;
+  const double age = ToSeconds(
+      std::max(now - this->peer_loads_at, std::chrono::nanoseconds(0)));
+  basis.request_freshness = Freshness(age, mean.holding.seconds);
+  basis.prefill_freshness = Freshness(age, mean.prefill.seconds);
+  return basis;
+}
+
+double EndpointSelector::RequestsAt(const EndpointState& endpoint,
+                                    const PeerBasis& basis) {
+  const double difference =
+      static_cast<double>(endpoint.peer_requests) - basis.mean_requests;
+  const double peers =
+      basis.request_freshness == 1.0
+          ? static_cast<double>(endpoint.peer_requests)
+          : basis.mean_requests + basis.request_freshness * difference;
+  return static_cast<double>(endpoint.own_requests) + peers;
+}
+
+double EndpointSelector::PrefillTokensAt(const EndpointState& endpoint,
+                                         const PeerBasis& basis) {
+  const double difference = static_cast<double>(endpoint.peer_prefill_tokens) -
+                            basis.mean_prefill_tokens;
+  const double peers =
+      basis.prefill_freshness == 1.0
+          ? static_cast<double>(endpoint.peer_prefill_tokens)
+          : basis.mean_prefill_tokens + basis.prefill_freshness * difference;
+  return static_cast<double>(endpoint.own_prefill_tokens) + peers;
+}
+
 bool EndpointSelector::IsEligible(const EndpointState& endpoint,
-                                  const EndpointQuery& query) const {
+                                  const EndpointQuery& query,
+                                  const PeerBasis& basis) const {
   if (endpoint.entry.leaving)
     return false;
   if (std::find(query.excluded.begin(), query.excluded.end(),
                 endpoint.entry.id) != query.excluded.end()) {
     return false;
   }
-  const auto slots = static_cast<double>(SlotsOf(endpoint));
+  const double multiple =
+      query.is_plain ? this->limits.plain_slots_multiple : 1.0;
+  const double slots = multiple * static_cast<double>(SlotsOf(endpoint));
   const double limit =
       query.priority == 0 ? slots : slots * (1 - this->limits.urgent_reserve);
-  return static_cast<double>(endpoint.EstimatedRequests()) + 1 <=
-         std::max(limit, 1.0);
+  return RequestsAt(endpoint, basis) + 1 <= std::max(limit, 1.0);
 }
 
 bool EndpointSelector::IsSuspect(const EndpointState& endpoint,
@@ -161,13 +265,14 @@
   return is_unresponsive && endpoint.last_response_at != TimePoint{};
 }
 
-double EndpointSelector::MeanRunning(const ServiceName& service) const {
+double EndpointSelector::MeanRunning(const ServiceName& service,
+                                     const PeerBasis& basis) const {
   double total = 0;
   double count = 0;
   for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
     if (endpoint->entry.leaving)
       continue;
-    total += static_cast<double>(endpoint->EstimatedRequests());
+    total += RequestsAt(*endpoint, basis);
     ++count;
   }
   return count > 0 ? total / count : 0;
@@ -187,17 +292,20 @@
 
 double EndpointSelector::EstimateCost(const EndpointState& endpoint,
                                       const EndpointQuery& query,
+                                      const PeerBasis& basis,
                                       bool is_home,
                                       TimePoint now) const {
-  double cost = static_cast<double>(endpoint.PendingPrefillTokens());
-  const auto running = static_cast<double>(
-      now - endpoint.reported_at < kMaxLoadReportAge
-          ? std::max(endpoint.EstimatedRequests(), endpoint.reported_load +
-                                                       endpoint.own_requests -
-                                                       endpoint.own_at_report)
-          : endpoint.EstimatedRequests());
-  cost += kRunningRequestCost * running;
-  if (endpoint.entry.failure_domain != this->own_domain)
+  double cost = PrefillTokensAt(endpoint, basis);
+  double running = RequestsAt(endpoint, basis);
+  if (now - endpoint.reported_at < kMaxLoadReportAge) {
+    running = std::max(running, static_cast<double>(endpoint.reported_load +
+                                                    endpoint.own_requests -
+                                                    endpoint.own_at_report));
+  }
+  cost += (query.is_plain ? kPlainRequestCost : kRunningRequestCost) * running;
+  // Endpoints of a plain service are few, and a failure domain may have more of
+  // its callers than of its endpoints.
+  if (!query.is_plain && endpoint.entry.failure_domain != this->own_domain)
     cost += kCrossDomainCost;
   cost += kFailureCost * endpoint.failure_rate;
   if (endpoint.entry.warm_up_remaining > milliseconds(0))
@@ -220,9 +328,10 @@
 EndpointHandle EndpointSelector::ChooseFrom(
     const std::vector<EndpointHandle>& usable,
     const EndpointQuery& query,
+    const PeerBasis& basis,
     TimePoint now) const {
   const double load_bound =
-      this->limits.max_mean_multiple * this->MeanRunning(query.service) +
+      this->limits.max_mean_multiple * this->MeanRunning(query.service, basis) +
       this->limits.mean_slack;
   const PromptSegment* shared = LastSharedSegment(query.segments);
   // Rendezvous hashing: all gateways compute the same home endpoint without
@@ -242,8 +351,8 @@
   // recently used.
   const auto sort_key = [&](const EndpointHandle& endpoint) {
     return std::make_tuple(
-        static_cast<double>(endpoint->EstimatedRequests()) + 1 > load_bound,
-        this->EstimateCost(*endpoint, query, &endpoint == home, now),
+        RequestsAt(*endpoint, basis) + 1 > load_bound,
+        this->EstimateCost(*endpoint, query, basis, &endpoint == home, now),
         endpoint->last_request_at);
   };
   const EndpointHandle* best = nullptr;
--- a/src/decision/fleet_loads.cc
+++ b/src/decision/fleet_loads.cc
@@ -62,8 +62,8 @@
   this->view = std::move(uses);
   while (!this->sent.empty() && this->sent.front().sequence < acknowledged)
     this->sent.pop_front();
-  const bool is_known = !this->sent.empty() &&
-                        this->sent.front().sequence == acknowledged;
+  const bool is_known =
+      !this->sent.empty() && this->sent.front().sequence == acknowledged;
   this->own_in_view = is_known ? this->sent.front().uses : EndpointUsageMap{};
   return changed;
 }
--- a/src/decision/gateway_roster.cc
+++ b/src/decision/gateway_roster.cc
@@ -15,9 +15,8 @@
 /** @return Sort key of the election: high capacity first, then an order that
  * is the same at all gateways and unrelated to the addresses' numbers. */
 auto ElectionKey(const GatewayMember& member) {
-  return std::tuple(
-      -member.capacity,
-      XXH3_64bits(member.address.data(), member.address.size()));
+  return std::tuple(-member.capacity,
+                    XXH3_64bits(member.address.data(), member.address.size()));
 }
 
 }  // namespace
--- a/src/decision/upstream_selector.cc
+++ b/src/decision/upstream_selector.cc
@@ -32,8 +32,8 @@
 std::optional<std::string> UpstreamSelector::ChooseHub(
     const std::vector<std::string>& hubs,
     TimePoint now) const {
-  const auto first = static_cast<std::size_t>(
-      this->spread * static_cast<double>(hubs.size()));
+  const auto first =
+      static_cast<std::size_t>(this->spread * static_cast<double>(hubs.size()));
   for (std::size_t i = 0; i < hubs.size(); ++i) {
     const std::string& hub = hubs[(first + i) % hubs.size()];
     const auto backoff = this->backoffs.find(hub);
--- a/src/gateway/feed_record.cc
+++ b/src/gateway/feed_record.cc
@@ -143,8 +143,8 @@
     return std::nullopt;
   std::optional<FeedRecord> record;
   try {
-    record = DecodeRecord(
-        std::string_view(this->buffer).substr(kLengthBytes, size));
+    record =
+        DecodeRecord(std::string_view(this->buffer).substr(kLengthBytes, size));
   } catch (const json::exception& error) {
     throw MalformedFeed(error.what());
   }
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -55,6 +55,10 @@
 constexpr milliseconds kMinRetryAfter{50};
 constexpr int kRetryAfterDivisor = 3;
 
+/** The latency target of a route that states none is its timeout divided by
+ * this. */
+constexpr int kDefaultTargetDivisor = 4;
+
 /** Steps of urgency per priority; the platform has ten urgencies, 0 to 9. */
 constexpr int kUrgencyStep = 3;
 constexpr int kLowestUrgency = 9;
@@ -124,6 +128,9 @@
         this->deadline > *this->state.latest_deadline) {
       const Refusal draining{kUnavailable, "draining"};
       co_await this->Refuse(draining);
+    } else if (!this->IsAdmitted()) {
+      const Refusal overloaded{kUnavailable, "overloaded"};
+      co_await this->Refuse(overloaded);
     } else {
       co_await this->RunAttempts();
     }
@@ -166,6 +173,13 @@
   co_await this->FinishExchange(result);
 }
 
+bool ForwardSession::IsAdmitted() {
+  // The endpoints of a service with prompts state their load and are chosen
+  // within their slots.
+  return !this->request.IsPlain() || this->state.QueueOf(this->request.service)
+                                         .admission.TryAdmit(Clock::now());
+}
+
 bool ForwardSession::MayRetry(AttemptResult result) {
   if (this->is_aborted || this->exchange.IsDisconnected() ||
       this->TimeLeft() < kMinTimeLeft) {
@@ -194,14 +208,16 @@
 EndpointHandle ForwardSession::TryReserveEndpoint() {
   const EndpointQuery query{this->request.service,
                             this->request.metadata.segments,
-                            this->request.priority, this->excluded_endpoints};
+                            this->request.priority, this->excluded_endpoints,
+                            this->request.IsPlain()};
   EndpointHandle chosen = this->state.selector.Choose(
       query, Clock::now(), [this](const EndpointState& endpoint) {
         return this->state.HasConnectionCapacity(endpoint);
       });
   if (chosen) {
+    this->reserved_at = Clock::now();
     this->pending_prefill_tokens = this->state.selector.RecordStart(
-        *chosen, this->request.metadata.segments, Clock::now());
+        *chosen, this->request.metadata.segments, this->reserved_at);
   }
   return chosen;
 }
@@ -278,11 +294,14 @@
   this->record.RecordAttempt(endpoint, RowOf(result).name, now);
   this->ReleasePendingPrefill(endpoint);
   this->state.selector.RecordEnd(endpoint);
+  this->state.selector.RecordHoldingTime(this->request.service,
+                                         Elapsed(this->reserved_at, now));
   // An attempt ended by the caller or the deadline says nothing about the
   // endpoint.
   if (!this->is_aborted)
     this->state.selector.RecordResult(endpoint, RowOf(result).endpoint_result,
                                       now);
+  this->RecordLoadOfService(result, now);
   if (result != AttemptResult::kAnswered)
     this->excluded_endpoints.push_back(id);
   if (this->connection) {
@@ -301,6 +320,23 @@
       endpoint, std::exchange(this->pending_prefill_tokens, 0));
 }
 
+void ForwardSession::RecordLoadOfService(AttemptResult result,
+                                         Clock::time_point now) {
+  if (!this->request.IsPlain() || this->is_aborted)
+    return;
+  AdmissionRatio& admission =
+      this->state.QueueOf(this->request.service).admission;
+  const Route& route = *this->request.route;
+  const milliseconds target = route.target_latency > milliseconds(0)
+                                  ? route.target_latency
+                                  : route.timeout / kDefaultTargetDivisor;
+  if (result == AttemptResult::kNotExecuted) {
+    admission.RecordFull(now);
+  } else if (result == AttemptResult::kAnswered) {
+    admission.RecordResponse(Elapsed(this->reserved_at, now), target, now);
+  }
+}
+
 ForwardRequest ForwardSession::MakeRequest(
     const EndpointState& endpoint) const {
   const CallerRequest& caller_request = this->exchange.Request();
@@ -370,6 +406,8 @@
 
 void ForwardSession::RecordResponseHead(EndpointState& endpoint) {
   const auto now = Clock::now();
+  this->state.selector.RecordPrefillTime(this->request.service,
+                                         Elapsed(this->reserved_at, now));
   this->ReleasePendingPrefill(endpoint);
   this->state.selector.RecordResponseData(endpoint, now);
   if (this->response.load)
@@ -517,11 +555,15 @@
   const auto queue = this->state.queues.find(this->request.service);
   if (queue == this->state.queues.end())
     return kMinRetryAfter;
-  const milliseconds forecast =
-      queue->second.waiting.EstimateWait(this->request.priority, Clock::now());
-  return std::clamp(
-      forecast, kMinRetryAfter,
-      std::max(kMinRetryAfter, this->TimeLeft() / kRetryAfterDivisor));
+  const milliseconds max_time =
+      std::max(kMinRetryAfter, this->TimeLeft() / kRetryAfterDivisor);
+  const double refused_share = 1.0 - queue->second.admission.Ratio();
+  const auto recovery =
+      std::chrono::duration_cast<milliseconds>(max_time * refused_share);
+  const milliseconds forecast = std::max(
+      recovery,
+      queue->second.waiting.EstimateWait(this->request.priority, Clock::now()));
+  return std::clamp(forecast, kMinRetryAfter, max_time);
 }
 
 asio::awaitable<void> ForwardSession::Refuse(Refusal refusal) {
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -54,6 +54,9 @@
   void StartDeadline();
 
   asio::awaitable<void> RunAttempts();
+
+  /** @return False if the service is overloaded and the request is refused. */
+  bool IsAdmitted();
   asio::awaitable<AttemptResult> Attempt();
   bool MayRetry(AttemptResult result);
 
@@ -86,6 +89,9 @@
   void ReleasePendingPrefill(EndpointState& endpoint);
   void FinishAttempt(EndpointState& endpoint, AttemptResult result);
 
+  /** Lets the admission of a service without prompts follow its responses. */
+  void RecordLoadOfService(AttemptResult result, Clock::time_point now);
+
   asio::awaitable<void> FinishExchange(AttemptResult result);
   asio::awaitable<void> Refuse(Refusal refusal);
   std::chrono::milliseconds RetryAfter() const;
@@ -113,6 +119,7 @@
   std::unique_ptr<EndpointConnection> connection;
   /** Idle time of the connection before this request; empty if it is new. */
   std::optional<std::chrono::milliseconds> previous_idle_time;
+  Clock::time_point reserved_at{};  ///< Time of the last reservation.
   std::int64_t pending_prefill_tokens = 0;
   EventRelay relay;
   ResponseMetadata response;  ///< From the head that was read last.
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -57,9 +57,8 @@
   message.acknowledged = value.at("acknowledged").get<std::uint64_t>();
   message.gateway_count = value.at("gateways").get<std::size_t>();
   for (const json& entry : value.at("roster")) {
-    message.roster.push_back(
-        {DecodeMember(entry.at(0)),
-         milliseconds(entry.at(1).get<std::uint32_t>())});
+    message.roster.push_back({DecodeMember(entry.at(0)),
+                              milliseconds(entry.at(1).get<std::uint32_t>())});
   }
 }
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -35,9 +35,8 @@
       selector(FailureDomainId(settings.failure_domain),
                EndpointSelectorLimits{}),
       connection_pool(std::move(executor)),
-      roster({settings.gossip_address,
-              FailureDomainId(settings.failure_domain), settings.link_capacity,
-              false}) {}
+      roster({settings.gossip_address, FailureDomainId(settings.failure_domain),
+              settings.link_capacity, false}) {}
 
 ServiceQueue& GatewayState::QueueOf(const ServiceName& service) {
   ServiceQueue& queue = this->queues[service];
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "buckthornpath/admission_ratio.h"
 #include "buckthornpath/endpoint_selector.h"
 #include "buckthornpath/gateway_roster.h"
 #include "buckthornpath/retry_budget.h"
@@ -25,6 +26,7 @@
   /** Tries to start a waiting request; false if no endpoint has capacity. */
   std::map<WaitTicket, std::function<bool()>> wake_handlers;
   std::unique_ptr<RetryBudget> retry_budget;
+  AdmissionRatio admission;  ///< Used for services without prompts.
 };
 
 /** State that all requests of a process use. Not thread-safe. */
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -436,8 +436,8 @@
 
 void PeerExchange::HandleReport(GatewayMessage& message) {
   const GatewayRoster& roster = this->state.roster;
-  const bool is_member = message.sender.failure_domain ==
-                         roster.Self().failure_domain;
+  const bool is_member =
+      message.sender.failure_domain == roster.Self().failure_domain;
   if (is_member && message.uses) {
     this->ApplyLoads(this->loads.ApplyReport(
         message.sender.address, std::move(*message.uses), message.sequence));
@@ -452,8 +452,7 @@
 }
 
 void PeerExchange::HandleDigest(GatewayMessage& message) {
-  if (message.sender.failure_domain ==
-      this->state.roster.Self().failure_domain)
+  if (message.sender.failure_domain == this->state.roster.Self().failure_domain)
     return;
   const std::vector<std::string> known_hubs =
       this->state.roster.HubsOf(message.sender.failure_domain);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -88,10 +88,10 @@
   FleetLoads loads;
   std::map<std::string, std::uint64_t> revisions;  ///< By gateway address.
   std::string role = "member";
-  std::vector<std::string> hubs;        ///< Of the own failure domain.
-  std::size_t reported_count = 0;       ///< Gateways that the leader knows.
-  Clock::time_point view_at{};          ///< Last view with loads.
-  Clock::time_point hello_at{};         ///< Last hello to unknown seeds.
+  std::vector<std::string> hubs;   ///< Of the own failure domain.
+  std::size_t reported_count = 0;  ///< Gateways that the leader knows.
+  Clock::time_point view_at{};     ///< Last view with loads.
+  Clock::time_point hello_at{};    ///< Last hello to unknown seeds.
   std::size_t round = 0;
   SegmentOutbox own_segments;
   SegmentOutbox domain_segments;   ///< Leader: from members and itself.
--- a/src/gateway/request_class.h
+++ b/src/gateway/request_class.h
@@ -24,6 +24,9 @@
   ServiceName service;
   OrganisationId organisation;  ///< Empty if the route needs no key.
   int priority = 0;             ///< 0 is the most urgent.
+
+  /** @return True if the request names no prompt: a plain service serves it. */
+  bool IsPlain() const { return this->metadata.segments.empty(); }
 };
 
 /**
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -57,8 +57,9 @@
 }
 
 /** Suffixes of times, in milliseconds. */
-const std::map<std::string_view, double> kTimeUnits = {
-    {"", 1.0}, {"ms", 1.0}, {"s", 1000.0}};
+const std::map<std::string_view, double> kTimeUnits = {{"", 1.0},
+                                                       {"ms", 1.0},
+                                                       {"s", 1000.0}};
 
 /** Largest number that a setting can hold exactly as a double. */
 constexpr double kMaxExactNumber = 9007199254740992.0;
--- /dev/null
+++ b/test/stories/load_replay.cc
@@ -0,0 +1,101 @@
+/** @file load_replay.cc Many gateways that choose endpoints under load. */
+
+#include "harness/load_replay.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <iostream>
+
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+void Print(const char* name, const ReplayResult& result) {
+  std::cout << name << ": " << result.requests << " requests, "
+            << result.refused << " refused, " << result.shed << " shed, "
+            << result.served << " served, " << result.over_bound
+            << " over the bound, wait p50 " << result.WaitAt(0.5).count()
+            << " ms, p99 " << result.WaitAt(0.99).count()
+            << " ms, prompts read again " << result.prefilled_again
+            << std::endl;
+}
+
+/** Requests of 30 ms, loads that are several times as old: 42% of 36 slots. */
+ReplayPlan ShortRequests() {
+  return {};
+}
+
+void ShortRequestsSpreadOverAllEndpoints() {
+  const ReplayResult result = ReplayLoad(ShortRequests());
+  Print("short requests", result);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.shed);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.refused);
+  // The latency target of these requests is 150 ms.
+  CPPUNIT_ASSERT(result.WaitAt(0.99) <= milliseconds(75));
+}
+
+void ShortRequestsSpreadWithoutAnyLoads() {
+  ReplayPlan plan = ShortRequests();
+  plan.load_delay = milliseconds(5000);
+  const ReplayResult result = ReplayLoad(plan);
+  Print("short requests, loads of 5 s ago", result);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.shed);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.refused);
+}
+
+/** A burst beyond the slots must be refused by the gateways, not shed. */
+void OverloadIsRefusedBeforeItIsShed() {
+  ReplayPlan plan = ShortRequests();
+  plan.requests_per_second = 2000;
+  plan.target = milliseconds(150);
+  const ReplayResult result = ReplayLoad(plan);
+  Print("short requests, overload", result);
+  CPPUNIT_ASSERT(result.refused > 0);
+  CPPUNIT_ASSERT(result.shed * 50 <= result.requests);
+}
+
+/** Streams of a second with shared prompts, at a third of the slots. */
+ReplayPlan ChatRequests() {
+  ReplayPlan plan;
+  plan.endpoints = 60;
+  plan.slots = 16;
+  plan.queue_length = 48;
+  plan.requests_per_second = 320;
+  plan.clump = 1;
+  plan.mean_work = milliseconds(1000);
+  plan.prompts = 400;
+  plan.prompt_tokens = 10000;
+  plan.duration = milliseconds(10000);
+  return plan;
+}
+
+void ChatsKeepTheBoundOfTheMeanLoad() {
+  const ReplayResult result = ReplayLoad(ChatRequests());
+  Print("chats", result);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.refused);
+  // The platform allows 3 in 100 requests above the bound.
+  CPPUNIT_ASSERT(result.over_bound * 100 <= result.requests * 3);
+}
+
+const Story kStory("load_replay", [] {
+  return Section(
+      "given a hundred gateways that learn each other's load late",
+      {Section(
+           "when requests are shorter than the loads are old",
+           {Then("no endpoint is crowded", ShortRequestsSpreadOverAllEndpoints),
+            Then("no endpoint is crowded if the loads stop",
+                 ShortRequestsSpreadWithoutAnyLoads),
+            Then("a burst is refused by the gateways",
+                 OverloadIsRefusedBeforeItIsShed)}),
+       Section("when chats share prompts",
+               {Then("no endpoint exceeds the bound of the mean load",
+                     ChatsKeepTheBoundOfTheMeanLoad)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
--- a/test/stories/settings_template.cc
+++ b/test/stories/settings_template.cc
@@ -70,8 +70,8 @@
       return rendered + source.substr(position);
     const std::size_t end = source.find("}}", begin);
     rendered += source.substr(position, begin - position);
-    rendered += RenderPlaceholder(fields,
-                                  source.substr(begin + 2, end - begin - 2));
+    rendered +=
+        RenderPlaceholder(fields, source.substr(begin + 2, end - begin - 2));
     position = end + 2;
   }
 }
