Selector: long cached prompts wait at their endpoint instead of spilling

Change: a request that is not urgent waits in the queue of an endpoint that has its long prompt cached, up to the slots once more; the next home is the same for all gateways while the first is over the load bound.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -126,6 +126,9 @@
   double mean_slack = 2.5;
   /** Fraction of an endpoint's slots reserved for priority 0. */
   double urgent_reserve = 0.15;
+  /** Requests that may wait in the queue of an endpoint that has their prompt
+   * cached, relative to its slots; urgent ones never wait there. */
+  double cached_queue_multiple = 1.0;
   /** Requests that an endpoint of a plain service may hold, relative to its
    * slots. */
   double plain_slots_multiple = 8.0;
@@ -134,13 +137,15 @@
 /**
  * Endpoints of all services, with the choice of one for each request. Handles
  * four load patterns. Overload of all endpoints: none is chosen beyond its
- * slots, and the last slots are reserved for urgent requests. Many requests
- * with a common prompt prefix: they go to one endpoint until its load exceeds
- * a multiple of the mean. Endpoints that fail, stop responding or are warming
- * up: they are avoided unless no other endpoint is left. Loads of other
- * gateways that are older than their requests last: gateways that all choose
- * the endpoint with the least load of a moment ago would crowd it; instead such
- * loads count as the mean. Not thread-safe.
+ * slots, and the last slots are reserved for urgent requests; others wait in
+ * the queue of an endpoint that has their long prompt cached, as prefilling it
+ * elsewhere would add to the overload. Many requests with a common prompt
+ * prefix: they go to one endpoint until its load exceeds a multiple of the
+ * mean, then all gateways choose the same next one. Endpoints that fail, stop
+ * responding or are warming up: they are avoided unless no other endpoint is
+ * left. Loads of other gateways that are older than their requests last:
+ * gateways that all choose the endpoint with the least load of a moment ago
+ * would crowd it; instead such loads count as the mean. Not thread-safe.
  */
 class EndpointSelector {
  public:
@@ -292,6 +297,10 @@
                            const PeerBasis& basis);
   static double PrefillTokensAt(const EndpointState& endpoint,
                                 const PeerBasis& basis);
+  /** @return True if it is better to wait for a slot of this endpoint than to
+   * prefill the prompt at another one. */
+  static bool MayQueueAt(const EndpointState& endpoint,
+                         const EndpointQuery& query);
   bool IsEligible(const EndpointState& endpoint,
                   const EndpointQuery& query,
                   const PeerBasis& basis) const;
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -74,6 +76,10 @@
  * two. */
 constexpr double kUncachedTokenCost = 25.0;
 
+/** Minimum size of a cached segment for which a request waits at its endpoint:
+ * prefilling it elsewhere delays all streams there for longer. */
+constexpr std::uint32_t kMinQueuedSegmentTokens = 1000;
+
 /** Fraction of that cost that is waived at a segment's home endpoint while the
  * segment is not known to be cached there. */
 constexpr double kHomeDiscount = 0.8;
@@ -236,6 +242,14 @@
   return static_cast<double>(endpoint.own_prefill_tokens) + peers;
 }
 
+bool EndpointSelector::MayQueueAt(const EndpointState& endpoint,
+                                  const EndpointQuery& query) {
+  const PromptSegment* shared = LastSharedSegment(query.segments);
+  return query.priority != 0 && shared != nullptr &&
+         shared->tokens >= kMinQueuedSegmentTokens &&
+         endpoint.segment_prefilled_at.contains(shared->id);
+}
+
 bool EndpointSelector::IsEligible(const EndpointState& endpoint,
                                   const EndpointQuery& query,
                                   const PeerBasis& basis) const {
@@ -245,11 +259,14 @@
                 endpoint.entry.id) != query.excluded.end()) {
     return false;
   }
-  const double multiple =
-      query.is_plain ? this->limits.plain_slots_multiple : 1.0;
-  const double slots = multiple * static_cast<double>(SlotsOf(endpoint));
-  const double limit =
-      query.priority == 0 ? slots : slots * (1 - this->limits.urgent_reserve);
+  const auto slots = static_cast<double>(SlotsOf(endpoint));
+  double limit = slots;
+  if (query.is_plain)
+    limit *= this->limits.plain_slots_multiple;
+  if (query.priority != 0)
+    limit *= 1 - this->limits.urgent_reserve;
+  if (MayQueueAt(endpoint, query))
+    limit += this->limits.cached_queue_multiple * slots;
   return RequestsAt(endpoint, basis) + 1 <= std::max(limit, 1.0);
 }
 
@@ -333,12 +350,20 @@
   const double load_bound =
       this->limits.max_mean_multiple * this->MeanRunning(query.service, basis) +
       this->limits.mean_slack;
-  const PromptSegment* shared = LastSharedSegment(query.segments);
+  const auto is_over_bound = [&](const EndpointHandle& endpoint) {
+    return RequestsAt(*endpoint, basis) + 1 > load_bound;
+  };
+  std::vector<EndpointHandle> candidates;
+  std::copy_if(usable.begin(), usable.end(), std::back_inserter(candidates),
+               std::not_fn(is_over_bound));
+  if (candidates.empty())
+    candidates = usable;
   // Rendezvous hashing: all gateways compute the same home endpoint without
-  // communication.
+  // communication, and the same next one while the home is over the bound.
+  const PromptSegment* shared = LastSharedSegment(query.segments);
   const EndpointHandle* home = nullptr;
   std::uint64_t best_score = 0;
-  for (const EndpointHandle& endpoint : usable) {
+  for (const EndpointHandle& endpoint : candidates) {
     if (shared == nullptr)
       break;
     const std::uint64_t score = RendezvousScore(shared->id, endpoint->entry.id);
@@ -347,17 +372,15 @@
       best_score = score;
     }
   }
-  // Endpoints within the load bound first, then lowest cost, then least
-  // recently used.
+  // Lowest cost first, then least recently used.
   const auto sort_key = [&](const EndpointHandle& endpoint) {
     return std::make_tuple(
-        RequestsAt(*endpoint, basis) + 1 > load_bound,
         this->EstimateCost(*endpoint, query, basis, &endpoint == home, now),
         endpoint->last_request_at);
   };
   const EndpointHandle* best = nullptr;
   decltype(sort_key(usable.front())) best_key;
-  for (const EndpointHandle& endpoint : usable) {
+  for (const EndpointHandle& endpoint : candidates) {
     const auto endpoint_key = sort_key(endpoint);
     if (best == nullptr || endpoint_key < best_key) {
       best = &endpoint;
