Gateway: bytes without end and streams without events end in bounded memory

Cause: the body of a plain response was buffered without a limit, a stated length reserved that much memory (an exception left the endpoint's counts behind), and unparsed input and events had no limit. A stream counted as alive while any byte arrived; one that was merely slow was cut after its attempts were used up. Change: a response buffers 4 MiB and all of a process 32 MiB, unparsed input 128 KiB, an event 128 KiB; no memory is reserved for a stated length; an exception in an attempt ends that attempt. Only whole events with a field count as progress; a stalled stream is given up only if it can be resumed.

--- a/include/buckthornpath/retry_budget.h
+++ b/include/buckthornpath/retry_budget.h
@@ -23,6 +23,9 @@
    */
   bool TryTake();
 
+  /** @return True if TryTake() would succeed. */
+  bool CanTake() const { return this->tokens >= 1.0; }
+
  private:
   double retries_per_attempt;
   double capacity;
--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -24,8 +24,14 @@
 /** Limit of the size of a response header. */
 constexpr std::uint32_t kHeaderBytes = std::uint32_t{64} * 1024;
 
+/** Limit of input that is not parsed yet, such as a trailer without an end. */
+constexpr std::size_t kMaxBufferedBytes = std::size_t{128} * 1024;
+
 }  // namespace
 
+EndpointConnection::EndpointConnection(const asio::any_io_executor& executor)
+    : socket(executor), executor(executor), buffer(kMaxBufferedBytes) {}
+
 asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::Connect(
     SocketAddress address,
     std::chrono::milliseconds timeout) {
@@ -90,6 +96,8 @@
     if (error || this->buffer.size() != size_before || this->parser->is_done())
       co_return error;
   }
+  if (this->buffer.size() + kReadBytes > this->buffer.max_size())
+    co_return http::error::buffer_overflow;
   const auto [error, size] = co_await this->socket.async_read_some(
       this->buffer.prepare(kReadBytes), kAwaitResult);
   this->buffer.commit(size);
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/chunk_body.h"
 #include "kernel/socket_address.h"
 #include "kernel/worker_pool.h"
 
@@ -19,8 +20,7 @@
 
 using ForwardRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
-using ResponseParser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
+using ResponseParser = boost::beast::http::response_parser<ChunkBody>;
 
 /**
  * HTTP connection that carries one request at a time. Methods return errors
@@ -31,8 +31,7 @@
   using Clock = std::chrono::steady_clock;
   using ErrorCode = boost::system::error_code;
 
-  explicit EndpointConnection(const asio::any_io_executor& executor)
-      : socket(executor), executor(executor) {}
+  explicit EndpointConnection(const asio::any_io_executor& executor);
 
   asio::awaitable<ErrorCode> Connect(SocketAddress address,
                                      std::chrono::milliseconds timeout);
--- a/src/gateway/event_relay.cc
+++ b/src/gateway/event_relay.cc
@@ -30,6 +30,18 @@
   return std::nullopt;
 }
 
+/** @return True if an event has a field; one of comments alone has none. */
+bool HasField(std::string_view event) {
+  std::size_t line = 0;
+  while (line < event.size()) {
+    const char first = event[line];
+    if (first != ':' && first != '\r' && first != '\n')
+      return true;
+    line = std::min(event.find('\n', line), event.size()) + 1;
+  }
+  return false;
+}
+
 /** @return Length of the first complete event with its blank line; 0 if none.
  */
 std::size_t EventLength(std::string_view text) {
@@ -53,6 +65,8 @@
       break;
     const std::string_view event = text.substr(used, length);
     used += length;
+    if (HasField(event))
+      ++this->event_count;
     const auto id = ParseEventId(event);
     if (id && this->last_event_id && *id <= *this->last_event_id)
       continue;
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -28,6 +28,12 @@
   /** Discards an incomplete event before the stream is retried. */
   void DiscardPartial() { this->partial_event.clear(); }
 
+  /** @return Size of the event that is still incomplete. */
+  std::size_t PartialSize() const { return this->partial_event.size(); }
+
+  /** @return Number of complete events; comments do not count. */
+  std::size_t EventCount() const { return this->event_count; }
+
   /** @return Id of the last event returned, if there was one. */
   const std::optional<std::uint64_t>& LastEventId() const {
     return this->last_event_id;
@@ -36,6 +42,7 @@
  private:
   std::string partial_event;  ///< Event that is still incomplete.
   std::optional<std::uint64_t> last_event_id;
+  std::size_t event_count = 0;
 };
 
 }  // namespace buckthornpath
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "kernel/json_types.h"
+#include "kernel/log.h"
 #include "kernel/metrics.h"
 
 namespace buckthornpath {
@@ -50,6 +52,12 @@
 constexpr int kStallGapMultiple = 4;
 constexpr milliseconds kMinStallTimeout{700};
 
+/** Limit of one response that is buffered until it is complete. */
+constexpr std::size_t kMaxResponseBytes = std::size_t{4} * 1024 * 1024;
+
+/** Limit of one event; a stream that exceeds it sends no events. */
+constexpr std::size_t kMaxEventBytes = std::size_t{128} * 1024;
+
 /** Limits of the Retry-After value: the minimum, and the divisor of the time
  * left that gives the maximum. */
 constexpr milliseconds kMinRetryAfter{50};
@@ -110,7 +118,8 @@
       table(state.table),
       record(exchange.ReceivedAt()),
       deadline_timer(state.executor),
-      capacity_signal(state.executor) {}
+      capacity_signal(state.executor),
+      response_bytes(state.response_bytes, kMaxResponseBytes) {}
 
 ForwardSession::~ForwardSession() {
   this->exchange.SetDisconnectHandler(nullptr);
@@ -279,10 +288,20 @@
     co_return AttemptResult::kNoCapacity;
   AttemptResult result = AttemptResult::kUnreachable;
   bool is_open = false;
-  if (!this->is_aborted)
-    is_open = co_await this->OpenConnection(*endpoint);
-  if (is_open && !this->is_aborted)
-    result = co_await this->SendTo(*endpoint);
+  std::string fault;
+  try {
+    if (!this->is_aborted)
+      is_open = co_await this->OpenConnection(*endpoint);
+    if (is_open && !this->is_aborted)
+      result = co_await this->SendTo(*endpoint);
+  } catch (const std::exception& error) {
+    fault = error.what();
+  }
+  if (!fault.empty()) {
+    LogLine(LogLevel::kError, "attempt_failed",
+            {{"endpoint", endpoint->Entry().id}, {"reason", fault}});
+    result = is_open ? AttemptResult::kBroken : AttemptResult::kUnreachable;
+  }
   this->FinishAttempt(*endpoint, result);
   co_return result;
 }
@@ -444,6 +463,7 @@
 }
 
 asio::awaitable<bool> ForwardSession::BufferResponse(unsigned status) {
+  this->response_bytes.ReleaseAll();
   BufferedResponse response;
   response.status = status;
   response.fields = this->ResponseFields();
@@ -451,6 +471,10 @@
   do {
     if (co_await this->connection->ReadBody(chunk))
       co_return false;
+    if (!this->response_bytes.TryTake(chunk.size())) {
+      ProcessMetrics().Add("oversized_responses_total");
+      co_return false;
+    }
     response.body += chunk;
   } while (!this->connection->IsResponseComplete());
   this->buffered_response = std::move(response);
@@ -463,6 +487,7 @@
                                this->buffered_response->fields,
                                std::move(this->buffered_response->body));
   this->buffered_response.reset();
+  this->response_bytes.ReleaseAll();
 }
 
 HeaderFieldList ForwardSession::ResponseFields() const {
@@ -491,26 +516,55 @@
   co_return !this->exchange.IsDisconnected();
 }
 
+bool ForwardSession::CanResume() const {
+  const auto queue = this->state.queues.find(this->request.service);
+  return this->attempts < this->request.route->max_attempts &&
+         this->TimeLeft() >= kMinTimeLeft &&
+         queue != this->state.queues.end() &&
+         queue->second.retry_budget->CanTake();
+}
+
+void ForwardSession::WatchForStall(CancellableTimer& timer) {
+  const milliseconds timeout =
+      std::max(kMinStallTimeout,
+               this->request.route->target_event_gap * kStallGapMultiple);
+  timer.Set(Clock::now() + timeout, [this, &timer] {
+    // A slow stream is better than none.
+    if (this->CanResume()) {
+      this->connection->Close();
+    } else {
+      this->WatchForStall(timer);
+    }
+  });
+}
+
 asio::awaitable<AttemptResult> ForwardSession::RelayStream(unsigned status) {
   const bool may_resume = this->request.route->IsRetryable();
   CancellableTimer stall_timer(this->state.executor);
-  const milliseconds stall_timeout =
-      std::max(kMinStallTimeout,
-               this->request.route->target_event_gap * kStallGapMultiple);
+  if (may_resume)
+    this->WatchForStall(stall_timer);
   std::string chunk;
   do {
-    if (may_resume)
-      stall_timer.Set(Clock::now() + stall_timeout,
-                      [this] { this->connection->Close(); });
     if (co_await this->connection->ReadBody(chunk))
       co_return AttemptResult::kBroken;
-    if (may_resume)
-      chunk = this->relay.Feed(chunk);
+    const std::size_t events_before = this->relay.EventCount();
+    std::string events = this->relay.Feed(chunk);
+    if (this->relay.PartialSize() > kMaxEventBytes) {
+      ProcessMetrics().Add("oversized_responses_total");
+      co_return AttemptResult::kBroken;
+    }
+    if (may_resume) {
+      chunk = std::move(events);
+      // Comments and parts of events are no progress.
+      if (this->relay.EventCount() != events_before)
+        this->WatchForStall(stall_timer);
+    }
     if (!co_await this->RelayChunk(status, chunk))
       co_return AttemptResult::kBroken;
   } while (!this->connection->IsResponseComplete());
   stall_timer.Cancel();
-  if (!co_await this->RelayChunk(status, this->relay.Finish()))
+  const std::string rest = this->relay.Finish();
+  if (may_resume && !co_await this->RelayChunk(status, rest))
     co_return AttemptResult::kBroken;
   if (!this->is_head_sent) {
     const HeaderFieldList fields = this->ResponseFields();
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -60,6 +60,12 @@
   asio::awaitable<AttemptResult> Attempt();
   bool MayRetry(AttemptResult result);
 
+  /** @return True if a stream that stalls could be resumed elsewhere. */
+  bool CanResume() const;
+
+  /** Closes a stream that has stalled if another endpoint can resume it. */
+  void WatchForStall(CancellableTimer& timer);
+
   /** Waits for an endpoint with capacity and starts a request there.
    * @return Null if the time for it is over. */
   asio::awaitable<EndpointHandle> WaitForEndpoint();
@@ -122,6 +128,7 @@
   Clock::time_point reserved_at{};  ///< Time of the last reservation.
   std::int64_t pending_prefill_tokens = 0;
   EventRelay relay;
+  ByteShare response_bytes;   ///< Of the buffered response.
   ResponseMetadata response;  ///< From the head that was read last.
   std::optional<BufferedResponse> buffered_response;
 };
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -22,6 +22,10 @@
 
 constexpr double kPercent = 100.0;
 
+/** Limit of the buffered responses of all requests: a fifth of the memory of
+ * the smallest VMs. */
+constexpr std::size_t kMaxResponseBytes = std::size_t{32} * 1024 * 1024;
+
 /** Part of the retry burst allowance that all gateways together may spend. */
 constexpr double kRetrySlackUsed = 0.5;
 
@@ -36,7 +40,8 @@
                EndpointSelectorLimits{}),
       connection_pool(std::move(executor)),
       roster({settings.gossip_address, FailureDomainId(settings.failure_domain),
-              settings.link_capacity, false}) {}
+              settings.link_capacity, false}),
+      response_bytes(kMaxResponseBytes) {}
 
 ServiceQueue& GatewayState::QueueOf(const ServiceName& service) {
   ServiceQueue& queue = this->queues[service];
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -15,6 +15,7 @@
 #include "buckthornpath/retry_budget.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/waiting_queue.h"
+#include "gateway/byte_budget.h"
 #include "gateway/endpoint_connection_pool.h"
 #include "gateway/platform_adapter.h"
 
@@ -61,6 +62,8 @@
   std::unordered_map<ServiceName, ServiceQueue> queues;
   GatewayRoster roster;
   std::size_t gateway_count = 1;  ///< Live gateways, this one included.
+  /** Bytes of responses that are buffered until they are complete. */
+  ByteBudget response_bytes;
   bool is_draining = false;
   /** Set once the process is out of rotation: requests whose deadline is later
    * are refused, as they may outlast the drain. */
--- a/test/harness/child_process.cc
+++ b/test/harness/child_process.cc
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 
 namespace buckthornpath {
@@ -109,6 +110,17 @@
   return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t ChildProcess::PeakResidentBytes() const {
+  constexpr std::string_view kName = "VmHWM:";
+  constexpr std::uint64_t kBytesPerKilobyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kName))
+      return std::stoull(line.substr(kName.size())) * kBytesPerKilobyte;
+  }
+  return 0;
+}
+
 int ChildProcess::WaitForExit(std::chrono::milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (this->IsRunning()) {
--- a/test/harness/child_process.h
+++ b/test/harness/child_process.h
@@ -43,6 +43,10 @@
   /** @return Resident memory in bytes; 0 once the process has ended. */
   std::uint64_t ResidentBytes() const;
 
+  /** @return Maximum of ResidentBytes() so far; 0 once the process has ended.
+   */
+  std::uint64_t PeakResidentBytes() const;
+
  private:
   pid_t pid = -1;
   int exit_code = -1;
--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -91,7 +91,7 @@
   this->store = std::make_unique<PlatformStore>(
       ParseSocketAddress(this->Address(kStoreHost, kStorePort)));
   if (plan.publishes_configuration)
-    this->store->Put("op/config", StandardConfiguration(1));
+    this->PublishConfiguration();
   for (std::size_t i = 0; i < plan.engines; ++i)
     this->StartEndpoint("engine", i);
   for (std::size_t i = 0; i < plan.ledgers; ++i)
@@ -118,6 +118,13 @@
   }
 }
 
+void GatewayFleet::PublishConfiguration() {
+  json configuration = StandardConfiguration(1);
+  for (json& service : configuration["services"])
+    service["maxConns"] = this->plan.max_connections;
+  this->store->Put("op/config", configuration);
+}
+
 GatewayFleet::~GatewayFleet() {
   this->gateways.clear();
   for (const int pipe : this->unread_log_pipes)
@@ -212,7 +219,7 @@
                                                              : kEndpointPort)},
                          {"zone", "a"},
                          {"version", "v1"},
-                         {"slots", 8},
+                         {"slots", this->plan.slots},
                          {"state", state},
                          {"coldRemainingMs", 0},
                          {"sequence", 1}}));
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -25,6 +25,8 @@
   std::size_t engines = 1;
   /** Number of endpoints of the service "ledger". */
   std::size_t ledgers = 1;
+  std::size_t slots = 8;              ///< Of each endpoint.
+  std::size_t max_connections = 100;  ///< Of each endpoint.
   /** Settings that differ from the defaults. */
   nlohmann::json settings = nlohmann::json::object();
   bool publishes_configuration = true;
@@ -92,6 +94,7 @@
   std::string Address(int host, int port) const;
   std::string Seeds() const;
   void StartEndpoint(const std::string& kind, std::size_t index);
+  void PublishConfiguration();
 
   GatewayPlan plan;
   NetworkClaim claim;
