Gateway: a process that starts asks the store before it trusts a stale hub

Cause: a gateway that restarts took the items of any hub or peer, also of one that is cut off from the store: keys withdrawn and endpoints gone meanwhile would have been used until its own first read. Change: before the first items are applied, items of a gateway that does not read the store are used only once the own read of the store has failed.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -125,6 +125,10 @@
   return this->state.roster.IsHub() || this->upstream.MustReadStore(now);
 }
 
+bool PublicationFollower::MayUseStaleItems() const {
+  return this->state.is_loaded || !this->is_store_reachable;
+}
+
 void PublicationFollower::StopReadingStore() {
   if (!this->is_reading_store)
     return;
@@ -194,6 +198,8 @@
     // Changes that the hub has missed may include removals without an event.
     this->read_revision = 0;
     this->upstream.RecordFault(address, Clock::now());
+    if (!this->MayUseStaleItems())
+      co_return;
   }
   if (record.is_snapshot) {
     co_await this->ApplyAll(record.items);
@@ -259,7 +265,7 @@
 }
 
 asio::awaitable<void> PublicationFollower::ApplyFromPeer(PublishedItems all) {
-  if (all.revision <= this->published.Revision())
+  if (all.revision <= this->published.Revision() || !this->MayUseStaleItems())
     co_return;
   LogLine(LogLevel::kNotice, "published_by_peer", {{"revision", all.revision}});
   co_await this->ApplyAll(all);
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -62,6 +62,11 @@
                                     FeedRecord record);
   std::optional<std::string> HubToFollow() const;
   bool MustReadStore() const;
+
+  /** @return True if items may be taken from a gateway that may lag behind the
+   * store. A process that starts asks the store first: keys and endpoints that
+   * it would use could have been withdrawn. */
+  bool MayUseStaleItems() const;
   void StopReadingStore();
   void PublishToFeed();
   asio::awaitable<void> RunDeferredRemovals();
--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -28,6 +28,7 @@
 constexpr int kOperatorPort = 7104;
 constexpr int kEndpointPort = 7105;
 constexpr int kProxyPort = 7106;
+constexpr int kStoreProxyPort = 7107;
 
 json MakeRoute(const std::string& prefix,
                const std::string& kind,
@@ -100,6 +101,13 @@
     mkfifo(this->LogPath(i).c_str(), S_IRUSR | S_IWUSR);
     this->unread_log_pipes.push_back(open(this->LogPath(i).c_str(), O_RDWR));
   }
+  for (std::size_t i = 0; plan.store_proxied && i < plan.gateways; ++i) {
+    const int host = kFirstGatewayHost + static_cast<int>(i);
+    this->store_proxies.push_back(std::make_unique<FaultProxy>(
+        ParseSocketAddress(this->Address(host, kStoreProxyPort)),
+        ParseSocketAddress(this->Address(kStoreHost, kStorePort)),
+        ProxyUnit::kBytes));
+  }
   this->gateways.resize(plan.gateways);
   for (std::size_t i = 0; i < plan.gateways; ++i)
     this->Restart(i);
@@ -167,7 +175,9 @@
       {"vm", "gateway-" + std::to_string(index)},
       {"failure_domain", "a"},
       {"operator_address", this->Address(host, kOperatorPort)},
-      {"configuration_address", this->Address(kStoreHost, kStorePort)},
+      {"configuration_address", this->plan.store_proxied
+                                    ? this->Address(host, kStoreProxyPort)
+                                    : this->Address(kStoreHost, kStorePort)},
       {"caller_address", this->Address(host, kCallerPort)},
       {"ready_address", this->Address(host, kReadyPort)},
       {"gossip_address", this->Address(host, kGossipPort)},
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -30,8 +30,9 @@
   /** Settings that differ from the defaults. */
   nlohmann::json settings = nlohmann::json::object();
   bool publishes_configuration = true;
-  bool proxied = false;      ///< Gateways reach endpoints through a FaultProxy.
-  bool stalls_logs = false;  ///< Gateways log to pipes that are never read.
+  bool proxied = false;  ///< Gateways reach endpoints through a FaultProxy.
+  bool store_proxied = false;  ///< Each reaches the store through a FaultProxy.
+  bool stalls_logs = false;    ///< Gateways log to pipes that are never read.
 };
 
 /** API key of the organisation "parish" in StandardConfiguration(). */
@@ -64,6 +65,10 @@
   }
   /** @return A proxy; those of the engines come before those of the ledgers. */
   FaultProxy& Proxy(std::size_t index) { return *this->proxies.at(index); }
+  /** @return The proxy between a gateway and the store. */
+  FaultProxy& StoreProxy(std::size_t gateway) {
+    return *this->store_proxies.at(gateway);
+  }
   std::size_t ProxyCount() const { return this->proxies.size(); }
   ChildProcess& Gateway(std::size_t index) { return *this->gateways.at(index); }
   SocketAddress Caller(std::size_t index) const;
@@ -104,6 +109,7 @@
   std::vector<std::unique_ptr<ScriptedEndpoint>> engines;
   std::vector<std::unique_ptr<ScriptedEndpoint>> ledgers;
   std::vector<std::unique_ptr<FaultProxy>> proxies;
+  std::vector<std::unique_ptr<FaultProxy>> store_proxies;
   std::vector<std::unique_ptr<ChildProcess>> gateways;
 };
 
--- /dev/null
+++ b/test/stories/gateway_hub_fleet.cc
@@ -0,0 +1,253 @@
+/** @file gateway_hub_fleet.cc Hubs and followers as processes, under faults. */
+
+#include <cppunit/TestAssert.h>
+
+#include <csignal>
+#include <vector>
+
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kGateways = 5;
+
+/** The platform's limit for applying a configuration, of the smallest site. */
+constexpr milliseconds kApplyLimit{2000};
+
+/** Time for hubs to be elected or replaced. */
+constexpr milliseconds kElectionTimeout{5000};
+
+json GossipStatus(GatewayFleet& fleet, std::size_t gateway) {
+  const json status = LocalFleet::StatusOf(fleet.Operator(gateway));
+  return status.is_object() ? status.value("gossip", json::object())
+                            : json::object();
+}
+
+std::vector<std::size_t> GatewaysWithRole(GatewayFleet& fleet,
+                                          const std::string& role) {
+  std::vector<std::size_t> gateways;
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    if (GossipStatus(fleet, i).value("role", "") == role)
+      gateways.push_back(i);
+  }
+  return gateways;
+}
+
+/** A fleet of one failure domain whose members follow its hubs. */
+struct HubFleet {
+  HubFleet() : fleet(PlanOf()) {
+    CPPUNIT_ASSERT(
+        WaitUntil([this] { return this->IsSettled(); }, kElectionTimeout));
+    this->leader = GatewaysWithRole(this->fleet, "leader").front();
+    this->second_hub = GatewaysWithRole(this->fleet, "hub").front();
+    this->members = GatewaysWithRole(this->fleet, "member");
+  }
+
+  static GatewayPlan PlanOf() {
+    GatewayPlan plan;
+    plan.gateways = kGateways;
+    plan.store_proxied = true;
+    return plan;
+  }
+
+  bool IsSettled() {
+    const auto members = GatewaysWithRole(this->fleet, "member");
+    if (GatewaysWithRole(this->fleet, "leader").size() != 1 ||
+        GatewaysWithRole(this->fleet, "hub").size() != 1 ||
+        members.size() != kGateways - 2)
+      return false;
+    for (const std::size_t member : members) {
+      const json status = GossipStatus(this->fleet, member);
+      if (status.value("reads_store", true) ||
+          status.value("followed_hub", "").empty())
+        return false;
+    }
+    return true;
+  }
+
+  std::uint64_t VersionAt(std::size_t gateway) {
+    return LocalFleet::StatusOf(this->fleet.Operator(gateway))
+        .value("configuration", std::uint64_t{0});
+  }
+
+  /** Publishes a version; true if these gateways apply it in time. */
+  bool ReachesInTime(std::uint64_t version,
+                     const std::vector<std::size_t>& gateways) {
+    this->fleet.Store().Put("op/config", StandardConfiguration(version));
+    return WaitUntil(
+        [&] {
+          for (const std::size_t gateway : gateways) {
+            if (this->VersionAt(gateway) != version)
+              return false;
+          }
+          return true;
+        },
+        kApplyLimit);
+  }
+
+  void CutFromStore(std::size_t gateway) {
+    this->fleet.StoreProxy(gateway).RefuseNew(true);
+    this->fleet.StoreProxy(gateway).CutAll();
+  }
+
+  unsigned StatusOfCall(std::size_t gateway, const std::string& key) {
+    CallerText text;
+    text.key = key;
+    return this->fleet.Call(gateway, TextOf(text)).status;
+  }
+
+  GatewayFleet fleet;
+  std::size_t leader = 0;
+  std::size_t second_hub = 0;
+  std::vector<std::size_t> members;
+};
+
+void OnlyHubsReadTheStore() {
+  HubFleet hubs;
+  std::vector<std::size_t> calls;
+  for (const std::size_t member : hubs.members)
+    calls.push_back(hubs.fleet.StoreProxy(member).Accepted());
+  const std::size_t hub_calls = hubs.fleet.StoreProxy(hubs.leader).Accepted();
+  for (std::uint64_t version = 2; version <= 4; ++version) {
+    CPPUNIT_ASSERT(hubs.ReachesInTime(version, {0, 1, 2, 3, 4}));
+  }
+  for (std::size_t i = 0; i < hubs.members.size(); ++i) {
+    CPPUNIT_ASSERT_EQUAL(calls[i],
+                         hubs.fleet.StoreProxy(hubs.members[i]).Accepted());
+  }
+  CPPUNIT_ASSERT(hubs.fleet.StoreProxy(hubs.leader).Accepted() > hub_calls);
+}
+
+void LeaderDiesWithAChange() {
+  HubFleet hubs;
+  hubs.fleet.Gateway(hubs.leader).Kill();
+  std::vector<std::size_t> others = hubs.members;
+  others.push_back(hubs.second_hub);
+  CPPUNIT_ASSERT(hubs.ReachesInTime(2, others));
+}
+
+void BothHubsFreezeWithAChange() {
+  HubFleet hubs;
+  hubs.fleet.Gateway(hubs.leader).Signal(SIGSTOP);
+  hubs.fleet.Gateway(hubs.second_hub).Signal(SIGSTOP);
+  CPPUNIT_ASSERT(hubs.ReachesInTime(2, hubs.members));
+  hubs.fleet.Gateway(hubs.leader).Signal(SIGCONT);
+  hubs.fleet.Gateway(hubs.second_hub).Signal(SIGCONT);
+  // Woken hubs believe old things; nobody goes back to them.
+  CPPUNIT_ASSERT(hubs.ReachesInTime(3, {0, 1, 2, 3, 4}));
+}
+
+void HubsAreCutFromTheStore() {
+  HubFleet hubs;
+  hubs.CutFromStore(hubs.leader);
+  hubs.CutFromStore(hubs.second_hub);
+  CPPUNIT_ASSERT(hubs.ReachesInTime(2, hubs.members));
+  // The hubs learn of the version from their members.
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] {
+        return hubs.VersionAt(hubs.leader) == 2 &&
+               hubs.VersionAt(hubs.second_hub) == 2;
+      },
+      2 * kApplyLimit));
+}
+
+void FollowersReturnToTheirHub() {
+  HubFleet hubs;
+  hubs.CutFromStore(hubs.leader);
+  hubs.CutFromStore(hubs.second_hub);
+  CPPUNIT_ASSERT(hubs.ReachesInTime(2, hubs.members));
+  hubs.fleet.StoreProxy(hubs.leader).RefuseNew(false);
+  hubs.fleet.StoreProxy(hubs.second_hub).RefuseNew(false);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return hubs.IsSettled(); }, 2 * kElectionTimeout));
+}
+
+json WithoutParish(std::uint64_t version) {
+  json configuration = StandardConfiguration(version);
+  configuration["tenants"].erase(0);
+  return configuration;
+}
+
+/** A key is withdrawn while the hubs cannot read the store; then a member
+ * restarts. It can reach the store, and must not use what the hubs hold. */
+void RestartedMemberUsesNoWithdrawnKey() {
+  HubFleet hubs;
+  const std::size_t member = hubs.members.front();
+  CPPUNIT_ASSERT_EQUAL(200U, hubs.StatusOfCall(member, kParishKey));
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    if (i != member)
+      hubs.CutFromStore(i);
+  }
+  hubs.fleet.Gateway(member).Kill();
+  hubs.fleet.Store().Put("op/config", WithoutParish(2));
+  hubs.fleet.Restart(member);
+  CPPUNIT_ASSERT(WaitUntil([&] { return hubs.fleet.IsReady(member); }));
+  CPPUNIT_ASSERT_EQUAL(401U, hubs.StatusOfCall(member, kParishKey));
+  CPPUNIT_ASSERT_EQUAL(200U, hubs.StatusOfCall(member, "hospital-key"));
+}
+
+/** The same with an endpoint that has left. */
+void RestartedMemberUsesNoEndpointThatLeft() {
+  HubFleet hubs;
+  const std::size_t member = hubs.members.front();
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    if (i != member)
+      hubs.CutFromStore(i);
+  }
+  hubs.fleet.Gateway(member).Kill();
+  hubs.fleet.Store().Remove("servers/ledger-0");
+  const std::size_t before = hubs.fleet.Ledger(0).Received().size();
+  hubs.fleet.Restart(member);
+  CPPUNIT_ASSERT(WaitUntil([&] { return hubs.fleet.IsReady(member); }));
+  CPPUNIT_ASSERT_EQUAL(503U, hubs.StatusOfCall(member, kParishKey));
+  CPPUNIT_ASSERT_EQUAL(before, hubs.fleet.Ledger(0).Received().size());
+}
+
+void ANewLeaderIsElected() {
+  HubFleet hubs;
+  hubs.fleet.Gateway(hubs.leader).Kill();
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] {
+        return GossipStatus(hubs.fleet, hubs.second_hub).value("role", "") ==
+                   "leader" &&
+               GatewaysWithRole(hubs.fleet, "hub").size() == 1;
+      },
+      kElectionTimeout));
+  hubs.fleet.Restart(hubs.leader);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return hubs.IsSettled(); }, 2 * kElectionTimeout));
+}
+
+const Story kStory("gateway_hub_fleet", [] {
+  return Section(
+      "given five gateways of one failure domain",
+      {Section("when nothing fails",
+               {Then("only the hubs read the store", OnlyHubsReadTheStore)}),
+       Section("when a configuration is published while hubs fail",
+               {Then("the others apply it in time though the leader dies",
+                     LeaderDiesWithAChange),
+                Then("the others apply it in time though both hubs freeze",
+                     BothHubsFreezeWithAChange),
+                Then("all apply it though the hubs are cut off from the store",
+                     HubsAreCutFromTheStore),
+                Then("followers return to a hub that reads the store again",
+                     FollowersReturnToTheirHub)}),
+       Section(
+           "when a gateway restarts",
+           {Then("it uses no key that was withdrawn",
+                 RestartedMemberUsesNoWithdrawnKey),
+            Then("it uses no endpoint that has left",
+                 RestartedMemberUsesNoEndpointThatLeft),
+            Then("a leader is replaced and returns", ANewLeaderIsElected)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
