Gossip: a hub tells members whose leader differs from its own

Cause: members that start at the same moment report to the gateway that they know; once that one has learned of a better leader it is only the second hub, sends no views and did not answer: members and leader never heard of each other (seen in about one of ten starts of five gateways; two gateways stayed alone). Change: a report names the sender's leader; a gateway that knows another one answers with the roster. Hubs are also given up a little sooner. A failure to start now prints all gateways' logs.

--- a/src/decision/upstream_selector.cc
+++ b/src/decision/upstream_selector.cc
@@ -12,13 +12,13 @@
 
 /** Time without confirmation after which the items of a hub are stale. Hubs
  * confirm several times within it. */
-constexpr milliseconds kFreshTime{1000};
+constexpr milliseconds kFreshTime{800};
 
 /** Time to connect to another hub after the first one failed. */
 constexpr milliseconds kSwitchTime{250};
 
 /** Maximum delay that is added for a gateway's spread. */
-constexpr milliseconds kMaxSpread{300};
+constexpr milliseconds kMaxSpread{200};
 
 /** Initial and maximum time for which a failed hub is avoided. */
 constexpr milliseconds kMinBackoff{1000};
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -53,6 +53,7 @@
                                   std::to_string(kind));
   message.kind = static_cast<GatewayMessageKind>(kind);
   message.sender = DecodeMember(value.at("sender"));
+  message.leader = value.value("leader", "");
   message.sequence = value.at("sequence").get<std::uint64_t>();
   message.acknowledged = value.at("acknowledged").get<std::uint64_t>();
   message.gateway_count = value.at("gateways").get<std::size_t>();
@@ -97,6 +98,7 @@
                 {"parts", std::move(segments)},
                 {"kind", static_cast<unsigned>(message.kind)},
                 {"sender", EncodeMember(message.sender)},
+                {"leader", message.leader},
                 {"sequence", message.sequence},
                 {"acknowledged", message.acknowledged},
                 {"gateways", message.gateway_count},
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -40,6 +40,8 @@
 struct GatewayMessage {
   GatewayMessageKind kind = GatewayMessageKind::kReport;
   GatewayMember sender;
+  /** Address of the leader of the sender's failure domain, as it knows it. */
+  std::string leader;
   std::uint64_t sequence = 0;  ///< Of a report; rises within a process.
   /** View: sequence of the receiver's latest report that the loads include. */
   std::uint64_t acknowledged = 0;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -209,6 +209,8 @@
   message.sender = this->state.roster.Self();
   message.revision = this->follower.Published().Revision();
   message.gateway_count = this->state.gateway_count;
+  if (!this->hubs.empty())
+    message.leader = this->hubs.front();
   return message;
 }
 
@@ -446,9 +448,11 @@
     for (const SegmentLocation& place : message.segments)
       this->domain_segments.Add(place);
   }
-  // The sender takes this gateway for a hub, or does not know one.
-  if (!is_member || this->role == "member")
+  // The sender reports to another leader, which does not know all members.
+  if (!is_member || this->hubs.empty() ||
+      message.leader != this->hubs.front()) {
     this->SendRosterTo(message.sender);
+  }
 }
 
 void PeerExchange::HandleDigest(GatewayMessage& message) {
--- a/src/gateway/publication_feed.cc
+++ b/src/gateway/publication_feed.cc
@@ -14,7 +14,7 @@
 
 /** Interval of records without changes; several fit into the time after which
  * a reader considers its items stale. */
-constexpr milliseconds kConfirmInterval{300};
+constexpr milliseconds kConfirmInterval{200};
 
 /** @return A number of the query; 0 if it is missing or malformed. */
 std::uint64_t NumberOf(const HttpRequest& request, std::string_view name) {
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -45,7 +45,7 @@
 constexpr milliseconds kHubConnectTimeout{400};
 
 /** Time without a record after which a hub counts as failed. */
-constexpr milliseconds kHubSilence{900};
+constexpr milliseconds kHubSilence{700};
 
 /** @return A number from 0 to 1 that differs between addresses. */
 double SpreadOf(const std::string& address) {
--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -121,11 +121,23 @@
              status.value("peers", 0U) == plan.gateways - 1;
     });
     if (!is_up)
-      throw std::runtime_error(
-          "gateway did not become ready in time; its log: " + this->Log(i));
+      throw std::runtime_error("gateway " + std::to_string(i) +
+                               " did not become ready in time; " +
+                               this->DescribeGateways());
   }
 }
 
+std::string GatewayFleet::DescribeGateways() {
+  std::string text;
+  for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+    text += "gateway " + std::to_string(i) +
+            (this->gateways[i]->IsRunning() ? " runs" : " has ended") +
+            ", status " + LocalFleet::StatusOf(this->Operator(i)).dump() +
+            ", log:\n" + this->Log(i) + "\n";
+  }
+  return text;
+}
+
 void GatewayFleet::PublishConfiguration() {
   json configuration = StandardConfiguration(1);
   for (json& service : configuration["services"])
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -101,6 +101,9 @@
   void StartEndpoint(const std::string& kind, std::size_t index);
   void PublishConfiguration();
 
+  /** @return State and log of each gateway, for an error message. */
+  std::string DescribeGateways();
+
   GatewayPlan plan;
   NetworkClaim claim;
   ScratchDirectory scratch;
--- a/test/stories/gateway_hubs.cc
+++ b/test/stories/gateway_hubs.cc
@@ -305,6 +305,7 @@
   GatewayMessage message;
   message.kind = GatewayMessageKind::kView;
   message.sender = MemberOf(1, "b", 200);
+  message.leader = AddressOf(3);
   message.sequence = 5;
   message.acknowledged = 4;
   message.revision = 9;
@@ -318,6 +319,7 @@
   CPPUNIT_ASSERT_EQUAL(message.sender.address, decoded.sender.address);
   CPPUNIT_ASSERT(decoded.sender.failure_domain == FailureDomainId("b"));
   CPPUNIT_ASSERT_EQUAL(std::int64_t{200}, decoded.sender.capacity);
+  CPPUNIT_ASSERT_EQUAL(AddressOf(3), decoded.leader);
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, decoded.acknowledged);
   CPPUNIT_ASSERT_EQUAL(std::size_t{103}, decoded.gateway_count);
   CPPUNIT_ASSERT(decoded.roster.at(0).age == milliseconds(150));
