Follower: a lost first answer of the store is given up after 0.4 s

Change: a read waits 0.4 s and doubles up to 1.6 s after failures; Retry-After without a configuration is 0.5 s.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -63,6 +63,10 @@
 constexpr milliseconds kMinRetryAfter{50};
 constexpr int kRetryAfterDivisor = 3;
 
+/** Retry-After of a process that has no configuration yet: a caller that returns
+ * at once would use up its retries before the first read can succeed. */
+constexpr milliseconds kStartRetryAfter{500};
+
 /** The latency target of a route that states none is its timeout divided by
  * this. */
 constexpr int kDefaultTargetDivisor = 4;
@@ -606,6 +610,8 @@
 }
 
 milliseconds ForwardSession::RetryAfter() const {
+  if (!this->table)
+    return kStartRetryAfter;
   const auto queue = this->state.queues.find(this->request.service);
   if (queue == this->state.queues.end())
     return kMinRetryAfter;
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -90,9 +90,11 @@
 
   /**
    * Reads all items.
+   * @param timeout Limit of the wait for each part of them.
    * @throws StoreUnavailable If the store does not answer.
    */
-  virtual boost::asio::awaitable<PublishedItems> ReadAll() = 0;
+  virtual boost::asio::awaitable<PublishedItems> ReadAll(
+      std::chrono::milliseconds timeout) = 0;
 
   /**
    * Waits for changes after a revision.
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -29,6 +29,12 @@
  * one call. A tenth of the platform's limit for applying a change. */
 constexpr milliseconds kBatchDelay{250};
 
+/** Limits of the wait for the store's answer to a read. An answer that is lost
+ * never comes: a process that starts without items must not wait for it long. A
+ * failed read doubles the time, as the store may be slow. */
+constexpr milliseconds kMinReadTimeout{400};
+constexpr milliseconds kMaxReadTimeout{1600};
+
 /** Initial and maximum backoff after a failed call. */
 constexpr milliseconds kInitialBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
@@ -62,7 +68,8 @@
       source(state.adapter.MakeSource(state.settings)),
       published(kRemovalGrace),
       feed(this->published, state.executor),
-      upstream(SpreadOf(state.settings.gossip_address)) {}
+      upstream(SpreadOf(state.settings.gossip_address)),
+      read_timeout(kMinReadTimeout) {}
 
 void PublicationFollower::Start() {
   const std::vector<std::string> seeds =
@@ -109,8 +116,10 @@
     this->RecordStoreResult(fault.empty(), fault);
     if (fault.empty()) {
       backoff = kInitialBackoff;
+      this->read_timeout = kMinReadTimeout;
       continue;
     }
+    this->read_timeout = std::min(this->read_timeout * 2, kMaxReadTimeout);
     std::uniform_int_distribution<std::int64_t> jitter(backoff.count() / 2,
                                                        backoff.count());
     co_await SleepFor(milliseconds(jitter(random)));
@@ -219,7 +228,8 @@
 
 asio::awaitable<void> PublicationFollower::ReadNext() {
   if (this->read_revision == 0) {
-    const PublishedItems all = co_await this->source->ReadAll();
+    const PublishedItems all =
+        co_await this->source->ReadAll(this->read_timeout);
     co_await this->ApplyAll(all);
     this->read_revision = all.revision;
     co_return;
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -86,6 +86,7 @@
   FeedPosition feed_position;  ///< Read from the feeds of hubs so far.
   Clock::time_point hub_expected_until{};
   std::uint64_t read_revision = 0;  ///< Read from the store; 0: read all.
+  std::chrono::milliseconds read_timeout;
   bool is_reading_store = false;
   bool is_store_reachable = true;
 };
--- a/test/stories/gateway_publication.cc
+++ b/test/stories/gateway_publication.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <memory>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -40,6 +41,36 @@
   return configuration;
 }
 
+/** @return Time of the first log line of an event; 0 if there is none. */
+std::int64_t TimeOfEvent(const std::string& log, const std::string& event) {
+  std::istringstream lines(log);
+  for (std::string line; std::getline(lines, line);) {
+    const auto entry = nlohmann::json::parse(line, nullptr, false);
+    if (entry.is_object() && entry.value("event", "") == event)
+      return entry.value("time_ms", std::int64_t{0});
+  }
+  return 0;
+}
+
+/** The store's first answer is lost when all processes start again. */
+void LostFirstAnswerIsGivenUpSoon() {
+  GatewayFleet fleet({});
+  fleet.Gateway(0).Kill();
+  const std::size_t log_size = fleet.Log(0).size();
+  fleet.Store().SetMode(StoreMode::kSilent);
+  fleet.Restart(0);
+  std::string log;
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    log = fleet.Log(0).substr(log_size);
+    return TimeOfEvent(log, "store_lost") > 0;
+  }));
+  fleet.Store().SetMode(StoreMode::kServing);
+  // The store answers within milliseconds, or 60 times as late when slow.
+  CPPUNIT_ASSERT(TimeOfEvent(log, "store_lost") - TimeOfEvent(log, "started") <
+                 1000);
+  CPPUNIT_ASSERT(WaitUntil([&] { return fleet.IsReady(0); }));
+}
+
 std::uint64_t VersionOf(GatewayFleet& fleet, std::size_t gateway) {
   return LocalFleet::StatusOf(fleet.Operator(gateway))
       .value("configuration", std::uint64_t{0});
@@ -207,6 +238,8 @@
        Section("when a process starts",
                {Then("the first configuration version makes it ready",
                      FirstVersionMakesReady),
+                Then("a lost answer of the store is given up soon",
+                     LostFirstAnswerIsGivenUpSoon),
                 Then("callers that connect at once are served",
                      CallersOfStartingProcessAreServed),
                 Then("all gateways find each other through one address",
