Revert the use of an endpoint's slowness

It gains nothing: the figure changes several times a second, and a gateway hears from an endpoint about twice a second.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -49,8 +49,6 @@
 struct SelfReportedLoad {
   std::int64_t running = 0;
   std::int64_t waiting = 0;
-  /** Time that work takes at this moment, relative to the usual time. */
-  double slowness = 1.0;
 };
 
 /** Result of a request, as input to the health of its endpoint. */
@@ -107,7 +105,6 @@
   std::int64_t peer_prefill_tokens = 0;
   std::int64_t reported_load = 0;  ///< Latest load reported by the endpoint.
   std::int64_t own_at_report = 0;
-  double slowness = 1.0;  ///< In the latest report.
   TimePoint reported_at{};
   TimePoint last_response_at{};  ///< Last response data received.
   TimePoint last_request_at{};   ///< Last request sent.
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -46,14 +46,6 @@
 /** Number of requests that a mean duration covers. */
 constexpr int kMeanTimeSamples = 20;
 
-/** Maximum age of an endpoint's slowness, which changes several times a second.
- */
-constexpr milliseconds kMaxSlownessAge{300};
-
-/** Cost of an endpoint at which work takes twice the usual time: that of one
- * request ahead in a plain service. */
-constexpr double kSlowRequestCost = 1000.0;
-
 /** Smoothing factor of the failure rate, per request. */
 constexpr double kFailureRateSmoothing = 0.15;
 
@@ -332,8 +324,6 @@
   // its callers than of its endpoints.
   if (!query.is_plain && endpoint.entry.failure_domain != this->own_domain)
     cost += kCrossDomainCost;
-  if (now - endpoint.reported_at < kMaxSlownessAge)
-    cost += kSlowRequestCost * (endpoint.slowness - 1.0);
   cost += kFailureCost * endpoint.failure_rate;
   if (endpoint.entry.warm_up_remaining > milliseconds(0))
     cost += kWarmUpCost;
@@ -489,7 +479,6 @@
                                           TimePoint now) {
   endpoint.reported_load = load.running + load.waiting;
   endpoint.own_at_report = endpoint.own_requests;
-  endpoint.slowness = load.slowness;
   endpoint.reported_at = now;
 }
 
