--- a/include/buckthornpath/waiting_queue.h
+++ b/include/buckthornpath/waiting_queue.h
@@ -59,4 +59,4 @@
 
 }  // namespace buckthornpath
 
-#endif  // BUCKTHORNPATH_WAITING_LINE_H_
+#endif  // BUCKTHORNPATH_WAITING_QUEUE_H_
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -107,6 +107,19 @@
   return std::exp(-age_seconds / mean_seconds);
 }
 
+/** @return The own load and what is left of the load of other gateways. */
+double AddPeers(std::int64_t own,
+                std::int64_t peers,
+                double mean_of_peers,
+                double freshness) {
+  const auto reported = static_cast<double>(peers);
+  // Without rounding if the load is current.
+  const double left =
+      freshness == 1.0 ? reported
+                       : mean_of_peers + freshness * (reported - mean_of_peers);
+  return static_cast<double>(own) + left;
+}
+
 std::uint64_t RendezvousScore(std::uint64_t segment, const EndpointId& id) {
   return XXH3_64bits_withSeed(id.str().data(), id.str().size(), segment);
 }
@@ -222,24 +235,14 @@
 
 double EndpointSelector::RequestsAt(const EndpointState& endpoint,
                                     const PeerBasis& basis) {
-  const double difference =
-      static_cast<double>(endpoint.peer_requests) - basis.mean_requests;
-  const double peers =
-      basis.request_freshness == 1.0
-          ? static_cast<double>(endpoint.peer_requests)
-          : basis.mean_requests + basis.request_freshness * difference;
-  return static_cast<double>(endpoint.own_requests) + peers;
+  return AddPeers(endpoint.own_requests, endpoint.peer_requests,
+                  basis.mean_requests, basis.request_freshness);
 }
 
 double EndpointSelector::PrefillTokensAt(const EndpointState& endpoint,
                                          const PeerBasis& basis) {
-  const double difference = static_cast<double>(endpoint.peer_prefill_tokens) -
-                            basis.mean_prefill_tokens;
-  const double peers =
-      basis.prefill_freshness == 1.0
-          ? static_cast<double>(endpoint.peer_prefill_tokens)
-          : basis.mean_prefill_tokens + basis.prefill_freshness * difference;
-  return static_cast<double>(endpoint.own_prefill_tokens) + peers;
+  return AddPeers(endpoint.own_prefill_tokens, endpoint.peer_prefill_tokens,
+                  basis.mean_prefill_tokens, basis.prefill_freshness);
 }
 
 bool EndpointSelector::MayQueueAt(const EndpointState& endpoint,
--- a/src/wire/index_version_type.h
+++ b/src/wire/index_version_type.h
@@ -21,4 +21,4 @@
 
 }  // namespace buckthornpath
 
-#endif  // SRC_WIRE_INDEX_STAMP_TYPE_H_
+#endif  // SRC_WIRE_INDEX_VERSION_TYPE_H_
--- a/src/wire/message_codec.h
+++ b/src/wire/message_codec.h
@@ -25,4 +25,4 @@
 
 }  // namespace buckthornpath
 
-#endif  // SRC_WIRE_CODEC_H_
+#endif  // SRC_WIRE_MESSAGE_CODEC_H_
--- a/src/wire/message_connection.h
+++ b/src/wire/message_connection.h
@@ -79,4 +79,4 @@
 
 }  // namespace buckthornpath
 
-#endif  // SRC_WIRE_DIALOGUE_CONNECTION_H_
+#endif  // SRC_WIRE_MESSAGE_CONNECTION_H_
--- a/test/harness/engine_replay.cc
+++ b/test/harness/engine_replay.cc
@@ -11,6 +11,8 @@
 #include <set>
 #include <unordered_map>
 
+#include "harness/replay_endpoint.h"
+
 namespace buckthornpath {
 
 namespace {
@@ -98,9 +100,10 @@
     this->result.classes.resize(plan.classes.size());
     this->engines.assign(plan.engines, ModelEngine(plan.cache_tokens));
     for (std::size_t i = 0; i < plan.gateways; ++i) {
-      this->selectors.emplace_back(FailureDomainId(DomainOf(i)), plan.limits);
+      this->selectors.emplace_back(ReplayDomain(i), plan.limits);
       for (std::size_t e = 0; e < plan.engines; ++e)
-        this->selectors.back().Publish(this->EntryOf(e));
+        this->selectors.back().Publish(
+            ReplayEntry(kService, e, this->plan.slots));
     }
   }
 
@@ -119,28 +122,6 @@
   }
 
  private:
-  static std::string DomainOf(std::size_t number) {
-    return std::string(1, static_cast<char>('a' + number % 5));
-  }
-
-  static EndpointId IdOf(std::size_t number) {
-    return EndpointId("e-" + std::to_string(number));
-  }
-
-  static std::size_t NumberOf(const EndpointId& id) {
-    return std::stoul(id.str().substr(2));
-  }
-
-  EndpointEntry EntryOf(std::size_t number) const {
-    EndpointEntry entry;
-    entry.id = IdOf(number);
-    entry.service = kService;
-    entry.address = "10.0.0.1:" + std::to_string(1000 + number);
-    entry.failure_domain = FailureDomainId(DomainOf(number));
-    entry.slots = this->plan.slots;
-    return entry;
-  }
-
   milliseconds Elapsed(TimePoint since) const {
     return std::chrono::duration_cast<milliseconds>(this->now - since);
   }
@@ -263,7 +244,8 @@
         query, this->now, [](const EndpointState&) { return true; });
     if (!chosen)
       return false;
-    ModelEngine& engine = this->engines[NumberOf(chosen->Entry().id)];
+    ModelEngine& engine =
+        this->engines[ReplayEndpointNumber(chosen->Entry().id)];
     this->CheckBound(engine);
     if (engine.Load() >= this->plan.slots + this->plan.queue_length) {
       ++this->result.classes[request->kind].refused;
@@ -335,8 +317,9 @@
     report.tokens = report.requests;
     for (std::size_t g = 0; g < this->selectors.size(); ++g) {
       for (const auto& [id, endpoint] : this->selectors[g].All()) {
-        report.requests[NumberOf(id)][g] = endpoint->OwnRequests();
-        report.tokens[NumberOf(id)][g] = endpoint->OwnPrefillTokens();
+        report.requests[ReplayEndpointNumber(id)][g] = endpoint->OwnRequests();
+        report.tokens[ReplayEndpointNumber(id)][g] =
+            endpoint->OwnPrefillTokens();
       }
       for (SegmentLocation& place : this->selectors[g].TakeNewSegments())
         report.segments.push_back(std::move(place));
@@ -353,7 +336,7 @@
         requests += report.requests[e][g];
         tokens += report.tokens[e][g];
       }
-      selector.SetPeerLoad(IdOf(e), requests, tokens);
+      selector.SetPeerLoad(ReplayEndpointId(e), requests, tokens);
     }
     selector.SetPeerLoadsTime(this->now - this->plan.load_delay);
     for (const SegmentLocation& place : report.segments)
--- a/test/harness/load_replay.cc
+++ b/test/harness/load_replay.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "buckthornpath/admission_ratio.h"
+#include "harness/replay_endpoint.h"
 
 namespace buckthornpath {
 
@@ -47,10 +48,10 @@
         ratios(plan.gateways),
         endpoints(plan.endpoints) {
     for (std::size_t i = 0; i < plan.gateways; ++i) {
-      this->selectors.emplace_back(FailureDomainId(DomainOf(i)),
-                                   EndpointSelectorLimits{});
+      this->selectors.emplace_back(ReplayDomain(i), EndpointSelectorLimits{});
       for (std::size_t e = 0; e < plan.endpoints; ++e)
-        this->selectors.back().Publish(this->EntryOf(e));
+        this->selectors.back().Publish(
+            ReplayEntry(kService, e, this->plan.slots));
     }
   }
 
@@ -68,28 +69,6 @@
   }
 
  private:
-  static std::string DomainOf(std::size_t number) {
-    return std::string(1, static_cast<char>('a' + number % 5));
-  }
-
-  static EndpointId IdOf(std::size_t number) {
-    return EndpointId("endpoint-" + std::to_string(number));
-  }
-
-  EndpointEntry EntryOf(std::size_t number) const {
-    EndpointEntry entry;
-    entry.id = IdOf(number);
-    entry.service = kService;
-    entry.address = "10.0.0.1:" + std::to_string(1000 + number);
-    entry.failure_domain = FailureDomainId(DomainOf(number));
-    entry.slots = this->plan.slots;
-    return entry;
-  }
-
-  std::size_t NumberOf(const EndpointId& id) const {
-    return std::stoul(id.str().substr(std::string("endpoint-").size()));
-  }
-
   void StartRequests() {
     const double clumps_per_step = this->plan.requests_per_second /
                                    static_cast<double>(this->plan.clump) /
@@ -124,7 +103,7 @@
       ++this->result.refused;
       return;
     }
-    const std::size_t number = this->NumberOf(chosen->Entry().id);
+    const std::size_t number = ReplayEndpointNumber(chosen->Entry().id);
     ModelEndpoint& endpoint = this->endpoints[number];
     this->CheckBound(endpoint);
     if (endpoint.Load() >= this->plan.slots + this->plan.queue_length) {
@@ -232,7 +211,7 @@
       std::int64_t total = 0;
       for (const std::int64_t count : loads[e])
         total += count;
-      selector.SetPeerLoad(IdOf(e), total - loads[e][gateway], 0);
+      selector.SetPeerLoad(ReplayEndpointId(e), total - loads[e][gateway], 0);
     }
     selector.SetPeerLoadsTime(this->now - this->plan.load_delay);
   }
