Retry budget: a change of the number of gateways keeps it

SetGatewayCount() threw the budgets away, and the stall timer of a stream read the one of its service without making it anew: a null pointer, so the whole process ended when a stream stalled after a gateway had come or gone and before the next request of that service. Each change also handed out a full bucket of retries.

Change: the budget stays and takes its new capacity in proportion (RetryBudget::SetCapacity()). The soak now checks that no gateway ends by itself with an exit code other than 0 and prints the log lines of a violation.

--- a/include/buckthornpath/retry_budget.h
+++ b/include/buckthornpath/retry_budget.h
@@ -23,6 +23,10 @@
    */
   bool TryTake();
 
+  /** Changes the capacity. What is left stays the same part of it, so that
+   * repeated changes add no retries to a bucket that has been drained. */
+  void SetCapacity(double capacity);
+
   /** @return True if TryTake() would succeed. */
   bool CanTake() const { return this->tokens >= 1.0; }
 
--- a/src/decision/retry_budget.cc
+++ b/src/decision/retry_budget.cc
@@ -16,6 +16,11 @@
       std::min(this->capacity, this->tokens + this->retries_per_attempt);
 }
 
+void RetryBudget::SetCapacity(double capacity) {
+  this->tokens *= capacity / this->capacity;
+  this->capacity = capacity;
+}
+
 bool RetryBudget::TryTake() {
   if (this->tokens < 1.0)
     return false;
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -165,7 +165,7 @@
     this->Abort();
   });
   this->exchange.SetDisconnectHandler([this] { this->Abort(); });
-  this->state.QueueOf(this->request.service).retry_budget->CountFirstAttempt();
+  this->state.QueueOf(this->request.service).retry_budget.CountFirstAttempt();
 }
 
 milliseconds ForwardSession::TimeLeft() const {
@@ -199,8 +199,7 @@
       this->TimeLeft() < kMinTimeLeft) {
     return false;
   }
-  RetryBudget& budget =
-      *this->state.QueueOf(this->request.service).retry_budget;
+  RetryBudget& budget = this->state.QueueOf(this->request.service).retry_budget;
   switch (result) {
     case AttemptResult::kUnreachable:
       return ++this->connect_failures < kMaxConnectFailures;
@@ -526,7 +525,7 @@
   return this->attempts < this->request.route->max_attempts &&
          this->TimeLeft() >= kMinTimeLeft &&
          queue != this->state.queues.end() &&
-         queue->second.retry_budget->CanTake();
+         queue->second.retry_budget.CanTake();
 }
 
 void ForwardSession::WatchForStall(CancellableTimer& timer) {
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -44,18 +44,19 @@
       response_bytes(kMaxResponseBytes) {}
 
 ServiceQueue& GatewayState::QueueOf(const ServiceName& service) {
-  ServiceQueue& queue = this->queues[service];
-  if (!queue.retry_budget) {
-    const double share =
-        kRetryShareUsed *
-        static_cast<double>(this->settings.retry_budget_percent) / kPercent;
-    const double slack =
-        kRetrySlackUsed * static_cast<double>(this->settings.retry_slack) /
-        static_cast<double>(std::max<std::size_t>(this->gateway_count, 1));
-    queue.retry_budget =
-        std::make_unique<RetryBudget>(share, std::max(slack, 1.0));
-  }
-  return queue;
+  const double share =
+      kRetryShareUsed *
+      static_cast<double>(this->settings.retry_budget_percent) / kPercent;
+  const auto [queue, is_new] =
+      this->queues.try_emplace(service, RetryBudget(share, this->RetryBurst()));
+  return queue->second;
+}
+
+double GatewayState::RetryBurst() const {
+  return std::max(
+      1.0,
+      kRetrySlackUsed * static_cast<double>(this->settings.retry_slack) /
+          static_cast<double>(std::max<std::size_t>(this->gateway_count, 1)));
 }
 
 bool GatewayState::HasConnectionCapacity(const EndpointState& endpoint) const {
@@ -93,9 +94,8 @@
   if (count == this->gateway_count)
     return;
   this->gateway_count = count;
-  // Each gateway's share of the retry burst allowance depends on the count.
   for (auto& [service, queue] : this->queues)
-    queue.retry_budget.reset();
+    queue.retry_budget.SetCapacity(this->RetryBurst());
 }
 
 void GatewayState::WakeAllWaiting() {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -23,10 +23,13 @@
 
 /** Requests of one service that wait for an endpoint with capacity. */
 struct ServiceQueue {
+  explicit ServiceQueue(const RetryBudget& retry_budget)
+      : retry_budget(retry_budget) {}
+
   WaitingQueue waiting;
   /** Tries to start a waiting request; false if no endpoint has capacity. */
   std::map<WaitTicket, std::function<bool()>> wake_handlers;
-  std::unique_ptr<RetryBudget> retry_budget;
+  RetryBudget retry_budget;
   AdmissionRatio admission;  ///< Used for services without prompts.
 };
 
@@ -46,6 +49,9 @@
   /** Sets the number of live gateways, this one included. */
   void SetGatewayCount(std::size_t count);
 
+  /** @return This gateway's share of the retry burst allowance, in retries. */
+  double RetryBurst() const;
+
   /** Starts waiting requests of a service, in order, while endpoints have
    * capacity. */
   void WakeWaiting(const ServiceName& service);
--- a/test/harness/child_process.h
+++ b/test/harness/child_process.h
@@ -40,6 +40,10 @@
 
   bool IsRunning();
 
+  /** @return Exit code of a process that has ended by itself; -1 if a signal
+   * ended it. Valid once IsRunning() has returned false. */
+  int ExitCode() const { return this->exit_code; }
+
   /** @return Resident memory in bytes; 0 once the process has ended. */
   std::uint64_t ResidentBytes() const;
 
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -26,6 +26,7 @@
               << result.violations.size() << " violations" << std::endl;
     for (const std::string& violation : result.violations)
       std::cout << "  " << violation << std::endl;
+    std::cout << result.evidence;
     ++(result.violations.empty() ? passed : failed);
   }
   std::cout << passed << " passed, " << failed << " failed" << std::endl;
--- a/test/soak/soak_history.cc
+++ b/test/soak/soak_history.cc
@@ -157,6 +157,15 @@
   ++this->starts;
 }
 
+void SoakHistory::RecordExit(std::size_t gateway, int exit_code) {
+  const std::lock_guard lock(this->mutex);
+  if (exit_code != 0) {
+    this->AddViolation("gateway " + std::to_string(gateway) +
+                       " ended by itself with exit code " +
+                       std::to_string(exit_code));
+  }
+}
+
 void SoakHistory::RecordVersion(std::uint64_t version) {
   const std::lock_guard lock(this->mutex);
   this->versions[version] = Clock::now();
--- a/test/soak/soak_history.h
+++ b/test/soak/soak_history.h
@@ -72,6 +72,9 @@
   void RecordKill(std::size_t gateway);
   void RecordStart(std::size_t gateway);
 
+  /** Records that a gateway ended by itself, with its exit code. */
+  void RecordExit(std::size_t gateway, int exit_code);
+
   /** Records that the store has acknowledged a configuration. */
   void RecordVersion(std::uint64_t version);
   std::uint64_t NewestVersion();
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -2,11 +2,13 @@
 
 #include "soak/soak_run.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <random>
+#include <sstream>
 #include <thread>
 
 #include "harness/caller.h"
@@ -78,8 +80,11 @@
   /** Restarts gateways that have exited, as the platform does. */
   void RestartEnded() {
     for (std::size_t i = 0; i < this->plan.gateways; ++i) {
-      if (!this->fleet.Gateway(i).IsRunning())
-        this->Restart(i);
+      ChildProcess& gateway = this->fleet.Gateway(i);
+      if (gateway.IsRunning())
+        continue;
+      this->history.RecordExit(i, gateway.ExitCode());
+      this->Restart(i);
     }
   }
 
@@ -214,6 +219,31 @@
   std::uint64_t version = 1;
 };
 
+/** @return Log lines that help to explain violations: those of the requests
+ * that they name, and those of changes of a process's state. */
+std::string FindEvidence(const GatewayFleet& fleet,
+                         std::size_t gateways,
+                         const std::vector<std::string>& violations) {
+  std::vector<std::string> needles = {"\"started\"",     "\"stopped\"",
+                                      "\"drain_begun\"", "\"cut_off\"",
+                                      "_failed\"",       "out_of_rotation"};
+  for (const std::string& violation : violations)
+    needles.push_back("\"" + violation.substr(0, violation.find(' ')) + "\"");
+  std::string evidence;
+  for (std::size_t i = 0; i < gateways; ++i) {
+    std::istringstream log(fleet.Log(i));
+    for (std::string line; std::getline(log, line);) {
+      const bool is_evidence =
+          std::any_of(needles.begin(), needles.end(), [&](const auto& needle) {
+            return line.find(needle) != std::string::npos;
+          });
+      if (is_evidence)
+        evidence += line + "\n";
+    }
+  }
+  return evidence;
+}
+
 }  // namespace
 
 SoakResult RunSoak(const SoakPlan& plan) {
@@ -275,6 +305,8 @@
     result.violations.emplace_back("not every gateway has recovered");
   if (result.served == 0)
     result.violations.emplace_back("nothing was served");
+  if (!result.violations.empty())
+    result.evidence = FindEvidence(fleet, plan.gateways, result.violations);
   return result;
 }
 
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -23,6 +23,9 @@
   std::size_t served = 0;
   std::size_t faults = 0;               ///< Faults injected.
   std::vector<std::string> violations;  ///< Failed checks, one text each.
+  /** Log lines of the requests that the violations name, and of the start and
+   * the end of each process. */
+  std::string evidence;
 };
 
 /** Starts gateways, callers and fake endpoints, injects faults and checks what
--- a/test/stories/admission_queue.cc
+++ b/test/stories/admission_queue.cc
@@ -202,6 +202,29 @@
   }
 }
 
+/** The share of a gateway changes as others come and go. */
+void ChangesOfCapacityAddNoRetries() {
+  const auto percent = *rc::gen::inRange(0, 100);
+  constexpr double kMaxSavedRetries = 10.0;
+  RetryBudget budget(percent / 100.0, kMaxSavedRetries);
+  int first = 0;
+  int retries = 0;
+  const auto steps =
+      *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 13));
+  for (const int step : steps) {
+    if (step == 0) {
+      budget.CountFirstAttempt();
+      ++first;
+    } else if (step <= 10) {
+      budget.SetCapacity(kMaxSavedRetries * step / 10.0);
+    } else if (budget.TryTake()) {
+      ++retries;
+    }
+  }
+  // A retry saved at a tenth of the capacity is worth ten at the whole.
+  RC_ASSERT(retries <= kMaxSavedRetries * (1 + first * percent / 100.0) + 1e-6);
+}
+
 /**
  * Simulates 2000 ms in which the parish offers a call every 10 ms.
  * @param hospital_calls Calls that the hospital offers each ms.
@@ -324,7 +347,9 @@
                      UnmeetableDeadlineIsRefusedAtOnce)}),
        Section("when calls are retried",
                {Always("retries stay within their share of first attempts",
-                       RetriesStayWithinTheirShare)})});
+                       RetriesStayWithinTheirShare),
+                Always("changes of the capacity add no retries",
+                       ChangesOfCapacityAddNoRetries)})});
 });
 
 }  // namespace
--- a/test/stories/gateway_answers.cc
+++ b/test/stories/gateway_answers.cc
@@ -25,6 +25,9 @@
 /** Timeout for closing an endpoint connection after its caller left. */
 constexpr milliseconds kDisconnectTimeout{500};
 
+/** Events of a stream that outlasts the detection of a dead gateway. */
+constexpr int kEventsInAll = 40;
+
 RawAnswer CallPath(GatewayFleet& fleet, const std::string& path) {
   CallerText text;
   text.path = path;
@@ -240,6 +243,42 @@
   CPPUNIT_ASSERT(WaitUntil([&] { return first_closed.load(); }));
 }
 
+/** The number of gateways changes while a stream is open; then it stalls, with
+ * no other request in between. */
+void StreamStallsAfterGatewayHasLeft() {
+  GatewayPlan plan = TwoEndpointsPerService();
+  plan.gateways = 2;
+  GatewayFleet fleet(plan);
+  std::atomic<int> calls = 0;
+  std::atomic<bool> is_alone = false;
+  SetEngineScripts(fleet, [&](ScriptedCall& call) {
+    if (++calls > 1) {
+      EventStreamScript(std::stoi(call.Field("Last-Event-Id")) + 1,
+                        kEventsInAll)(call);
+      return;
+    }
+    call.BeginEvents();
+    for (int id = 1; !is_alone && id < kEventsInAll; ++id) {
+      call.Event(id);
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    call.WaitForClose(milliseconds(3000));
+  });
+  ByteConnection connection(fleet.Caller(0));
+  CallerText text;
+  text.path = "/talk/x";
+  connection.Send(TextOf(text));
+  CPPUNIT_ASSERT(WaitUntil([&] { return calls == 1; }));
+  fleet.Gateway(1).Kill();
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const nlohmann::json status = LocalFleet::StatusOf(fleet.Operator(0));
+    return status.is_object() && status.value("peers", 1U) == 0;
+  }));
+  is_alone = true;
+  CPPUNIT_ASSERT(IsComplete(ParseRawAnswer(connection.ReadToEnd())));
+  CPPUNIT_ASSERT(fleet.Gateway(0).IsRunning());
+}
+
 void DisconnectClosesEndpointConnection() {
   for (const char* path : {"/draft/x", "/issue/x"}) {
     GatewayFleet fleet({});
@@ -415,7 +454,9 @@
                 Then("a resumable stream continues, each event once",
                      ResumableStreamContinuesElsewhere),
                 Then("a stalled resumable stream continues elsewhere",
-                     StalledStreamContinuesElsewhere)}),
+                     StalledStreamContinuesElsewhere),
+                Then("also if the number of gateways has changed meanwhile",
+                     StreamStallsAfterGatewayHasLeft)}),
        Section("when an endpoint did not execute the request",
                {Then("the caller is told so and when to retry",
                      NotExecutedIsReportedToCaller),
--- a/test/stories/gateway_soak.cc
+++ b/test/stories/gateway_soak.cc
@@ -17,6 +17,7 @@
   std::string all_violations;
   for (const std::string& violation : result.violations)
     all_violations += violation + "; ";
+  all_violations += "\n" + result.evidence;
   CPPUNIT_ASSERT_MESSAGE(all_violations, result.violations.empty());
 }
 
