An exception in a handler or a lasting task ends no process

An exception from a handler left io_context::run() and so main(); one in a loop that lasts as long as the process (gossip, store, feed, signals, accepting, sweeping) ended that loop for good and left a gateway that goes on without it; a SIGHUP before the handler was installed killed the process.

Change: WorkerPool::Run() logs handler_failed and goes on; SpawnService() starts a lasting task again after 0.1 s; SIGHUP is ignored until it can be served.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -92,10 +92,12 @@
   Drain drain(pool, *role, settings.drain_timeout);
   OperatorServer operator_server(context, *role, [&drain] { drain.Request(); });
   asio::signal_set signals(pool.NewStrand(), SIGTERM, SIGINT);
-  WorkerPool::SpawnOn(signals.get_executor(), HandleSignals(signals, drain));
+  WorkerPool::SpawnService(signals.get_executor(),
+                           [&] { return HandleSignals(signals, drain); });
   asio::signal_set reloads(pool.NewStrand(), SIGHUP);
-  WorkerPool::SpawnOn(reloads.get_executor(),
-                      HandleReloadSignal(reloads, settings_path, settings));
+  WorkerPool::SpawnService(reloads.get_executor(), [&] {
+    return HandleReloadSignal(reloads, settings_path, settings);
+  });
   role->Start();
   operator_server.Start();
   LogLine(LogLevel::kNotice, "started", {{"role", factory.Name()}});
@@ -144,6 +146,8 @@
 }  // namespace buckthornpath
 
 int main(int argc, char** argv) {
+  // A reload may be asked for before the process can serve one.
+  std::signal(SIGHUP, SIG_IGN);
   try {
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     return static_cast<int>(buckthornpath::Main(arguments));
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -67,8 +67,10 @@
     this->follower.Start();
     this->peers.Start();
     this->ready_server.Start();
-    WorkerPool::SpawnOn(this->state.executor, this->AcceptConnections());
-    WorkerPool::SpawnOn(this->state.executor, this->SweepConnections());
+    WorkerPool::SpawnService(this->state.executor,
+                             [this] { return this->AcceptConnections(); });
+    WorkerPool::SpawnService(this->state.executor,
+                             [this] { return this->SweepConnections(); });
   }
 
   void BeginDrain() override {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -135,9 +135,12 @@
 
 void PeerExchange::Start() {
   this->server.Start();
-  WorkerPool::SpawnOn(this->state.executor, this->Receive());
-  WorkerPool::SpawnOn(this->state.executor, this->Send());
-  WorkerPool::SpawnOn(this->state.executor, this->SyncFromPeers());
+  WorkerPool::SpawnService(this->state.executor,
+                           [this] { return this->Receive(); });
+  WorkerPool::SpawnService(this->state.executor,
+                           [this] { return this->Send(); });
+  WorkerPool::SpawnService(this->state.executor,
+                           [this] { return this->SyncFromPeers(); });
 }
 
 std::size_t PeerExchange::PeerCount() const {
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -82,9 +82,12 @@
   if (has_other_seeds)
     this->hub_expected_until = Clock::now() + kSeedTime;
   this->upstream.ExpectHub(this->hub_expected_until);
-  WorkerPool::SpawnOn(this->state.executor, this->FollowStore());
-  WorkerPool::SpawnOn(this->state.executor, this->FollowHubs());
-  WorkerPool::SpawnOn(this->state.executor, this->RunDeferredRemovals());
+  WorkerPool::SpawnService(this->state.executor,
+                           [this] { return this->FollowStore(); });
+  WorkerPool::SpawnService(this->state.executor,
+                           [this] { return this->FollowHubs(); });
+  WorkerPool::SpawnService(this->state.executor,
+                           [this] { return this->RunDeferredRemovals(); });
 }
 
 milliseconds PublicationFollower::Age() const {
--- a/src/kernel/worker_pool.cc
+++ b/src/kernel/worker_pool.cc
@@ -8,7 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "kernel/log.h"
@@ -26,6 +28,36 @@
   }
 }
 
+/** Pause before a failed service task is started again. */
+constexpr std::chrono::milliseconds kServiceRestartDelay{100};
+
+asio::awaitable<void> RunService(
+    std::function<asio::awaitable<void>()> make_task) {
+  while (true) {
+    std::string fault;
+    try {
+      co_await make_task();
+      co_return;
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    LogLine(LogLevel::kError, "service_restarted", {{"reason", fault}});
+    co_await SleepFor(kServiceRestartDelay);
+  }
+}
+
+/** Runs handlers until the context is stopped. */
+void RunHandlers(asio::io_context& io) {
+  while (true) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& error) {
+      LogLine(LogLevel::kError, "handler_failed", {{"reason", error.what()}});
+    }
+  }
+}
+
 }  // namespace
 
 void WorkerPool::Spawn(asio::awaitable<void> task) {
@@ -37,13 +69,19 @@
   asio::co_spawn(executor, RunAndLogException(std::move(task)), asio::detached);
 }
 
+void WorkerPool::SpawnService(
+    const asio::any_io_executor& executor,
+    std::function<asio::awaitable<void>()> make_task) {
+  SpawnOn(executor, RunService(std::move(make_task)));
+}
+
 void WorkerPool::Run() {
   auto guard = asio::make_work_guard(this->io);
   std::vector<std::jthread> threads;
   for (int i = 1; i < this->thread_count; ++i) {
-    threads.emplace_back([this] { this->io.run(); });
+    threads.emplace_back([this] { RunHandlers(this->io); });
   }
-  this->io.run();
+  RunHandlers(this->io);
 }
 
 asio::awaitable<void> SleepFor(std::chrono::milliseconds time) {
--- a/src/kernel/worker_pool.h
+++ b/src/kernel/worker_pool.h
@@ -10,6 +10,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <functional>
 
 namespace buckthornpath {
 
@@ -36,7 +37,13 @@
   static void SpawnOn(const asio::any_io_executor& executor,
                       asio::awaitable<void> task);
 
-  /** Runs tasks on the calling thread and the others until Stop(). */
+  /** Starts a task that lasts as long as the process. If it throws, the
+   * exception is logged and the task is started again after a pause. */
+  static void SpawnService(const asio::any_io_executor& executor,
+                           std::function<asio::awaitable<void>()> make_task);
+
+  /** Runs tasks on the calling thread and the others until Stop(). An exception
+   * that a handler throws is logged and ends only that handler. */
   void Run();
 
   void Stop() { this->io.stop(); }
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -56,6 +56,8 @@
     {"woke_after_pause", "", "The process or its VM was paused"},
     {"log_dropped", "lines", "Log lines were dropped"},
     {"task_failed", "reason", "A task ended with an exception"},
+    {"service_restarted", "reason", "A task that lasts as long as the process threw an exception and is started again"},
+    {"handler_failed", "reason", "A handler of the event loop threw an exception; the process goes on"},
     {"accept_failed", "reason", "A connection could not be accepted"},
     {"connection_failed", "reason", "A caller's connection ended with an exception"},
     {"exchange_failed", "target reason", "A handler of an HTTP server failed"},
--- a/test/stories/command_line.cc
+++ b/test/stories/command_line.cc
@@ -1,6 +1,9 @@
 /** @file command_line.cc The command-line tool, as operators use it. */
 
 #include <cppunit/TestAssert.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -54,6 +57,30 @@
   setenv("BUCKTHORNPATH_CREDENTIAL", kParishCredential, 1);
 }
 
+/** A process that waits for its settings gets SIGHUP. */
+void EarlyReloadEndsNoProcess() {
+  const ScratchDirectory scratch;
+  const std::string pipe = (scratch.Path() / "settings.json").string();
+  CPPUNIT_ASSERT_EQUAL(0, mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR));
+  ChildProcess process("buckthornpathd",
+                       {"--role=gateway", "--settings=" + pipe},
+                       (scratch.Path() / "log").string());
+  int writer = -1;
+  // Opens only once the process reads.
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    writer = open(pipe.c_str(), O_WRONLY | O_NONBLOCK);
+    return writer >= 0;
+  }));
+  process.Signal(SIGHUP);
+  const std::string no_settings = "{}";
+  const auto size = write(writer, no_settings.data(), no_settings.size());
+  close(writer);
+  CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(no_settings.size()), size);
+  constexpr int kInvalidSettingsCode = 1;
+  CPPUNIT_ASSERT_EQUAL(kInvalidSettingsCode,
+                       process.WaitForExit(std::chrono::seconds(5)));
+}
+
 void InvalidSettingsAreListed() {
   const ScratchDirectory scratch;
   const ToolRun run = RunTool(
@@ -267,6 +294,8 @@
             Then("the index lists every document", IndexListsEveryDocument),
             Then("unchanged documents keep their revisions",
                  UnchangedDocumentsKeepRevisions)}),
+       Section("when a process is told to reload before it has started",
+               {Then("it goes on with its start", EarlyReloadEndsNoProcess)}),
        Section("when a fleet is running",
                {Then("the active configuration of a process is shown",
                      ActiveConfigurationIsShown),
