A stream that ends with its connection within an event is incomplete

Change: with a part of an event left over, such a response is broken.

Result, story gateway_answers: both new cases failed on the code before, pass now.

--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -55,6 +55,10 @@
   /** @return True once the response has been read in full. */
   bool IsResponseComplete() const { return this->parser->is_done(); }
 
+  /** @return True if the response has no length and ends when the endpoint
+   * closes the connection. */
+  bool EndsResponseByClosing() const { return this->parser->need_eof(); }
+
   /** @return True if the connection may carry another request. */
   bool IsReusable() const;
 
--- a/src/gateway/event_relay.cc
+++ b/src/gateway/event_relay.cc
@@ -78,6 +78,10 @@
   return complete_events;
 }
 
+bool EventRelay::HasPartialEvent() const {
+  return HasField(this->partial_event);
+}
+
 std::string EventRelay::Finish() {
   std::string rest;
   rest.swap(this->partial_event);
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -28,6 +28,9 @@
   /** Discards an incomplete event before the stream is retried. */
   void DiscardPartial() { this->partial_event.clear(); }
 
+  /** @return True if a field of an incomplete event has arrived. */
+  bool HasPartialEvent() const;
+
   /** @return Size of the event that is still incomplete. */
   std::size_t PartialSize() const { return this->partial_event.size(); }
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -567,6 +567,10 @@
       co_return AttemptResult::kBroken;
   } while (!this->connection->IsResponseComplete());
   stall_timer.Cancel();
+  // Without a length, only the events show whether the stream is complete.
+  if (this->connection->EndsResponseByClosing() &&
+      this->relay.HasPartialEvent())
+    co_return AttemptResult::kBroken;
   // Of other streams, the rest has been relayed as it arrived.
   std::string rest = this->relay.Finish();
   if (!may_resume)
--- a/test/stories/gateway_answers.cc
+++ b/test/stories/gateway_answers.cc
@@ -197,6 +197,45 @@
                                            fleet.Engine(1).Received().size());
 }
 
+/** @return A script that sends the first event and a part of the second as a
+ * stream without length, and then closes the connection in order. */
+EndpointScript EndsWithinSecondEvent() {
+  return [](ScriptedCall& call) {
+    call.Send(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        "Buckthornpath-Request-Id: " +
+        call.Id() +
+        "\r\nBuckthornpath-Response-Seal: s\r\n\r\n"
+        "id: 1\ndata: d1\n\nid: 2\nda");
+    call.Close(false);
+  };
+}
+
+void StreamThatEndsWithinAnEventIsIncomplete() {
+  GatewayFleet fleet(TwoEndpointsPerService());
+  SetEngineScripts(fleet, EndsWithinSecondEvent());
+  const RawAnswer answer = CallPath(fleet, "/draft/x");
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT(!IsComplete(answer));
+}
+
+void StreamThatEndsWithinAnEventIsResumed() {
+  GatewayFleet fleet(TwoEndpointsPerService());
+  std::atomic<int> calls = 0;
+  std::string resumed_after;
+  SetEngineScripts(fleet, [&](ScriptedCall& call) {
+    if (++calls == 1) {
+      EndsWithinSecondEvent()(call);
+      return;
+    }
+    resumed_after = call.Field("Last-Event-Id");
+    EventStreamScript(2, 3)(call);
+  });
+  const RawAnswer answer = CallPath(fleet, "/talk/x");
+  CPPUNIT_ASSERT(IsComplete(answer));
+  CPPUNIT_ASSERT_EQUAL(std::string("1"), resumed_after);
+}
+
 void ResumableStreamContinuesElsewhere() {
   GatewayFleet fleet(TwoEndpointsPerService());
   std::atomic<int> calls = 0;
@@ -452,6 +491,10 @@
                      RepeatableIsRetriedElsewhere),
                 Then("a broken stream does not look complete",
                      BrokenStreamDoesNotLookComplete),
+                Then("nor does one without length that ends within an event",
+                     StreamThatEndsWithinAnEventIsIncomplete),
+                Then("which continues elsewhere if it is resumable",
+                     StreamThatEndsWithinAnEventIsResumed),
                 Then("a resumable stream continues, each event once",
                      ResumableStreamContinuesElsewhere),
                 Then("a stalled resumable stream continues elsewhere",
