Planned stop: connections that were just made or have sent a request are served

Change: StopAccepting() accepts what is pending first. CloseIfIdle() cancels the read and closes when that is confirmed; a completed read delivers its bytes instead.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -163,6 +163,12 @@
                                         std::size_t size) {
         self->is_reading = false;
         self->input.commit(size);
+        const bool was_closing_idle =
+            std::exchange(self->is_closing_idle, false);
+        if (was_closing_idle && error == asio::error::operation_aborted) {
+          self->FinishClosingIdle();
+          return;
+        }
         if (error) {
           self->is_disconnected = true;
           if (auto handler = std::exchange(self->disconnect_handler, nullptr))
@@ -197,7 +203,23 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (!this->is_busy && !this->HasPendingInput())
+  if (this->is_busy || this->HasPendingInput())
+    return;
+  if (!this->is_reading) {
+    this->Abort();
+    return;
+  }
+  // Bytes may have been read whose handler has not run yet. A cancelled read
+  // tells: it either delivers them or is aborted.
+  this->is_closing_idle = true;
+  boost::system::error_code ignored;
+  this->socket.cancel(ignored);
+}
+
+void CallerConnection::FinishClosingIdle() {
+  if (this->HasPendingInput())
+    this->StartRead();
+  else
     this->Abort();
 }
 
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -122,6 +122,10 @@
   /** @return False if the connection must be closed. */
   asio::awaitable<bool> ReadRequest();
 
+  /** Closes the connection after its read was cancelled, unless bytes have
+   * arrived since. */
+  void FinishClosingIdle();
+
   /** @return True if part of another request has arrived, parsed or not. */
   bool HasPendingInput() const;
   asio::awaitable<void> SendContinue(const Parser& parser);
@@ -140,6 +144,7 @@
   Clock::time_point idle_since;
   std::function<void()> disconnect_handler;
   bool is_reading = false;
+  bool is_closing_idle = false;  ///< The read was cancelled by CloseIfIdle().
   bool is_disconnected = false;
   bool is_busy = false;
   bool is_continue_sent = false;
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -91,10 +91,11 @@
   }
 
   void StopAccepting() override {
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
     // There is no time left for a request that arrives on one of these.
     this->CloseIdleConnections();
+    this->AcceptPending();
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
   }
 
   std::size_t OpenExchanges() const override {
@@ -156,6 +157,24 @@
     co_await exchange.Send(std::move(response));
   }
 
+  /** Accepts the connections that the kernel has completed: closing the
+   * acceptor would reset them with the requests that they carry. */
+  void AcceptPending() {
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+      asio::ip::tcp::socket socket(this->state.executor);
+      this->acceptor.accept(socket, error);
+      if (!error)
+        this->StartConnection(std::move(socket));
+    }
+  }
+
+  void StartConnection(asio::ip::tcp::socket socket) {
+    WorkerPool::SpawnOn(this->state.executor,
+                        this->ServeConnection(std::move(socket)));
+  }
+
   asio::awaitable<void> AcceptConnections() {
     // Callers that connect while the process starts wait in the accept queue
     // for the configuration; they would be refused without it.
@@ -173,8 +192,7 @@
         co_await SleepFor(kSweepInterval);
         continue;
       }
-      WorkerPool::SpawnOn(this->state.executor,
-                          this->ServeConnection(std::move(socket)));
+      this->StartConnection(std::move(socket));
     }
   }
 
--- a/test/stories/caller_connection.cc
+++ b/test/stories/caller_connection.cc
@@ -134,6 +134,8 @@
 void IdleConnectionIsClosed() {
   ConnectedPair pair;
   pair.Connection().CloseIfTimedOut(Clock::now() + std::chrono::hours(1));
+  // The read that waits for a request is cancelled first.
+  pair.RunSteps(kMaxSteps);
   CPPUNIT_ASSERT(pair.Connection().IsDisconnected());
 }
 
--- a/test/stories/gateway_shutdown.cc
+++ b/test/stories/gateway_shutdown.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <csignal>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <thread>
@@ -92,6 +93,38 @@
   CPPUNIT_ASSERT(idle.ReadToEnd().empty());
 }
 
+/** Callers connect and send while the process is paused near the end of its
+ * drain: it accepts them together with the timer that stops it. */
+void ConnectionsOfAPauseAreServed() {
+  constexpr int kCallers = 40;
+  GatewayFleet fleet({});
+  ChildProcess& gateway = fleet.Gateway(0);
+  gateway.Signal(SIGTERM);
+  CPPUNIT_ASSERT(WaitUntil([&] { return !fleet.IsReady(0); }));
+  std::this_thread::sleep_for(milliseconds(1500));
+  gateway.Signal(SIGSTOP);
+  std::vector<std::unique_ptr<ByteConnection>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<ByteConnection>(fleet.Caller(0)));
+    CallerText text;
+    text.id = "paused-" + std::to_string(i);
+    callers.back()->Send(TextOf(text));
+  }
+  // The process is out of rotation when it wakes.
+  std::this_thread::sleep_for(milliseconds(1500));
+  gateway.Signal(SIGCONT);
+  int answered = 0;
+  std::string other_answers;
+  for (const auto& caller : callers) {
+    const RawAnswer answer = ParseRawAnswer(caller->ReadToEnd());
+    answered += answer.status == 200 ? 1 : 0;
+    if (answer.status != 200)
+      other_answers += answer.head + answer.body + "; ";
+  }
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(other_answers, kCallers, answered);
+  CPPUNIT_ASSERT_EQUAL(0, gateway.WaitForExit(kExitTimeout));
+}
+
 /** Callers send on idle connections at every moment of a shutdown. */
 void ShutdownLosesNoRequest() {
   GatewayFleet fleet({});
@@ -152,6 +185,8 @@
                      RepeatedSigtermInterruptsNothing),
                 Then("new requests are served while it may be in rotation",
                      NewRequestsAreServedUntilOutOfRotation),
+                Then("connections made during a pause at its end are served",
+                     ConnectionsOfAPauseAreServed),
                 Then("no request is lost at any moment of the shutdown",
                      ShutdownLosesNoRequest)}),
        Section(
