--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -88,10 +88,7 @@
   /** @return Outstanding requests of this process. */
   std::int64_t OwnRequests() const { return this->own_requests; }
 
-  /** @return Estimated prompt tokens waiting for prefill, from all gateways. */
-  std::int64_t PendingPrefillTokens() const {
-    return this->own_prefill_tokens + this->peer_prefill_tokens;
-  }
+  /** @return Estimated prompt tokens of this process that wait for prefill. */
   std::int64_t OwnPrefillTokens() const { return this->own_prefill_tokens; }
 
  private:
--- a/include/buckthornpath/gateway_roster.h
+++ b/include/buckthornpath/gateway_roster.h
@@ -23,6 +23,13 @@
   bool leaving = false;  ///< Draining: must not be a hub.
 };
 
+/** What a gateway does for the others of its failure domain. */
+enum class HubRole {
+  kMember,  ///< Reports to the hubs and follows one of them.
+  kHub,     ///< Reads the store; replaces the leader.
+  kLeader   ///< The first hub; also sums the loads.
+};
+
 /**
  * Live gateways of the fleet. The gateways of a failure domain elect hubs
  * without messages: each of them ranks the live members in the same way. Hubs
@@ -67,11 +74,11 @@
   /** @return Addresses of the hubs of a failure domain, the leader first. */
   std::vector<std::string> HubsOf(const FailureDomainId& domain) const;
 
-  /** @return True if this gateway is a hub of its failure domain. */
-  bool IsHub() const;
+  /** @return What this gateway does for its failure domain. */
+  HubRole Role() const;
 
-  /** @return True if this gateway is the first hub of its failure domain. */
-  bool IsLeader() const;
+  /** @return True if this gateway is a hub of its failure domain. */
+  bool IsHub() const { return this->Role() != HubRole::kMember; }
 
   /** @return Number of members of a failure domain, this one included. */
   std::size_t CountOf(const FailureDomainId& domain) const;
--- a/src/decision/gateway_roster.cc
+++ b/src/decision/gateway_roster.cc
@@ -70,14 +70,12 @@
   return hubs;
 }
 
-bool GatewayRoster::IsHub() const {
+HubRole GatewayRoster::Role() const {
   const auto hubs = this->HubsOf(this->self.failure_domain);
-  return std::find(hubs.begin(), hubs.end(), this->self.address) != hubs.end();
-}
-
-bool GatewayRoster::IsLeader() const {
-  const auto hubs = this->HubsOf(this->self.failure_domain);
-  return !hubs.empty() && hubs.front() == this->self.address;
+  const auto own = std::find(hubs.begin(), hubs.end(), this->self.address);
+  if (own == hubs.end())
+    return HubRole::kMember;
+  return own == hubs.begin() ? HubRole::kLeader : HubRole::kHub;
 }
 
 std::size_t GatewayRoster::CountOf(const FailureDomainId& domain) const {
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -101,6 +101,11 @@
   return member.failure_domain.str().empty();
 }
 
+std::string NameOf(HubRole role) {
+  constexpr std::array<const char*, 3> kNames = {"member", "hub", "leader"};
+  return kNames.at(static_cast<std::size_t>(role));
+}
+
 bool Contains(const std::vector<std::string>& list, const std::string& text) {
   return std::find(list.begin(), list.end(), text) != list.end();
 }
@@ -150,7 +155,7 @@
 json PeerExchange::Status() const {
   const auto age = std::chrono::duration_cast<milliseconds>(
       Clock::now() - this->state.selector.PeerLoadsTime());
-  return {{"role", this->role},
+  return {{"role", NameOf(this->role)},
           {"hubs", this->hubs},
           {"loads_age_ms", age.count()},
           {"reads_store", this->follower.IsReadingStore()},
@@ -217,6 +222,13 @@
   return message;
 }
 
+GatewayMessage PeerExchange::MakeHello() const {
+  GatewayMessage hello = this->MakeMessage(GatewayMessageKind::kReport);
+  // Gateways of version 1 require the loads.
+  hello.uses = this->OwnUses();
+  return hello;
+}
+
 void PeerExchange::SendTo(const std::string& address,
                           const GatewayMessage& message) {
   this->SendBytes(address, EncodeGatewayMessage(message));
@@ -243,7 +255,7 @@
   report.segments = this->own_segments.TakeRound();
   const auto now = Clock::now();
   std::vector<std::string> targets = this->hubs;
-  const bool is_leader = this->role == "leader";
+  const bool is_leader = this->role == HubRole::kLeader;
   const bool is_view_late =
       now - this->view_at > this->Interval() * kViewTimeoutIntervals;
   std::size_t asked = 0;
@@ -275,9 +287,7 @@
   if (!is_starting && now - this->hello_at < kHelloInterval)
     return;
   this->hello_at = now;
-  GatewayMessage hello = this->MakeMessage(GatewayMessageKind::kReport);
-  // Gateways of version 1 require the loads.
-  hello.uses = this->OwnUses();
+  const GatewayMessage hello = this->MakeHello();
   for (const std::string& seed : this->seeds) {
     if (!this->state.roster.Contains(seed))
       this->SendTo(seed, hello);
@@ -317,7 +327,7 @@
   const auto now = Clock::now();
   this->RemoveSilentPeers(now);
   this->UpdateRole();
-  const bool is_leader = this->role == "leader";
+  const bool is_leader = this->role == HubRole::kLeader;
   for (const SegmentLocation& place : this->state.selector.TakeNewSegments()) {
     this->own_segments.Add(place);
     if (is_leader)
@@ -361,16 +371,14 @@
     this->state.roster.AnnounceLeave();
   const GatewayRoster& roster = this->state.roster;
   std::vector<std::string> hubs = roster.HubsOf(roster.Self().failure_domain);
-  const bool is_hub = Contains(hubs, roster.Self().address);
-  const bool is_leader = is_hub && hubs.front() == roster.Self().address;
-  const std::string role = is_leader ? "leader" : is_hub ? "hub" : "member";
+  const HubRole role = roster.Role();
   if (hubs == this->hubs && role == this->role)
     return;
   this->hubs = std::move(hubs);
   this->role = role;
   LogLine(LogLevel::kNotice, "hub_role",
-          {{"role", this->role}, {"hubs", this->hubs}});
-  this->ApplyLoads(this->loads.SetLeader(is_leader));
+          {{"role", NameOf(this->role)}, {"hubs", this->hubs}});
+  this->ApplyLoads(this->loads.SetLeader(role == HubRole::kLeader));
 }
 
 void PeerExchange::UpdateGatewayCount() {
@@ -455,7 +463,7 @@
     this->ApplyLoads(this->loads.ApplyReport(
         message.sender.address, std::move(*message.uses), message.sequence));
   }
-  if (is_member && this->role == "leader") {
+  if (is_member && this->role == HubRole::kLeader) {
     for (const SegmentLocation& place : message.segments)
       this->domain_segments.Add(place);
   }
@@ -481,7 +489,7 @@
     this->ApplyLoads(this->loads.ApplyDigest(message.sender.failure_domain,
                                              std::move(*message.uses)));
   }
-  if (this->role == "leader") {
+  if (this->role == HubRole::kLeader) {
     for (const SegmentLocation& place : message.segments)
       this->foreign_segments.Add(place);
   }
@@ -493,7 +501,7 @@
   this->view_at = Clock::now();
   this->reported_count = message.gateway_count;
   this->UpdateGatewayCount();
-  if (this->role == "leader")
+  if (this->role == HubRole::kLeader)
     return;
   this->ApplyLoads(
       this->loads.ApplyView(std::move(*message.uses), message.acknowledged));
@@ -501,8 +509,7 @@
 }
 
 void PeerExchange::HandleVersion1(GatewayMessage& message) {
-  GatewayMessage hello = this->MakeMessage(GatewayMessageKind::kReport);
-  hello.uses = this->OwnUses();
+  const GatewayMessage hello = this->MakeHello();
   for (const std::string& address : message.known_addresses) {
     if (!this->state.roster.Contains(address))
       this->SendTo(address, hello);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -69,6 +69,7 @@
   void SendBytes(const std::string& address, const std::string& bytes);
 
   GatewayMessage MakeMessage(GatewayMessageKind kind) const;
+  GatewayMessage MakeHello() const;
   EndpointUsageMap OwnUses() const;
   std::vector<RosterEntry> RosterFor(const FailureDomainId& domain) const;
   std::vector<std::string> HubsOfOtherDomains() const;
@@ -88,7 +89,7 @@
   std::vector<std::string> seeds;
   FleetLoads loads;
   std::map<std::string, std::uint64_t> revisions;  ///< By gateway address.
-  std::string role = "member";
+  HubRole role = HubRole::kMember;
   std::vector<std::string> hubs;   ///< Of the own failure domain.
   std::size_t reported_count = 0;  ///< Gateways that the leader knows.
   Clock::time_point view_at{};     ///< Last view with loads.
--- a/test/stories/gateway_hubs.cc
+++ b/test/stories/gateway_hubs.cc
@@ -50,7 +50,7 @@
   std::size_t leaders = 0;
   for (const GatewayRoster& roster : rosters) {
     CPPUNIT_ASSERT(roster.HubsOf(FailureDomainId("a")) == hubs);
-    leaders += roster.IsLeader() ? 1 : 0;
+    leaders += roster.Role() == HubRole::kLeader ? 1 : 0;
   }
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaders);
 }
@@ -66,7 +66,7 @@
 void OtherDomainsHaveTheirOwn() {
   GatewayRoster roster(MemberOf(0));
   roster.RecordContact(MemberOf(1, "b", 1000), kStart);
-  CPPUNIT_ASSERT(roster.IsLeader());
+  CPPUNIT_ASSERT(roster.Role() == HubRole::kLeader);
   CPPUNIT_ASSERT_EQUAL(AddressOf(1),
                        roster.HubsOf(FailureDomainId("b")).front());
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, roster.CountOf(FailureDomainId("a")));
@@ -90,7 +90,7 @@
 void DrainingGatewayIsNoHub() {
   auto rosters = RostersOf(5);
   for (GatewayRoster& roster : rosters) {
-    if (!roster.IsLeader())
+    if (roster.Role() != HubRole::kLeader)
       continue;
     roster.AnnounceLeave();
     CPPUNIT_ASSERT(!roster.IsHub());
@@ -98,7 +98,7 @@
     CPPUNIT_ASSERT(leaving.leaving);
     GatewayRoster other(MemberOf(9));
     other.RecordContact(leaving, kStart);
-    CPPUNIT_ASSERT(other.IsLeader());
+    CPPUNIT_ASSERT(other.Role() == HubRole::kLeader);
   }
 }
 
@@ -108,7 +108,7 @@
   leaving.leaving = true;
   roster.RecordContact(leaving, kStart + milliseconds(500));
   roster.RecordContact(MemberOf(1, "a", 1000), kStart);
-  CPPUNIT_ASSERT(roster.IsLeader());
+  CPPUNIT_ASSERT(roster.Role() == HubRole::kLeader);
 }
 
 const EndpointId kEndpoint("e");
