Gateway: relaying a stream is a file of its own

Change: RelayStream(), RelayChunk(), CanResume() and WatchForStall() moved unchanged to forward_stream.cc with their limits; tools/mutants.sh follows.

--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -44,6 +44,9 @@
   asio::awaitable<void> Run();
 
  private:
+  /** Time that must be left for another attempt. */
+  static constexpr std::chrono::milliseconds kMinTimeLeft{20};
+
   /** A complete response of an endpoint that is not yet sent to the caller. */
   struct BufferedResponse {
     unsigned status = 0;
@@ -60,12 +63,6 @@
   asio::awaitable<AttemptResult> Attempt();
   bool MayRetry(AttemptResult result);
 
-  /** @return True if a stream that stalls could be resumed elsewhere. */
-  bool CanResume() const;
-
-  /** Closes a stream that has stalled if another endpoint can resume it. */
-  void WatchForStall(CancellableTimer& timer);
-
   /** Waits for an endpoint with capacity and starts a request there.
    * @return Null if the time for it is over. */
   asio::awaitable<EndpointHandle> WaitForEndpoint();
@@ -86,8 +83,6 @@
   /** Buffers a complete response. @return False if it is truncated. */
   asio::awaitable<bool> BufferResponse(unsigned status);
   asio::awaitable<void> SendBufferedResponse();
-  asio::awaitable<AttemptResult> RelayStream(unsigned status);
-  asio::awaitable<bool> RelayChunk(unsigned status, std::string_view chunk);
   HeaderFieldList ResponseFields() const;
   void RecordResponseHead(EndpointState& endpoint);
 
@@ -103,6 +98,17 @@
   std::chrono::milliseconds RetryAfter() const;
   std::chrono::milliseconds TimeLeft() const;
 
+  // Relaying a stream: forward_stream.cc.
+
+  asio::awaitable<AttemptResult> RelayStream(unsigned status);
+  asio::awaitable<bool> RelayChunk(unsigned status, std::string_view chunk);
+
+  /** @return True if a stream that stalls could be resumed elsewhere. */
+  bool CanResume() const;
+
+  /** Closes a stream that has stalled if another endpoint can resume it. */
+  void WatchForStall(CancellableTimer& timer);
+
   /** Ends I/O in progress: the caller disconnected or the deadline passed. */
   void Abort();
 
--- /dev/null
+++ b/src/gateway/forward_stream.cc
@@ -0,0 +1,105 @@
+/** @file forward_stream.cc Relays the event stream of a request. */
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/forward_session.h"
+#include "kernel/metrics.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A stream without data for this multiple of the route's gap target, and for
+ * at least kMinStallTimeout, is resumed at another endpoint. */
+constexpr int kStallGapMultiple = 4;
+constexpr milliseconds kMinStallTimeout{700};
+
+/** Limit of one event; a stream that exceeds it sends no events. */
+constexpr std::size_t kMaxEventBytes = std::size_t{128} * 1024;
+
+}  // namespace
+
+asio::awaitable<bool> ForwardSession::RelayChunk(unsigned status,
+                                                 std::string_view chunk) {
+  if (this->is_head_sent) {
+    co_await this->exchange.SendChunk(chunk);
+  } else if (!chunk.empty()) {
+    this->is_head_sent = true;
+    this->record.RecordStatus(status);
+    const HeaderFieldList fields = this->ResponseFields();
+    co_await this->exchange.BeginStream(status, fields, chunk);
+  }
+  co_return !this->exchange.IsDisconnected();
+}
+
+bool ForwardSession::CanResume() const {
+  const auto queue = this->state.queues.find(this->request.service);
+  return this->attempts < this->request.route->max_attempts &&
+         this->TimeLeft() >= kMinTimeLeft &&
+         queue != this->state.queues.end() &&
+         queue->second.retry_budget.CanTake();
+}
+
+void ForwardSession::WatchForStall(CancellableTimer& timer) {
+  const milliseconds timeout =
+      std::max(kMinStallTimeout,
+               this->request.route->target_event_gap * kStallGapMultiple);
+  timer.Set(Clock::now() + timeout, [this, &timer] {
+    // A slow stream is better than none.
+    if (this->CanResume()) {
+      this->connection->Close();
+    } else {
+      this->WatchForStall(timer);
+    }
+  });
+}
+
+asio::awaitable<AttemptResult> ForwardSession::RelayStream(unsigned status) {
+  const bool may_resume = this->request.route->IsRetryable();
+  CancellableTimer stall_timer(this->state.executor);
+  if (may_resume)
+    this->WatchForStall(stall_timer);
+  std::string chunk;
+  do {
+    if (co_await this->connection->ReadBody(chunk))
+      co_return AttemptResult::kBroken;
+    const std::size_t events_before = this->relay.EventCount();
+    std::string events = this->relay.Feed(chunk);
+    if (this->relay.PartialSize() > kMaxEventBytes) {
+      ProcessMetrics().Add("oversized_responses_total");
+      co_return AttemptResult::kBroken;
+    }
+    if (may_resume) {
+      chunk = std::move(events);
+      // Comments and parts of events are no progress.
+      if (this->relay.EventCount() != events_before)
+        this->WatchForStall(stall_timer);
+    }
+    if (!co_await this->RelayChunk(status, chunk))
+      co_return AttemptResult::kBroken;
+  } while (!this->connection->IsResponseComplete());
+  stall_timer.Cancel();
+  // Without a length, only the events show whether the stream is complete.
+  if (this->connection->EndsResponseByClosing() &&
+      this->relay.HasPartialEvent())
+    co_return AttemptResult::kBroken;
+  // Of other streams, the rest has been relayed as it arrived.
+  std::string rest = this->relay.Finish();
+  if (!may_resume)
+    rest.clear();
+  if (!co_await this->RelayChunk(status, rest))
+    co_return AttemptResult::kBroken;
+  if (!this->is_head_sent) {
+    const HeaderFieldList fields = this->ResponseFields();
+    co_await this->exchange.Send(status, fields, std::string());
+    this->record.RecordStatus(status);
+    co_return AttemptResult::kAnswered;
+  }
+  co_await this->exchange.EndStream();
+  co_return AttemptResult::kAnswered;
+}
+
+}  // namespace buckthornpath
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -42,7 +42,7 @@
   'if (endpoint.entry.leaving)
     return false;' '' 'after it had left'
 mutant platform/wire_names.h 'kApiKey,' '' 'with the key'
-mutant src/gateway/forward_session.cc \
+mutant src/gateway/forward_stream.cc \
   'chunk = std::move(events);' 'chunk = "";' \
   'nothing was served\|short stream'
 mutant src/gateway/publication_follower.cc \
