--- a/src/kernel/http_server.cc
+++ b/src/kernel/http_server.cc
@@ -226,18 +226,36 @@
     while (!this->closed) {
       auto [error, socket] = co_await this->acceptor.async_accept(
           this->pool.NewStrand(), kAwaitResult);
-      if (this->closed)
-        break;
-      if (error) {
+      if (!error) {
+        this->StartConnection(asio::ip::tcp::socket(std::move(socket)));
+      } else if (!this->closed) {
         co_await SleepFor(std::chrono::milliseconds(10));
-        continue;
       }
-      socket.set_option(asio::ip::tcp::no_delay(true), error);
-      this->pool.Spawn(this->ServeConnection(
-          beast::tcp_stream(asio::ip::tcp::socket(std::move(socket))), self));
     }
   }
 
+  /** Stops accepting. Connections that the kernel has completed are accepted
+   * first: closing the acceptor would reset them with their requests. */
+  void StopAccepting() {
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+      asio::ip::tcp::socket socket(this->pool.NewStrand());
+      this->acceptor.accept(socket, error);
+      if (!error)
+        this->StartConnection(std::move(socket));
+    }
+    this->closed = true;
+    this->acceptor.close(error);
+  }
+
+  void StartConnection(asio::ip::tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->pool.Spawn(this->ServeConnection(beast::tcp_stream(std::move(socket)),
+                                           this->shared_from_this()));
+  }
+
   /** Serves the requests of one connection, one after another. */
   asio::awaitable<void> ServeConnection(beast::tcp_stream stream,
                                         std::shared_ptr<State> self) {
@@ -377,12 +395,8 @@
 }
 
 void HttpServer::Close() {
-  auto self = this->state;
-  self->closed = true;
-  asio::post(self->acceptor.get_executor(), [self] {
-    boost::system::error_code ignored;
-    self->acceptor.close(ignored);
-  });
+  asio::post(this->state->acceptor.get_executor(),
+             [self = this->state] { self->StopAccepting(); });
 }
 
 SocketAddress HttpServer::Address() const {
--- a/test/stories/shutdown.cc
+++ b/test/stories/shutdown.cc
@@ -6,10 +6,12 @@
 #include <atomic>
 #include <csignal>
 #include <fstream>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "harness/byte_connection.h"
 #include "harness/caller.h"
 #include "harness/local_fleet.h"
 #include "harness/raw_connection.h"
@@ -316,6 +318,29 @@
   AssertCutOff(fleet, streams.Answers(), "drain_timeout");
 }
 
+/** Callers connect and send while the router is paused; when it wakes, it finds
+ * them together with SIGTERM. */
+void ConnectionsOfAPauseAreAnswered() {
+  constexpr int kConnections = 40;
+  LocalFleet fleet(DrainPlan());
+  ChildProcess& router = fleet.RouterProcess(0);
+  router.Signal(SIGSTOP);
+  std::vector<std::unique_ptr<ByteConnection>> callers;
+  for (int i = 0; i < kConnections; ++i) {
+    callers.push_back(std::make_unique<ByteConnection>(fleet.Router(0)));
+    callers.back()->Send(
+        "GET /v1/none HTTP/1.1\r\nHost: h.example\r\n"
+        "Connection: close\r\n\r\n");
+  }
+  router.Signal(SIGTERM);
+  router.Signal(SIGCONT);
+  int answered = 0;
+  for (const auto& caller : callers)
+    answered += ParseRawAnswer(caller->ReadToEnd()).status != 0 ? 1 : 0;
+  CPPUNIT_ASSERT_EQUAL(kConnections, answered);
+  CPPUNIT_ASSERT_EQUAL(0, router.WaitForExit(kCallerTimeout));
+}
+
 const Story kStory("shutdown", [] {
   return Section(
       "given a fleet with streams and plain calls in flight",
@@ -325,7 +350,9 @@
                 Then("a partially received request is answered",
                      PartialRequestIsAnswered),
                 Then("a plain call in flight is answered",
-                     PlainCallInFlightIsAnswered)}),
+                     PlainCallInFlightIsAnswered),
+                Then("connections made during a pause are answered",
+                     ConnectionsOfAPauseAreAnswered)}),
        Section("when an operator drains a router twice and SIGTERM follows",
                {Then("nothing is cut off", RepeatedDrainCutsNothingOff)}),
        Section("when endpoint processes drain while routers still send",
