explain names a hub or the store that a gateway lacked

Cause: a hub that was lost more than ten seconds before a request, and is still missing, did not show in what explain prints. Change: it follows the events of loss and return of each process of the request. Result: story gateway_logs, new case, failed before (nothing named), passes.

--- a/src/cli/explain_cmd.cc
+++ b/src/cli/explain_cmd.cc
@@ -1,6 +1,8 @@
 /** @file explain_cmd.cc Prints the log lines that explain one request. */
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -103,6 +105,56 @@
   return endpoint.empty() || trace.endpoints.contains(endpoint);
 }
 
+/** A dependency of a process, and the events of its loss and return. */
+struct DependencyRow {
+  const char* lost;
+  const char* regained;  ///< Separated by blanks.
+  const char* text;      ///< What the loss means for a request.
+};
+
+constexpr std::array<DependencyRow, 2> kDependencies = {{
+    {"hub_lost", "hub_followed hub_role started",
+     "followed no hub: loads of others were late"},
+    {"store_lost", "store_regained started",
+     "did not reach the store: what is published may have been out of date"},
+}};
+
+/** @return True if a process lacked a dependency when the request ended. */
+bool IsLost(const DependencyRow& dependency,
+            const std::string& process,
+            const ParsedLogs& logs,
+            const RequestTrace& trace,
+            std::chrono::milliseconds& lost_at) {
+  bool is_lost = false;
+  for (const LogEntry& entry : logs.entries) {
+    if (entry.time > trace.ended_at)
+      break;
+    if (entry.line.value("process", "") != process)
+      continue;
+    const std::string event = entry.line.value("event", "");
+    if (ContainsWord(dependency.regained, event)) {
+      is_lost = false;
+    } else if (event == dependency.lost && !is_lost) {
+      is_lost = true;
+      lost_at = entry.time;
+    }
+  }
+  return is_lost;
+}
+
+/** Prints which dependencies the processes of the request lacked when it ended,
+ * however long before they lost them. */
+void PrintLostDependencies(const ParsedLogs& logs, const RequestTrace& trace) {
+  for (const std::string& process : trace.processes) {
+    for (const DependencyRow& dependency : kDependencies) {
+      std::chrono::milliseconds lost_at{};
+      if (IsLost(dependency, process, logs, trace, lost_at))
+        std::cout << process << " " << dependency.text << ", for "
+                  << (trace.ended_at - lost_at).count() << " ms\n";
+    }
+  }
+}
+
 void PrintEntry(const LogEntry& entry, const RequestTrace& trace) {
   json other_fields = json::object();
   for (const auto& [name, value] : entry.line.items()) {
@@ -128,6 +180,7 @@
       PrintEntry(entry, trace);
     }
   }
+  PrintLostDependencies(logs, trace);
   if (dropped_lines > 0)
     std::cout << dropped_lines
               << " lines of these logs were dropped under load\n";
--- a/test/stories/gateway_logs.cc
+++ b/test/stories/gateway_logs.cc
@@ -55,6 +55,32 @@
   AssertContains(output, "\"configuration\":1");
 }
 
+/** @return Output for a request that ends 29 s after the hub was lost. */
+std::string ExplainAfterLostHub(const std::string& line_in_between) {
+  const ScratchDirectory scratch;
+  const std::string process = R"("process":"gateway/a",)";
+  const std::string log = scratch.Write(
+      "gateway.log",
+      R"({"time_ms":1000,)" + process +
+          R"("event":"hub_lost","peer":"x","reason":"silent"})" + "\n" +
+          line_in_between + R"({"time_ms":30000,)" + process +
+          R"("event":"request","request":"late","total_ms":10})" + "\n");
+  const ToolRun run = RunTool({"explain", "late", log});
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(run.output, 0, run.exit_code);
+  return run.output;
+}
+
+void LostHubIsNamed() {
+  AssertContains(ExplainAfterLostHub(""),
+                 "gateway/a followed no hub: loads of others were late, for "
+                 "29000 ms");
+  const std::string output = ExplainAfterLostHub(
+      R"({"time_ms":1500,"process":"gateway/a","event":"hub_followed"})"
+      "\n");
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(output, std::string::npos,
+                               output.find("followed no hub"));
+}
+
 void ConnectionClosedByEndpoint() {
   GatewayFleet fleet({});
   fleet.Ledger(0).SetScript([](ScriptedCall& call) { call.Close(true); });
@@ -221,15 +247,17 @@
 const Story kStory("gateway_logs", [] {
   return Section(
       "given the logs of a gateway",
-      {Section("when a request has failed",
-               {Then("one refused for lack of capacity is explained",
-                     RefusedForLackOfCapacity),
-                Then("one whose endpoint closed the connection is explained",
-                     ConnectionClosedByEndpoint),
-                Then("one sent to a replaced endpoint is explained",
-                     SentToReplacedEndpoint),
-                Then("an unknown one and a wrong command are reported",
-                     UnknownRequestIsReported)}),
+      {Section(
+           "when a request has failed",
+           {Then("one refused for lack of capacity is explained",
+                 RefusedForLackOfCapacity),
+            Then("a hub that was lost long before is named", LostHubIsNamed),
+            Then("one whose endpoint closed the connection is explained",
+                 ConnectionClosedByEndpoint),
+            Then("one sent to a replaced endpoint is explained",
+                 SentToReplacedEndpoint),
+            Then("an unknown one and a wrong command are reported",
+                 UnknownRequestIsReported)}),
        Section("when metrics are read",
                {Then("services, priorities and outcomes are distinguished",
                      MetricsDistinguishOutcomes)}),
