--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -71,10 +71,9 @@
     this->ForceStop("again");
     return;
   }' 'closed unanswered'
-mutant src/gateway/gateway_state.cc \
-  'this->gateway_count = count;' \
-  'if (count < this->gateway_count) std::abort();
-  this->gateway_count = count;' 'ended by itself with exit code'
+mutant src/gateway/forward_stream.cc \
+  'if (this->CanResume()) {' 'if (this->CanResume()) { std::abort();' \
+  'ended by itself with exit code'
 mutant src/gateway/forward_session.cc \
   'this->deadline_timer.Set(this->deadline + kDeadlineMargin, [this] {' \
   'this->deadline_timer.Set(Clock::time_point::max(), [this] {' \
