--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -13,6 +13,7 @@
 #include "kernel/http_server.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "kernel/pending_accept.h"
 #include "kernel/role.h"
 
 namespace buckthornpath {
@@ -93,9 +94,11 @@
   void StopAccepting() override {
     // There is no time left for a request that arrives on one of these.
     this->CloseIdleConnections();
-    this->AcceptPending();
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
+    AcceptPendingAndClose(
+        this->acceptor, [this] { return this->state.executor; },
+        [this](asio::ip::tcp::socket socket) {
+          this->StartConnection(std::move(socket));
+        });
   }
 
   std::size_t OpenExchanges() const override {
@@ -157,19 +160,6 @@
     co_await exchange.Send(std::move(response));
   }
 
-  /** Accepts the connections that the kernel has completed: closing the
-   * acceptor would reset them with the requests that they carry. */
-  void AcceptPending() {
-    boost::system::error_code error;
-    this->acceptor.non_blocking(true, error);
-    while (!error) {
-      asio::ip::tcp::socket socket(this->state.executor);
-      this->acceptor.accept(socket, error);
-      if (!error)
-        this->StartConnection(std::move(socket));
-    }
-  }
-
   void StartConnection(asio::ip::tcp::socket socket) {
     WorkerPool::SpawnOn(this->state.executor,
                         this->ServeConnection(std::move(socket)));
--- a/src/kernel/http_server.cc
+++ b/src/kernel/http_server.cc
@@ -12,6 +12,7 @@
 
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "kernel/pending_accept.h"
 #include "kernel/scoped_count.h"
 
 namespace buckthornpath {
@@ -234,19 +235,14 @@
     }
   }
 
-  /** Stops accepting. Connections that the kernel has completed are accepted
-   * first: closing the acceptor would reset them with their requests. */
+  /** Stops accepting; runs on the strand of the acceptor. */
   void StopAccepting() {
-    boost::system::error_code error;
-    this->acceptor.non_blocking(true, error);
-    while (!error) {
-      asio::ip::tcp::socket socket(this->pool.NewStrand());
-      this->acceptor.accept(socket, error);
-      if (!error)
-        this->StartConnection(std::move(socket));
-    }
     this->closed = true;
-    this->acceptor.close(error);
+    AcceptPendingAndClose(
+        this->acceptor, [this] { return this->pool.NewStrand(); },
+        [this](asio::ip::tcp::socket socket) {
+          this->StartConnection(std::move(socket));
+        });
   }
 
   void StartConnection(asio::ip::tcp::socket socket) {
