--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -57,7 +57,7 @@
  */
 constexpr milliseconds kStartRetryAfter{500};
 
-/** The latency target of a route that states none is its timeout divided by
+/** The latency objective of a route that states none is its timeout divided by
  * this. */
 constexpr int kDefaultTargetDivisor = 4;
 
