--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -43,7 +43,7 @@
     return false;' '' 'after it had left'
 mutant platform/wire_names.h 'kApiKey,' '' 'with the key'
 mutant src/gateway/forward_session.cc \
-  'chunk = this->relay.Feed(chunk);' 'chunk = "";' \
+  'chunk = std::move(events);' 'chunk = "";' \
   'nothing was served\|short stream'
 mutant src/gateway/publication_follower.cc \
   'this->state.table = std::move(table);' \
--- /dev/null
+++ b/tools/regression.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Regression runs on the users' bench: scores of the sites in use, one after the
+# other, with the journal entries left in journal/.
+# Usage: FLEETBENCH=<program> SITES=<directory of the site files>
+#          tools/regression.sh [jobs] [why]
+set -eu
+cd "$(dirname "$0")/.."
+jobs=${1:-4}
+why=${2:-Regression runs}
+failed=0
+for site in large/kgrc-receipts-large further-grown/paddock-sprig-grown \
+  further/paddock-sprig grown/kgrc-receipts-grown grown/dalea-orders-grown; do
+  echo "== $site"
+  "$FLEETBENCH" score "$SITES/$site.toml" --jobs "$jobs" --why "$why" |
+    grep -E '^(score|GATE|quiet|trouble|scale|fresh)' || failed=1
+done
+exit $failed
