Log: prompt segments and events of attempts that broke

Change: each attempt has the number of events that its endpoint sent, and a request with a broken attempt lists the segments that it may share with others (at most 8).

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -97,7 +97,7 @@
     {"unreachable", EndpointResult::kUnreachable},
     {"not_executed", EndpointResult::kFull},
     {"failed", EndpointResult::kFailed},
-    {"broken", EndpointResult::kBroken},
+    {kBrokenAttempt, EndpointResult::kBroken},
 }};
 
 const AttemptResultRow& RowOf(AttemptResult result) {
@@ -279,6 +279,7 @@
   const EndpointHandle endpoint = co_await this->WaitForEndpoint();
   if (!endpoint)
     co_return AttemptResult::kNoCapacity;
+  this->events_before_attempt = this->relay.EventCount();
   AttemptResult result = AttemptResult::kUnreachable;
   bool is_open = false;
   std::string fault;
@@ -303,7 +304,8 @@
                                    AttemptResult result) {
   const auto now = Clock::now();
   const EndpointId id = endpoint.Entry().id;
-  this->record.RecordAttempt(endpoint, RowOf(result).name, now);
+  this->record.RecordAttempt(endpoint, RowOf(result).name,
+                             this->AttemptEvents(), now);
   this->ReleasePendingPrefill(endpoint);
   this->state.selector.RecordEnd(endpoint);
   this->state.selector.RecordHoldingTime(this->request.service,
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -90,6 +90,11 @@
   void ReleasePendingPrefill(EndpointState& endpoint);
   void FinishAttempt(EndpointState& endpoint, AttemptResult result);
 
+  /** @return Events that the endpoint of the last attempt has sent. */
+  std::size_t AttemptEvents() const {
+    return this->relay.EventCount() - this->events_before_attempt;
+  }
+
   /** Lets the admission of a service without prompts follow its responses. */
   void RecordLoadOfService(AttemptResult result, Clock::time_point now);
 
@@ -134,6 +139,7 @@
   Clock::time_point reserved_at{};  ///< Time of the last reservation.
   std::int64_t pending_prefill_tokens = 0;
   EventRelay relay;
+  std::size_t events_before_attempt = 0;  ///< Of earlier attempts.
   ByteShare response_bytes;   ///< Of the buffered response.
   ResponseMetadata response;  ///< From the head that was read last.
   std::optional<BufferedResponse> buffered_response;
--- a/src/gateway/request_record.cc
+++ b/src/gateway/request_record.cc
@@ -2,7 +2,10 @@
 
 #include "gateway/request_record.h"
 
+#include <array>
+#include <charconv>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kernel/json_types.h"
@@ -15,8 +18,28 @@
 
 constexpr unsigned kUnavailable = 503;
 
+/** Limit of the prompt segments in a log entry. */
+constexpr std::size_t kMaxLoggedSegments = 8;
+
+/** @return The segments that a request may share with others, in hexadecimal
+ * like in its header. */
+nlohmann::json FormatSharedSegments(const std::vector<PromptSegment>& all) {
+  nlohmann::json list = nlohmann::json::array();
+  for (std::size_t i = 0; i + 1 < all.size() && i < kMaxLoggedSegments; ++i)
+    list.push_back(FormatSegmentId(all[i].id));
+  return list;
+}
+
 }  // namespace
 
+std::string FormatSegmentId(std::uint64_t id) {
+  std::array<char, 2 * sizeof(id)> text{};
+  constexpr int kHexadecimal = 16;
+  const auto [end, error] =
+      std::to_chars(text.data(), text.data() + text.size(), id, kHexadecimal);
+  return std::string(text.data(), end);
+}
+
 void RequestRecord::RecordFirstByte(Clock::time_point now) {
   if (this->first_byte_at == Clock::time_point{})
     this->first_byte_at = now;
@@ -24,11 +47,14 @@
 
 void RequestRecord::RecordAttempt(const EndpointState& endpoint,
                                   const char* end,
+                                  std::size_t events,
                                   Clock::time_point now) {
+  this->has_broken_attempt |= std::string_view(end) == kBrokenAttempt;
   this->attempts.push_back(
       {{"endpoint", endpoint.Entry().id},
        {"end", end},
        {"running", endpoint.EstimatedRequests()},
+       {"events", events},
        {"after_ms", Elapsed(this->received_at, now).count()}});
 }
 
@@ -86,6 +112,10 @@
     line.push_back({"first_byte_ms",
                     Elapsed(this->received_at, this->first_byte_at).count()});
   }
+  if (this->has_broken_attempt) {
+    line.push_back(
+        {"segments", FormatSharedSegments(request.metadata.segments)});
+  }
   LogLine(LogLevel::kInfo, "request", line);
 }
 
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "gateway/gateway_state.h"
 #include "gateway/request_class.h"
@@ -19,6 +20,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
 }
 
+/** Log name of an attempt whose response is incomplete. */
+inline constexpr const char* kBrokenAttempt = "broken";
+
+/** @return The id of a prompt segment in hexadecimal, as in request headers. */
+std::string FormatSegmentId(std::uint64_t id);
+
 /** Collects the data of a request for its access log entry and the metrics. */
 class RequestRecord {
  public:
@@ -33,9 +40,14 @@
   /** Records the arrival of a response head; the first call counts. */
   void RecordFirstByte(Clock::time_point now);
 
-  /** Records the result of an attempt. @param end Log name of the result. */
+  /**
+   * Records the result of an attempt.
+   * @param end Log name of the result.
+   * @param events Events that the endpoint sent in this attempt.
+   */
   void RecordAttempt(const EndpointState& endpoint,
                      const char* end,
+                     std::size_t events,
                      Clock::time_point now);
 
   /** Records the status sent to the caller. */
@@ -65,6 +77,7 @@
   unsigned final_status = 0;
   const char* reason = "served";
   nlohmann::json attempts = nlohmann::json::array();
+  bool has_broken_attempt = false;
 };
 
 }  // namespace buckthornpath
