--- a/test/fakes/scripted_endpoint.cc
+++ b/test/fakes/scripted_endpoint.cc
@@ -76,12 +76,16 @@
 
 ScriptedEndpoint::ScriptedEndpoint(const SocketAddress& address,
                                    EndpointScript script)
-    : script(std::move(script)), acceptor(this->io, address) {
+    : script(std::move(script)), address(address), acceptor(this->io, address) {
   this->thread = std::thread([this] { this->AcceptConnections(); });
 }
 
 ScriptedEndpoint::~ScriptedEndpoint() {
-  this->is_stopping = true;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->is_stopping = true;
+    this->recovered.notify_all();
+  }
   shutdown(this->acceptor.native_handle(), SHUT_RDWR);
   this->thread.join();
   for (Connection& connection : this->connections) {
@@ -109,12 +113,42 @@
   return count;
 }
 
+void ScriptedEndpoint::Crash() {
+  const std::lock_guard lock(this->mutex);
+  this->is_crashed = true;
+  shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+  for (Connection& connection : this->connections)
+    shutdown(connection.socket.native_handle(), SHUT_RDWR);
+}
+
+void ScriptedEndpoint::Recover() {
+  const std::lock_guard lock(this->mutex);
+  this->is_crashed = false;
+  this->recovered.notify_all();
+}
+
+bool ScriptedEndpoint::WaitForRecovery() {
+  std::unique_lock lock(this->mutex);
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+  this->recovered.wait(
+      lock, [this] { return !this->is_crashed || this->is_stopping; });
+  if (this->is_stopping)
+    return false;
+  this->acceptor = boost::asio::ip::tcp::acceptor(this->io, this->address);
+  return true;
+}
+
 void ScriptedEndpoint::AcceptConnections() {
   while (!this->is_stopping) {
     boost::system::error_code error;
     auto socket = this->acceptor.accept(error);
-    if (error)
+    if (error) {
+      if (!this->WaitForRecovery())
+        return;
       continue;
+    }
+    const std::lock_guard lock(this->mutex);
     ++this->accepted;
     Connection& connection = this->connections.emplace_back(std::move(socket));
     connection.thread = std::thread(
--- a/test/fakes/scripted_endpoint.h
+++ b/test/fakes/scripted_endpoint.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
+#include <condition_variable>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -69,6 +70,11 @@
 
   void SetScript(EndpointScript script);
 
+  /** Ends as a process that crashes: all connections close and new ones are
+   * refused, until Recover(). May be called by the script. */
+  void Crash();
+  void Recover();
+
   /** @return Requests received so far, in order of arrival. */
   std::vector<ScriptedCall::Message> Received();
 
@@ -87,13 +93,20 @@
   };
 
   void AcceptConnections();
+
+  /** Waits for the end of a crash. @return False if the endpoint is destroyed
+   * instead. */
+  bool WaitForRecovery();
   void ServeConnection(boost::asio::ip::tcp::socket& socket);
 
   std::mutex mutex;
+  std::condition_variable recovered;
   EndpointScript script;
   std::vector<ScriptedCall::Message> received;
+  bool is_crashed = false;
   std::atomic<int> accepted = 0;
   std::atomic<bool> is_stopping = false;
+  SocketAddress address;
   boost::asio::io_context io;
   boost::asio::ip::tcp::acceptor acceptor;
   std::list<Connection> connections;
