Quarantine of prompt segments that crash endpoints

Cause: a gateway judged an endpoint by a request that broke, never a request by the endpoints that it broke. Each of these requests is a new one, so nothing was learned from the last, and a resumable one was sent again at once. Change: SegmentQuarantine (decision code). A connection that breaks before the third event makes the gateway connect to the endpoint; one that refuses has crashed, and the prompt's segments become suspects unless an endpoint was seen to answer on them within 30 s. Gateways exchange suspects, quarantine and proofs in their datagrams. What the prompts of three crashes have in common is refused at once with 503 and the rest of the time, first two minutes, then twice as long; requests that wait are refused too, suspects are not repeated. An answer anywhere clears a segment everywhere.

--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -112,9 +112,12 @@
 }
 
 bool EndpointConnection::IsReusable() const {
-  return this->socket.is_open() && this->parser && this->parser->is_done() &&
-         this->parser->keep_alive() && !this->parser->need_eof() &&
-         this->buffer.size() == 0;
+  if (!this->socket.is_open() || this->buffer.size() > 0)
+    return false;
+  // Without a parser, the connection has carried no request yet.
+  return !this->parser ||
+         (this->parser->is_done() && this->parser->keep_alive() &&
+          !this->parser->need_eof());
 }
 
 bool EndpointConnection::IsIdle() {
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -91,9 +91,10 @@
   EndpointResult endpoint_result;
 };
 
-constexpr std::array<AttemptResultRow, 6> kAttemptResults = {{
+constexpr std::array<AttemptResultRow, 7> kAttemptResults = {{
     {"answered", EndpointResult::kServed},
     {"no_room", EndpointResult::kFull},
+    {"quarantined", EndpointResult::kFull},
     {"unreachable", EndpointResult::kUnreachable},
     {"not_executed", EndpointResult::kFull},
     {"failed", EndpointResult::kFailed},
@@ -199,9 +200,12 @@
     case AttemptResult::kBroken:
       return this->request.route->IsRetryable() &&
              this->attempts < this->request.route->max_attempts &&
+             !this->state.quarantine.IsSuspect(this->request.metadata.segments,
+                                               Clock::now()) &&
              budget.TryTake();
     case AttemptResult::kAnswered:
     case AttemptResult::kNoCapacity:
+    case AttemptResult::kQuarantined:
       return false;
   }
   return false;
@@ -224,7 +228,15 @@
   return chosen;
 }
 
+bool ForwardSession::IsQuarantined() const {
+  return this->state.quarantine
+      .Find(this->request.metadata.segments, Clock::now())
+      .has_value();
+}
+
 asio::awaitable<EndpointHandle> ForwardSession::WaitForEndpoint() {
+  if (this->IsQuarantined())
+    co_return nullptr;
   EndpointHandle chosen = this->TryReserveEndpoint();
   if (chosen)
     co_return chosen;
@@ -237,9 +249,11 @@
   }
   const WaitTicket ticket = queue.waiting.Add(this->request.priority);
   queue.wake_handlers[ticket] = [this, &queue, ticket] {
-    this->reserved_endpoint = this->TryReserveEndpoint();
-    if (!this->reserved_endpoint)
-      return false;
+    if (!this->IsQuarantined()) {
+      this->reserved_endpoint = this->TryReserveEndpoint();
+      if (!this->reserved_endpoint)
+        return false;
+    }
     queue.waiting.Remove(ticket);
     // The caller of this handler holds a copy, so that it can be erased here.
     queue.wake_handlers.erase(ticket);
@@ -277,29 +291,54 @@
 
 asio::awaitable<AttemptResult> ForwardSession::Attempt() {
   const EndpointHandle endpoint = co_await this->WaitForEndpoint();
-  if (!endpoint)
-    co_return AttemptResult::kNoCapacity;
+  if (!endpoint) {
+    co_return this->IsQuarantined() ? AttemptResult::kQuarantined
+                                    : AttemptResult::kNoCapacity;
+  }
   this->events_before_attempt = this->relay.EventCount();
+  const AttemptResult result = co_await this->TryEndpoint(*endpoint);
+  this->RecordSegments(endpoint, result);
+  this->FinishAttempt(*endpoint, result);
+  co_return result;
+}
+
+asio::awaitable<AttemptResult> ForwardSession::TryEndpoint(
+    EndpointState& endpoint) {
   AttemptResult result = AttemptResult::kUnreachable;
   bool is_open = false;
   std::string fault;
   try {
     if (!this->is_aborted)
-      is_open = co_await this->OpenConnection(*endpoint);
-    if (is_open && !this->is_aborted)
-      result = co_await this->SendTo(*endpoint);
+      is_open = co_await this->OpenConnection(endpoint);
+    if (is_open && this->IsQuarantined())
+      result = AttemptResult::kQuarantined;
+    else if (is_open && !this->is_aborted)
+      result = co_await this->SendTo(endpoint);
   } catch (const std::exception& error) {
     fault = error.what();
   }
   if (!fault.empty()) {
     LogLine(LogLevel::kError, "attempt_failed",
-            {{"endpoint", endpoint->Entry().id}, {"reason", fault}});
+            {{"endpoint", endpoint.Entry().id}, {"reason", fault}});
     result = is_open ? AttemptResult::kBroken : AttemptResult::kUnreachable;
   }
-  this->FinishAttempt(*endpoint, result);
   co_return result;
 }
 
+void ForwardSession::RecordSegments(const EndpointHandle& endpoint,
+                                    AttemptResult result) {
+  const auto& segments = this->request.metadata.segments;
+  const auto now = Clock::now();
+  if (result == AttemptResult::kAnswered &&
+      IsSuccess(this->connection->Head().result_int())) {
+    this->state.quarantine.RecordAnswer(segments, now);
+  } else if (result == AttemptResult::kBroken && !this->is_aborted &&
+             !this->HasProvenPrompt() &&
+             this->state.quarantine.HasUnproven(segments, now)) {
+    this->state.crash_probe.Check(endpoint, segments);
+  }
+}
+
 void ForwardSession::FinishAttempt(EndpointState& endpoint,
                                    AttemptResult result) {
   const auto now = Clock::now();
@@ -530,6 +569,10 @@
 milliseconds ForwardSession::RetryAfter() const {
   if (!this->table)
     return kStartRetryAfter;
+  const auto quarantined = this->state.quarantine.Find(
+      this->request.metadata.segments, Clock::now());
+  if (quarantined)
+    return std::max(quarantined->remaining, kMinRetryAfter);
   const auto queue = this->state.queues.find(this->request.service);
   if (queue == this->state.queues.end())
     return kMinRetryAfter;
@@ -547,6 +590,10 @@
 asio::awaitable<void> ForwardSession::Refuse(Refusal refusal) {
   this->record.RecordReason(refusal.reason);
   this->record.RecordStatus(refusal.status);
+  const auto quarantined = this->state.quarantine.Find(
+      this->request.metadata.segments, Clock::now());
+  if (quarantined)
+    this->record.RecordQuarantine(*quarantined);
   HeaderFieldList fields = {{"Content-Type", "application/json"}};
   if (refusal.status == kUnavailable)
     fields.emplace_back("Retry-After", FormatSeconds(this->RetryAfter()));
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -21,6 +21,7 @@
 enum class AttemptResult {
   kAnswered,     ///< The caller has received a complete response.
   kNoCapacity,   ///< No endpoint had capacity in time; nothing was sent.
+  kQuarantined,  ///< The prompt is in quarantine; nothing was sent.
   kUnreachable,  ///< No connection could be opened; nothing was sent.
   kNotExecuted,  ///< The endpoint states that it did not run the request.
   kFailed,       ///< The endpoint ran the request and sent a 5xx status.
@@ -47,6 +48,9 @@
   /** Time that must be left for another attempt. */
   static constexpr std::chrono::milliseconds kMinTimeLeft{20};
 
+  /** Events of a response after which its prompt has crashed no endpoint. */
+  static constexpr std::size_t kProofEvents = 3;
+
   /** A complete response of an endpoint that is not yet sent to the caller. */
   struct BufferedResponse {
     unsigned status = 0;
@@ -61,6 +65,19 @@
   /** @return False if the service is overloaded and the request is refused. */
   bool IsAdmitted();
   asio::awaitable<AttemptResult> Attempt();
+
+  /** Opens a connection to an endpoint and sends the request. */
+  asio::awaitable<AttemptResult> TryEndpoint(EndpointState& endpoint);
+
+  /** @return True if endpoints crash under the prompt of the request. */
+  bool IsQuarantined() const;
+
+  /** Records what an attempt tells about the segments of the prompt. */
+  void RecordSegments(const EndpointHandle& endpoint, AttemptResult result);
+
+  /** @return True if the response shows that an endpoint can answer on the
+   * prompt; a crash comes with the first events at the latest. */
+  bool HasProvenPrompt() const { return this->AttemptEvents() >= kProofEvents; }
   bool MayRetry(AttemptResult result);
 
   /** Waits for an endpoint with capacity and starts a request there.
@@ -140,8 +157,8 @@
   std::int64_t pending_prefill_tokens = 0;
   EventRelay relay;
   std::size_t events_before_attempt = 0;  ///< Of earlier attempts.
-  ByteShare response_bytes;   ///< Of the buffered response.
-  ResponseMetadata response;  ///< From the head that was read last.
+  ByteShare response_bytes;               ///< Of the buffered response.
+  ResponseMetadata response;              ///< From the head that was read last.
   std::optional<BufferedResponse> buffered_response;
 };
 
--- a/src/gateway/forward_stream.cc
+++ b/src/gateway/forward_stream.cc
@@ -39,6 +39,8 @@
   const auto queue = this->state.queues.find(this->request.service);
   return this->attempts < this->request.route->max_attempts &&
          this->TimeLeft() >= kMinTimeLeft &&
+         !this->state.quarantine.IsSuspect(this->request.metadata.segments,
+                                           Clock::now()) &&
          queue != this->state.queues.end() &&
          queue->second.retry_budget.CanTake();
 }
@@ -63,11 +65,17 @@
   if (may_resume)
     this->WatchForStall(stall_timer);
   std::string chunk;
+  bool is_proven = false;
   do {
     if (co_await this->connection->ReadBody(chunk))
       co_return AttemptResult::kBroken;
     const std::size_t events_before = this->relay.EventCount();
     std::string events = this->relay.Feed(chunk);
+    if (!is_proven && this->HasProvenPrompt()) {
+      is_proven = true;
+      this->state.quarantine.RecordAnswer(this->request.metadata.segments,
+                                          Clock::now());
+    }
     if (this->relay.PartialSize() > kMaxEventBytes) {
       ProcessMetrics().Add("oversized_responses_total");
       co_return AttemptResult::kBroken;
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -45,6 +45,46 @@
   return uses;
 }
 
+/** @return Three lists: crashes, segments in quarantine, proven segments. */
+json EncodeQuarantine(const QuarantineReport& report) {
+  json crashes = json::array();
+  for (const CrashedPrompt& crash : report.crashes)
+    crashes.push_back(
+        {crash.endpoint.str(), crash.age.count(), crash.segments});
+  json quarantined = json::array();
+  for (const QuarantinedPrompt& entry : report.quarantined) {
+    quarantined.push_back(
+        {entry.segments, entry.remaining.count(), entry.convictions});
+  }
+  json proofs = json::array();
+  for (const ProvenSegment& proof : report.proofs)
+    proofs.push_back({proof.segment, proof.age.count()});
+  return {std::move(crashes), std::move(quarantined), std::move(proofs)};
+}
+
+milliseconds DecodeAge(const json& value) {
+  return milliseconds(value.get<std::uint32_t>());
+}
+
+QuarantineReport DecodeQuarantine(const json& value) {
+  QuarantineReport report;
+  for (const json& crash : value.at(0)) {
+    report.crashes.push_back({EndpointId(crash.at(0).get<std::string>()),
+                              DecodeAge(crash.at(1)),
+                              crash.at(2).get<SegmentSet>()});
+  }
+  for (const json& entry : value.at(1)) {
+    report.quarantined.push_back({entry.at(0).get<SegmentSet>(),
+                                  DecodeAge(entry.at(1)),
+                                  entry.at(2).get<int>()});
+  }
+  for (const json& proof : value.at(2)) {
+    report.proofs.push_back(
+        {proof.at(0).get<std::uint64_t>(), DecodeAge(proof.at(1))});
+  }
+  return report;
+}
+
 /** Reads the members that only gateways of this version send. */
 void DecodeCurrentFields(const json& value, GatewayMessage& message) {
   const auto kind = value.at("kind").get<unsigned>();
@@ -80,6 +120,8 @@
     message.segments.push_back({EndpointId(place.at(0).get<std::string>()),
                                 place.at(1).get<std::uint64_t>()});
   }
+  if (value.contains("quarantine"))
+    message.quarantine = DecodeQuarantine(value.at("quarantine"));
   return message;
 }
 
@@ -104,6 +146,8 @@
                 {"roster", std::move(roster)}};
   if (message.uses)
     value["uses"] = EncodeUses(*message.uses);
+  if (!message.quarantine.IsEmpty())
+    value["quarantine"] = EncodeQuarantine(message.quarantine);
   std::string bytes;
   json::to_cbor(value, bytes);
   return message.acknowledged == 0
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -14,6 +14,7 @@
 #include "buckthornpath/endpoint_selector.h"
 #include "buckthornpath/gateway_roster.h"
 #include "buckthornpath/peer_loads.h"
+#include "buckthornpath/segment_quarantine.h"
 
 namespace buckthornpath {
 
@@ -51,6 +52,8 @@
   /** Loads per endpoint; empty if the sender has no complete sum. */
   std::optional<EndpointUsageMap> uses;
   std::vector<SegmentLocation> segments;  ///< Newly cached prompt segments.
+  /** Prompt segments that crash endpoints. */
+  QuarantineReport quarantine;
   /** Addresses of other gateways, for and from gateways of version 1. */
   std::vector<std::string> known_addresses;
 };
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -108,6 +108,13 @@
   }
 
   nlohmann::json Status() const override {
+    nlohmann::json quarantine = nlohmann::json::array();
+    for (const QuarantinedPrompt& entry :
+         this->state.quarantine.All(Clock::now())) {
+      quarantine.push_back({{"segments", FormatSegmentIds(entry.segments)},
+                            {"remaining_ms", entry.remaining.count()},
+                            {"convictions", entry.convictions}});
+    }
     return {
         {"role", "gateway"},
         {"draining", this->state.is_draining},
@@ -116,7 +123,8 @@
         {"peers", this->peers.PeerCount()},
         {"store_reached", this->follower.IsStoreReachable()},
         {"gossip", this->peers.Status()},
-        {"connections", this->connections.size()}};
+        {"connections", this->connections.size()},
+        {"quarantine", std::move(quarantine)}};
   }
 
   CallerLimits Limits() const override {
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -2,9 +2,16 @@
 
 #include "gateway/gateway_state.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <vector>
 
+#include "gateway/request_record.h"
+#include "kernel/json_types.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
 namespace buckthornpath {
 
 namespace {
@@ -29,8 +36,28 @@
 /** Part of the retry burst allowance that all gateways together may spend. */
 constexpr double kRetrySlackUsed = 0.5;
 
+/** @return The log event of a change. */
+LogEventName EventOf(QuarantineChange::Kind kind) {
+  switch (kind) {
+    case QuarantineChange::Kind::kQuarantined:
+      return "segment_quarantined";
+    case QuarantineChange::Kind::kCleared:
+      return "segment_cleared";
+    case QuarantineChange::Kind::kExpired:
+      return "segment_expired";
+  }
+  return "segment_expired";
+}
+
 }  // namespace
 
+double SpreadOf(const std::string& address) {
+  constexpr std::uint64_t kSteps = 997;
+  return static_cast<double>(XXH3_64bits(address.data(), address.size()) %
+                             kSteps) /
+         static_cast<double>(kSteps);
+}
+
 GatewayState::GatewayState(const Settings& settings,
                            asio::any_io_executor executor)
     : settings(settings),
@@ -39,6 +66,8 @@
       selector(FailureDomainId(settings.failure_domain),
                EndpointSelectorLimits{}),
       connection_pool(std::move(executor)),
+      quarantine(SpreadOf(settings.gossip_address)),
+      crash_probe(*this),
       roster({settings.gossip_address, FailureDomainId(settings.failure_domain),
               settings.link_capacity, false}),
       response_bytes(kMaxResponseBytes) {}
@@ -98,6 +127,21 @@
     queue.retry_budget.SetCapacity(this->RetryBurst());
 }
 
+void GatewayState::ApplyQuarantineChanges() {
+  const std::vector<QuarantineChange> changes = this->quarantine.TakeChanges();
+  for (const QuarantineChange& change : changes) {
+    LogLine(LogLevel::kWarning, EventOf(change.kind),
+            {{"segments", FormatSegmentIds(change.segments)},
+             {"endpoints", change.endpoints}});
+  }
+  if (changes.empty())
+    return;
+  ProcessMetrics().Set(
+      "quarantined_segments", "",
+      static_cast<double>(this->quarantine.All(Clock::now()).size()));
+  this->WakeAllWaiting();
+}
+
 void GatewayState::WakeAllWaiting() {
   std::vector<ServiceName> services;
   for (const auto& [service, queue] : this->queues) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 
 #include "buckthornpath/admission_ratio.h"
@@ -14,9 +15,11 @@
 #include "buckthornpath/gateway_roster.h"
 #include "buckthornpath/retry_budget.h"
 #include "buckthornpath/routing_table.h"
+#include "buckthornpath/segment_quarantine.h"
 #include "buckthornpath/waiting_queue.h"
 #include "gateway/byte_budget.h"
 #include "gateway/endpoint_connection_pool.h"
+#include "gateway/endpoint_crash_probe.h"
 #include "gateway/platform_adapter.h"
 
 namespace buckthornpath {
@@ -33,6 +36,9 @@
   AdmissionRatio admission;  ///< Used for services without prompts.
 };
 
+/** @return A number from 0 to 1 that differs between addresses. */
+double SpreadOf(const std::string& address);
+
 /** State that all requests of a process use. Not thread-safe. */
 struct GatewayState {
   using Clock = std::chrono::steady_clock;
@@ -59,12 +65,18 @@
   /** Starts waiting requests of all services. */
   void WakeAllWaiting();
 
+  /** Logs and counts changes of the quarantine, and wakes waiting requests,
+   * some of which may have to be refused now. */
+  void ApplyQuarantineChanges();
+
   const Settings& settings;
   asio::any_io_executor executor;
   const PlatformAdapter& adapter;
   std::shared_ptr<const RoutingTable> table;  ///< Null until the first is read.
   EndpointSelector selector;
   EndpointConnectionPool connection_pool;
+  SegmentQuarantine quarantine;
+  EndpointCrashProbe crash_probe;
   std::unordered_map<ServiceName, ServiceQueue> queues;
   GatewayRoster roster;
   std::size_t gateway_count = 1;  ///< Live gateways, this one included.
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -219,6 +219,7 @@
   message.gateway_count = this->state.gateway_count;
   if (!this->hubs.empty())
     message.leader = this->hubs.front();
+  message.quarantine = this->state.quarantine.Report(Clock::now());
   return message;
 }
 
@@ -327,6 +328,8 @@
   const auto now = Clock::now();
   this->RemoveSilentPeers(now);
   this->UpdateRole();
+  this->state.quarantine.Expire(now);
+  this->state.ApplyQuarantineChanges();
   const bool is_leader = this->role == HubRole::kLeader;
   for (const SegmentLocation& place : this->state.selector.TakeNewSegments()) {
     this->own_segments.Add(place);
@@ -440,6 +443,8 @@
   }
   for (const SegmentLocation& place : message.segments)
     this->state.selector.RecordSegment(place, now);
+  this->state.quarantine.Merge(message.quarantine, now);
+  this->state.ApplyQuarantineChanges();
   using Handler = void (PeerExchange::*)(GatewayMessage&);
   constexpr std::array<Handler, 3> kHandlers = {&PeerExchange::HandleReport,
                                                 &PeerExchange::HandleDigest,
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -2,8 +2,6 @@
 
 #include "gateway/publication_follower.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <random>
 
@@ -53,14 +51,6 @@
 /** Time without a record after which a hub counts as failed. */
 constexpr milliseconds kHubSilence{700};
 
-/** @return A number from 0 to 1 that differs between addresses. */
-double SpreadOf(const std::string& address) {
-  constexpr std::uint64_t kSteps = 997;
-  return static_cast<double>(XXH3_64bits(address.data(), address.size()) %
-                             kSteps) /
-         static_cast<double>(kSteps);
-}
-
 }  // namespace
 
 PublicationFollower::PublicationFollower(GatewayState& state)
--- a/src/gateway/request_record.cc
+++ b/src/gateway/request_record.cc
@@ -2,8 +2,10 @@
 
 #include "gateway/request_record.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,23 +23,20 @@
 /** Limit of the prompt segments in a log entry. */
 constexpr std::size_t kMaxLoggedSegments = 8;
 
-/** @return The segments that a request may share with others, in hexadecimal
- * like in its header. */
-nlohmann::json FormatSharedSegments(const std::vector<PromptSegment>& all) {
-  nlohmann::json list = nlohmann::json::array();
-  for (std::size_t i = 0; i + 1 < all.size() && i < kMaxLoggedSegments; ++i)
-    list.push_back(FormatSegmentId(all[i].id));
-  return list;
-}
-
 }  // namespace
 
-std::string FormatSegmentId(std::uint64_t id) {
-  std::array<char, 2 * sizeof(id)> text{};
-  constexpr int kHexadecimal = 16;
-  const auto [end, error] =
-      std::to_chars(text.data(), text.data() + text.size(), id, kHexadecimal);
-  return std::string(text.data(), end);
+std::vector<std::string> FormatSegmentIds(
+    std::span<const std::uint64_t> segments) {
+  std::vector<std::string> texts;
+  for (const std::uint64_t id :
+       segments.first(std::min(segments.size(), kMaxLoggedSegments))) {
+    std::array<char, 2 * sizeof(id)> text{};
+    constexpr int kHexadecimal = 16;
+    const auto [end, error] =
+        std::to_chars(text.data(), text.data() + text.size(), id, kHexadecimal);
+    texts.emplace_back(text.data(), end);
+  }
+  return texts;
 }
 
 void RequestRecord::RecordFirstByte(Clock::time_point now) {
@@ -112,9 +111,17 @@
     line.push_back({"first_byte_ms",
                     Elapsed(this->received_at, this->first_byte_at).count()});
   }
-  if (this->has_broken_attempt) {
+  const std::vector<PromptSegment>& prompt = request.metadata.segments;
+  if (this->has_broken_attempt && !prompt.empty()) {
+    SegmentSet shared;
+    std::transform(prompt.begin(), std::prev(prompt.end()),
+                   std::back_inserter(shared),
+                   [](const PromptSegment& segment) { return segment.id; });
+    line.push_back({"segments", FormatSegmentIds(shared)});
+  }
+  if (!this->quarantined_segments.empty()) {
     line.push_back(
-        {"segments", FormatSharedSegments(request.metadata.segments)});
+        {"quarantined", FormatSegmentIds(this->quarantined_segments)});
   }
   LogLine(LogLevel::kInfo, "request", line);
 }
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -6,7 +6,9 @@
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "gateway/gateway_state.h"
 #include "gateway/request_class.h"
@@ -23,8 +25,10 @@
 /** Log name of an attempt whose response is incomplete. */
 inline constexpr const char* kBrokenAttempt = "broken";
 
-/** @return The id of a prompt segment in hexadecimal, as in request headers. */
-std::string FormatSegmentId(std::uint64_t id);
+/** @return Ids of prompt segments in hexadecimal, as in request headers; at
+ * most eight. */
+std::vector<std::string> FormatSegmentIds(
+    std::span<const std::uint64_t> segments);
 
 /** Collects the data of a request for its access log entry and the metrics. */
 class RequestRecord {
@@ -53,6 +57,12 @@
   /** Records the status sent to the caller. */
   void RecordStatus(unsigned status) { this->final_status = status; }
 
+  /** Records the segments in quarantine because of which the request was
+   * refused. */
+  void RecordQuarantine(const QuarantinedPrompt& found) {
+    this->quarantined_segments = found.segments;
+  }
+
   /** Records why the request was not served. */
   void RecordReason(const char* why) { this->reason = why; }
 
@@ -78,6 +88,7 @@
   const char* reason = "served";
   nlohmann::json attempts = nlohmann::json::array();
   bool has_broken_attempt = false;
+  SegmentSet quarantined_segments;
 };
 
 }  // namespace buckthornpath
