--- a/test/stories/gateway_publication.cc
+++ b/test/stories/gateway_publication.cc
@@ -109,6 +109,61 @@
   CPPUNIT_ASSERT_EQUAL(200U, StatusOfCall(fleet, 0, "/new/x"));
 }
 
+/** @return An endpoint's entry, with one member that another writer made odd.
+ */
+std::string OddEntry(const std::string& member, const std::string& value) {
+  std::string text = "{";
+  for (const auto& [name, standard] :
+       {std::pair{"service", "\"ledger\""}, std::pair{"zone", "\"a\""},
+        std::pair{"address", "\"127.0.0.1:9\""}, std::pair{"slots", "8"},
+        std::pair{"state", "\"ready\""}, std::pair{"coldRemainingMs", "0"},
+        std::pair{"sequence", "1"}}) {
+    text += text.size() > 1 ? "," : "";
+    text +=
+        "\"" + std::string(name) + "\":" + (name == member ? value : standard);
+  }
+  return text + "}";
+}
+
+void OddEntriesNameNoEndpoint() {
+  GatewayPlan plan;
+  plan.gateways = 3;
+  GatewayFleet fleet(plan);
+  const std::string deep(100000, '[');
+  const std::string address = fleet.Caller(0).address().to_string();
+  const std::vector<std::string> values = {
+      deep,
+      R"({"service":)" + deep,
+      OddEntry("zone", deep + std::string(deep.size(), ']')),
+      OddEntry("slots", "1e400"),
+      OddEntry("slots", "99999999999999999999999999"),
+      OddEntry("slots", "9000000000000000000"),
+      OddEntry("slots", "-1"),
+      OddEntry("coldRemainingMs", "9223372036854775807"),
+      OddEntry("coldRemainingMs", "-1e308"),
+      OddEntry("address", "\"" + address + ":99999\""),
+      OddEntry("address", "\"" + address + ":0\""),
+      OddEntry("address", "\"" + address + ":-1\""),
+      OddEntry("address", "\"::::::\""),
+      std::string("\xff\xfe{", 3)};
+  for (std::size_t i = 0; i < values.size(); ++i)
+    fleet.Store().Put("servers/odd-" + std::to_string(i), values[i]);
+  fleet.Store().Put("servers/odd\r\nX-Api-Key: x", OddEntry("", ""));
+  // What is published after them is followed.
+  fleet.Store().Put("op/config", StandardConfiguration(2));
+  for (std::size_t gateway = 0; gateway < plan.gateways; ++gateway) {
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return LocalFleet::StatusOf(fleet.Operator(gateway))
+                 .value("configuration", 0) == 2;
+    }));
+    CPPUNIT_ASSERT(fleet.Gateway(gateway).IsRunning());
+    // The engine and the ledger.
+    CPPUNIT_ASSERT_EQUAL(
+        2, LocalFleet::StatusOf(fleet.Operator(gateway)).value("endpoints", 0));
+    CPPUNIT_ASSERT_EQUAL(200U, fleet.Call(gateway, TextOf({})).status);
+  }
+}
+
 void LeavingEndpointGetsNoRequests(bool removed) {
   GatewayPlan plan;
   plan.ledgers = 2;
@@ -222,7 +277,9 @@
                {Then("it becomes active and is never rolled back",
                      PublishedVersionBecomesActive),
                 Then("malformed items do not hide others",
-                     MalformedItemsHideNoOther)}),
+                     MalformedItemsHideNoOther),
+                Then("nor do entries with absurd depth, numbers or ports",
+                     OddEntriesNameNoEndpoint)}),
        Section("when an endpoint leaves",
                {Then("one that is draining gets no new requests",
                      [] { LeavingEndpointGetsNoRequests(false); }),
