A resumed stream is continued by events alone

What callers saw: a resumable stream had begun and broke; the next endpoint answered with an error or with a body of another kind. Its whole head and text arrived in the middle of the stream, and the chunked response ended without an end. Cause: a complete answer other than a 5xx or an event stream was sent as if nothing had gone to the caller yet. Change: once the head of a stream has been sent, every other answer counts as broken; the stream is resumed elsewhere or ends without looking complete. Evidence: gateway_answers, "an error of the next endpoint is no part of the stream", failed at the first of its eight answers (404) before, passes now. The same story also repeats a refusal on a kept connection, while the next request runs and before it: that could not happen here, no caller is told another's refusal.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -487,6 +487,9 @@
     co_return AttemptResult::kBroken;
   if (IsSuccess(status) && type.starts_with("text/event-stream"))
     co_return co_await this->RelayStream(status);
+  // Nothing but events can continue a stream that has begun.
+  if (this->is_head_sent)
+    co_return AttemptResult::kBroken;
   const bool is_complete = co_await this->BufferResponse(status);
   if (!is_complete)
     co_return AttemptResult::kBroken;
--- a/test/stories/gateway_answers.cc
+++ b/test/stories/gateway_answers.cc
@@ -183,6 +183,38 @@
   }
 }
 
+void RepeatedRefusalBelongsToNoOtherRequest() {
+  GatewayFleet fleet({});
+  std::atomic<int> calls = 0;
+  fleet.Ledger(0).SetScript([&calls](ScriptedCall& call) {
+    static std::string refusal;
+    if (++calls % 2 == 1) {
+      refusal =
+          "HTTP/1.1 503 X\r\nBuckthornpath-Not-Executed: 1\r\n"
+          "Buckthornpath-Request-Id: " +
+          call.Id() + "\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n";
+      call.Send(refusal);
+      return;
+    }
+    // The refusal once more while this request runs, and once before the next.
+    call.Send(refusal);
+    call.Answer(200, "own " + call.Id());
+    call.Send(refusal);
+  });
+  for (const char* path : {"/issue/x", "/lookup/x"}) {
+    for (int i = 1; i <= 6; ++i) {
+      CallerText text;
+      text.path = path;
+      text.id = std::string(path + 1, 5) + std::to_string(i);
+      // Refusals of a service without prompts lower its admission.
+      text.more_fields = "Buckthornpath-Prompt-Prefix: a1:9,b2:9\r\n";
+      const RawAnswer answer = fleet.Call(0, TextOf(text));
+      CPPUNIT_ASSERT_EQUAL(i % 2 == 1 ? 503U : 200U, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.Ledger(0).CountOf(text.id));
+    }
+  }
+}
+
 void BrokenStreamDoesNotLookComplete() {
   GatewayFleet fleet(TwoEndpointsPerService());
   SetEngineScripts(fleet, [](ScriptedCall& call) {
@@ -265,6 +297,42 @@
   }
 }
 
+/** A stream breaks; the endpoint that should continue it answers otherwise. */
+void ErrorIsNoPartOfAResumedStream() {
+  const std::string from_endpoint =
+      "Buckthornpath-Response-Seal: seal\r\nContent-Length: 8\r\n";
+  const std::vector<std::string> heads = {
+      "HTTP/1.1 404 X\r\n" + from_endpoint,
+      "HTTP/1.1 400 X\r\n" + from_endpoint,
+      "HTTP/1.1 429 X\r\n" + from_endpoint,
+      "HTTP/1.1 500 X\r\n" + from_endpoint,
+      "HTTP/1.1 503 X\r\nBuckthornpath-Not-Executed: 1\r\n" + from_endpoint,
+      "HTTP/1.1 302 X\r\nLocation: /\r\n" + from_endpoint,
+      "HTTP/1.1 200 X\r\nContent-Type: text/plain\r\n" + from_endpoint,
+      "HTTP/1.1 404 X\r\nContent-Type: text/event-stream\r\n" + from_endpoint};
+  for (const std::string& head : heads) {
+    GatewayFleet fleet(TwoEndpointsPerService());
+    std::atomic<int> calls = 0;
+    SetEngineScripts(fleet, [&](ScriptedCall& call) {
+      if (++calls == 1) {
+        call.BeginEvents();
+        call.Event(1);
+        call.Close(true);
+        return;
+      }
+      call.Send(head + "Buckthornpath-Request-Id: " + call.Id() +
+                "\r\n\r\nno such!");
+    });
+    const RawAnswer answer = CallPath(fleet, "/talk/x");
+    CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+    CPPUNIT_ASSERT_MESSAGE(head + answer.body,
+                           answer.body.find("no such!") == std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(head + answer.body,
+                           answer.body.find("HTTP/1.1") == std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(head + answer.body, !IsComplete(answer));
+  }
+}
+
 void StalledStreamContinuesElsewhere() {
   GatewayFleet fleet(TwoEndpointsPerService());
   std::atomic<int> calls = 0;
@@ -483,7 +551,9 @@
                      ResponseWithoutSealFails),
                 Then("a truncated body is not a success", TruncatedBodyFails),
                 Then("responses to other requests reach no caller",
-                     StrayResponsesReachNoCaller)}),
+                     StrayResponsesReachNoCaller),
+                Then("a refusal sent once more is none of the next request",
+                     RepeatedRefusalBelongsToNoOtherRequest)}),
        Section("when an endpoint closes the connection or stalls",
                {Then("a request that may run only once is not sent again",
                      NonRepeatableIsSentOnce),
@@ -497,6 +567,8 @@
                      StreamThatEndsWithinAnEventIsResumed),
                 Then("a resumable stream continues, each event once",
                      ResumableStreamContinuesElsewhere),
+                Then("an error of the next endpoint is no part of the stream",
+                     ErrorIsNoPartOfAResumedStream),
                 Then("a stalled resumable stream continues elsewhere",
                      StalledStreamContinuesElsewhere),
                 Then("also if the number of gateways has changed meanwhile",
