explain names the crashes that put a refused prompt in quarantine

A refusal may come minutes after the crashes that decided, beyond the ten seconds of state changes that explain prints. Story gateway_crashing_prompts, last case, failed without it.

--- a/src/cli/explain_cmd.cc
+++ b/src/cli/explain_cmd.cc
@@ -67,6 +67,7 @@
   std::set<std::string> endpoints;
   std::chrono::milliseconds started_at{};
   std::chrono::milliseconds ended_at{};
+  json quarantined;  ///< Prompt segments for which it was refused; or null.
   bool is_found = false;
 };
 
@@ -83,6 +84,8 @@
     trace.is_found = true;
     trace.ended_at = entry.time;
     trace.processes.insert(entry.line.value("process", ""));
+    if (entry.line.contains("quarantined"))
+      trace.quarantined = entry.line["quarantined"];
     for (const json& attempt : entry.line.value("attempts", json::array()))
       trace.endpoints.insert(attempt.value("endpoint", ""));
   }
@@ -105,6 +108,14 @@
   return endpoint.empty() || trace.endpoints.contains(endpoint);
 }
 
+/** @return True if the line says why a gateway refuses the request's prompt.
+ * The crashes may be long ago and may have been seen by other gateways. */
+bool IsQuarantineOf(const LogEntry& entry, const RequestTrace& trace) {
+  return !trace.quarantined.is_null() && entry.time <= trace.ended_at &&
+         entry.line.value("event", "") == "segment_quarantined" &&
+         entry.line.value("segments", json()) == trace.quarantined;
+}
+
 /** A dependency of a process, and the events of its loss and return. */
 struct DependencyRow {
   const char* lost;
@@ -175,8 +186,9 @@
   for (const LogEntry& entry : logs.entries) {
     if (entry.line.value("event", "") == "log_dropped")
       dropped_lines += entry.line.value("lines", std::size_t{0});
-    if (trace.is_found && (entry.line.value("request", "") == id ||
-                           IsRelatedStateChange(entry, trace))) {
+    if (trace.is_found &&
+        (entry.line.value("request", "") == id ||
+         IsRelatedStateChange(entry, trace) || IsQuarantineOf(entry, trace))) {
       PrintEntry(entry, trace);
     }
   }
--- a/test/stories/gateway_crashing_prompts.cc
+++ b/test/stories/gateway_crashing_prompts.cc
@@ -296,6 +296,18 @@
       [&] { return IsServed(callers.Send(0, kOtherSegment)); }, kContactTime));
 }
 
+void ExplainTellsWhichCrashesDecided() {
+  PoisonedFleet poisoned(PoisonedFleet::PlanOf(1));
+  poisoned.SendDeadlyUntilCrashesEnd();
+  poisoned.callers.Send(0, kDeadlySegment);
+  const std::string id = "prompt-" + std::to_string(poisoned.callers.Sent());
+  poisoned.fleet.LogOf(0, id);
+  const ToolRun run = RunTool({"explain", id, poisoned.fleet.LogPath(0)});
+  CPPUNIT_ASSERT_EQUAL(0, run.exit_code);
+  CPPUNIT_ASSERT_MESSAGE(run.output, run.Says("segment_quarantined"));
+  CPPUNIT_ASSERT_MESSAGE(run.output, run.Says("\"endpoints\":[\""));
+}
+
 const Story kStory("gateway_crashing_prompts", [] {
   return Section(
       "given endpoints that crash when they answer on one prompt segment",
@@ -312,7 +324,9 @@
             Then("gateways that restart learn of it from the others",
                  RestartedGatewayLearnsOfIt),
             Then("the refusal names the segment and when to retry",
-                 RefusalSaysWhenAndWhy)}),
+                 RefusalSaysWhenAndWhy),
+            Then("explain tells which crashes decided, however long ago",
+                 ExplainTellsWhichCrashesDecided)}),
        Section("when endpoints fail for other reasons",
                {Then("lost connections put no segment in quarantine",
                      LostConnectionsAreNoCrash),
