What an endpoint says of itself: Server-Leaving and Retry-After in its responses

On the code before, the gateway read neither header: an endpoint that said it leaves went on getting requests until the store said so, and one that asked for time got its next request at once. Change: the states that keep an endpoint out (withdrawn, draining, left, closed, backing_off, silent, leaving) are one table in a file of its own (endpoint_availability); the selector asks it. An endpoint that says it leaves is a last resort until half a second before drainMs (setting endpoint_leave_time), then unused; the statement is kept by id, outlives its published record, and ends only when a later `born` is published. A chosen endpoint is checked once more after its connection is open. If all of a service ask for time beyond what a request can wait, it is refused at once, with the time until the first returns, spread over a quarter of it. Status and the line `request` name the states. Statements are not handed to other gateways: each hears them in its own first response, and a false one costs no more than that gateway.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -9,11 +9,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "buckthornpath/endpoint_availability.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/strong_id_type.h"
 
@@ -27,6 +29,8 @@
   FailureDomainId failure_domain;
   std::size_t slots = 0;  ///< Concurrent requests; 0 if unknown.
   bool leaving = false;   ///< Draining: accepts no new requests.
+  /** Start of its process, in milliseconds of Unix time; 0 if unknown. */
+  std::int64_t born_ms = 0;
   /** Remaining warm-up time after a start; updated while it lasts. */
   std::chrono::milliseconds warm_up_remaining{};
 
@@ -77,7 +81,8 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  explicit EndpointState(EndpointEntry entry) : entry(std::move(entry)) {}
+  EndpointState(EndpointEntry entry, std::chrono::milliseconds leaving_time)
+      : entry(std::move(entry)), availability(leaving_time) {}
 
   const EndpointEntry& Entry() const { return this->entry; }
 
@@ -86,7 +91,11 @@
   std::int64_t EstimatedRequests() const;
 
   /** @return Outstanding requests of this process. */
-  std::int64_t OwnRequests() const { return this->own_requests; }
+  std::int64_t OwnRequests() const { return this->availability.OpenRequests(); }
+
+  const EndpointAvailability& Availability() const {
+    return this->availability;
+  }
 
   /** @return Estimated prompt tokens of this process that wait for prefill. */
   std::int64_t OwnPrefillTokens() const { return this->own_prefill_tokens; }
@@ -95,21 +104,15 @@
   friend class EndpointSelector;
 
   EndpointEntry entry;
-  std::int64_t own_requests = 0;  ///< Outstanding requests of this process.
-  /** Prompt tokens of these requests that wait for prefill. */
+  EndpointAvailability availability;
+  /** Prompt tokens of this process's requests that wait for prefill. */
   std::int64_t own_prefill_tokens = 0;
   std::int64_t peer_requests = 0;  ///< Outstanding requests of other gateways.
   std::int64_t peer_prefill_tokens = 0;
   std::int64_t reported_load = 0;  ///< Latest load reported by the endpoint.
   std::int64_t own_at_report = 0;
   TimePoint reported_at{};
-  TimePoint last_response_at{};  ///< Last response data received.
-  TimePoint last_request_at{};   ///< Last request sent.
-  TimePoint unanswered_since{};  ///< First request sent since then.
-  TimePoint backoff_until{};
-  std::chrono::milliseconds backoff{};
-  double failure_rate = 0;    ///< Exponential moving average, 0 to 1.
-  bool is_withdrawn = false;  ///< Withdrawn; requests may still be running.
+  double failure_rate = 0;  ///< Exponential moving average, 0 to 1.
   std::unordered_map<std::uint64_t, TimePoint> segment_prefilled_at;
 };
 
@@ -129,6 +132,8 @@
   /** Requests that an endpoint of a plain service may hold, relative to its
    * slots. */
   double plain_slots_multiple = 8.0;
+  /** Time for which an endpoint that says it leaves is a last resort. */
+  std::chrono::milliseconds leaving_time{1500};
 };
 
 /**
@@ -164,8 +169,21 @@
     return this->endpoints;
   }
 
-  /** @return True if any endpoint of the service accepts new requests. */
-  bool HasAvailableEndpoint(const ServiceName& service) const;
+  /** @return True if any endpoint of the service accepts new requests, or is
+   * expected to at a later time. */
+  bool HasAvailableEndpoint(const ServiceName& service,
+                            TimePoint now,
+                            TimePoint later) const;
+
+  /** @return When the first endpoint wants requests again, if none of the
+   * service may be used now and one has asked for time. */
+  std::optional<TimePoint> EarliestReturn(const ServiceName& service,
+                                          TimePoint now) const;
+
+  /** @return Number of the service's endpoints in each state, by the name of
+   * the state; without those that are usable. */
+  std::map<std::string, std::size_t> CountUnusable(const ServiceName& service,
+                                                   TimePoint now) const;
 
   /**
    * Chooses the endpoint for a request.
@@ -207,6 +225,13 @@
   /** Records that another process answered at the endpoint's address. */
   void RecordMisdirected(EndpointState& endpoint, TimePoint now);
 
+  /** Records that an endpoint says it leaves. The statement outlives its
+   * published record, until a new process with its id is published. */
+  void RecordLeaving(EndpointState& endpoint, TimePoint now);
+
+  /** Records that an endpoint wants no requests until a time. */
+  void RecordClosed(EndpointState& endpoint, TimePoint until);
+
   /** Records that a request has ended. */
   void RecordEnd(EndpointState& endpoint);
 
@@ -277,7 +302,9 @@
     for (const EndpointHandle& endpoint : this->EndpointsOf(query.service)) {
       if (!this->IsEligible(*endpoint, query, basis) || !room(*endpoint))
         continue;
-      (this->IsSuspect(*endpoint, now) ? suspect : usable).push_back(endpoint);
+      const EndpointUse use = endpoint->availability.StateAt(now).use;
+      if (use != EndpointUse::kNever)
+        (use == EndpointUse::kNormal ? usable : suspect).push_back(endpoint);
     }
     // Suspect endpoints are the fallback: if all of them are suspect, the
     // suspicion may be wrong.
@@ -286,6 +313,8 @@
 
   const std::vector<EndpointHandle>& EndpointsOf(const ServiceName& name) const;
   void RemoveFromService(const EndpointHandle& endpoint);
+  void RememberStatement(EndpointState& endpoint);
+  void RestoreStatement(EndpointState& endpoint);
   static const ServiceTimes kDefaultTimes;
 
   PeerBasis BasisOf(const ServiceName& service, TimePoint now) const;
@@ -301,7 +330,6 @@
   bool IsEligible(const EndpointState& endpoint,
                   const EndpointQuery& query,
                   const PeerBasis& basis) const;
-  bool IsSuspect(const EndpointState& endpoint, TimePoint now) const;
   EndpointHandle ChooseFrom(const std::vector<EndpointHandle>& usable,
                             const EndpointQuery& query,
                             const PeerBasis& basis,
@@ -317,6 +345,8 @@
   EndpointSelectorLimits limits;
   TimePoint peer_loads_at{};  ///< Zero: the loads are always current.
   std::unordered_map<ServiceName, ServiceTimes> times;
+  /** What endpoints have said, published or not. */
+  std::unordered_map<EndpointId, EndpointStatement> statements;
   std::map<EndpointId, EndpointHandle> endpoints;
   std::unordered_map<ServiceName, std::vector<EndpointHandle>>
       endpoints_by_service;
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -28,13 +28,8 @@
  * the cache of the engine may hold fewer or more. */
 constexpr std::size_t kMaxTrackedSegments = 4096;
 
-/** Initial and maximum back-off after a fault; consecutive connection failures
- * double it. */
-constexpr milliseconds kMinBackoff{300};
-constexpr milliseconds kMaxBackoff{4000};
-
-/** Time without response data after which an endpoint is suspect. */
-constexpr milliseconds kSilenceTimeout{1500};
+/** Limit of remembered statements of endpoints. */
+constexpr std::size_t kMaxStatements = 4096;
 
 /** Maximum age of a load report. */
 constexpr milliseconds kMaxLoadReportAge{1500};
@@ -132,7 +127,7 @@
 }  // namespace
 
 std::int64_t EndpointState::EstimatedRequests() const {
-  return this->own_requests + this->peer_requests;
+  return this->OwnRequests() + this->peer_requests;
 }
 
 void EndpointSelector::Publish(const EndpointEntry& entry) {
@@ -140,11 +135,15 @@
   if (endpoint && endpoint->entry.service == entry.service &&
       endpoint->entry.address == entry.address) {
     endpoint->entry = entry;
+    endpoint->availability.SetDraining(entry.leaving);
+    this->RestoreStatement(*endpoint);
     return;
   }
   if (endpoint)
     this->RemoveFromService(endpoint);
-  endpoint = std::make_shared<EndpointState>(entry);
+  endpoint = std::make_shared<EndpointState>(entry, this->limits.leaving_time);
+  endpoint->availability.SetDraining(entry.leaving);
+  this->RestoreStatement(*endpoint);
   this->endpoints_by_service[entry.service].push_back(endpoint);
 }
 
@@ -157,7 +156,7 @@
 }
 
 void EndpointSelector::RemoveFromService(const EndpointHandle& endpoint) {
-  endpoint->is_withdrawn = true;
+  endpoint->availability.Withdraw();
   std::erase(this->endpoints_by_service[endpoint->entry.service], endpoint);
 }
 
@@ -173,13 +172,46 @@
   return found == this->endpoints_by_service.end() ? kNone : found->second;
 }
 
-bool EndpointSelector::HasAvailableEndpoint(const ServiceName& service) const {
+bool EndpointSelector::HasAvailableEndpoint(const ServiceName& service,
+                                            TimePoint now,
+                                            TimePoint later) const {
   const auto& all = this->EndpointsOf(service);
-  return std::any_of(all.begin(), all.end(), [](const auto& endpoint) {
-    return !endpoint->entry.leaving;
+  return std::any_of(all.begin(), all.end(), [&](const auto& endpoint) {
+    const EndpointAvailability& availability = endpoint->availability;
+    return availability.StateAt(now).use != EndpointUse::kNever ||
+           availability.StateAt(later).use != EndpointUse::kNever;
   });
 }
 
+std::optional<EndpointSelector::TimePoint> EndpointSelector::EarliestReturn(
+    const ServiceName& service,
+    TimePoint now) const {
+  std::optional<TimePoint> earliest;
+  for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
+    const EndpointAvailability& availability = endpoint->availability;
+    if (availability.StateAt(now).use != EndpointUse::kNever)
+      return std::nullopt;
+    const TimePoint opens_at = availability.Statement().closed_until;
+    if (availability.StateAt(opens_at).use != EndpointUse::kNever &&
+        opens_at > now && (!earliest || opens_at < *earliest))
+      earliest = opens_at;
+  }
+  return earliest;
+}
+
+std::map<std::string, std::size_t> EndpointSelector::CountUnusable(
+    const ServiceName& service,
+    TimePoint now) const {
+  std::map<std::string, std::size_t> counts;
+  for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
+    const EndpointAvailability::State& state =
+        endpoint->availability.StateAt(now);
+    if (state.use != EndpointUse::kNormal)
+      ++counts[state.name];
+  }
+  return counts;
+}
+
 const EndpointSelector::ServiceTimes EndpointSelector::kDefaultTimes = {
     {kDefaultHoldingSeconds},
     {kDefaultPrefillSeconds}};
@@ -235,7 +267,7 @@
 
 double EndpointSelector::RequestsAt(const EndpointState& endpoint,
                                     const PeerBasis& basis) {
-  return AddPeers(endpoint.own_requests, endpoint.peer_requests,
+  return AddPeers(endpoint.OwnRequests(), endpoint.peer_requests,
                   basis.mean_requests, basis.request_freshness);
 }
 
@@ -256,8 +288,6 @@
 bool EndpointSelector::IsEligible(const EndpointState& endpoint,
                                   const EndpointQuery& query,
                                   const PeerBasis& basis) const {
-  if (endpoint.entry.leaving)
-    return false;
   if (std::find(query.excluded.begin(), query.excluded.end(),
                 endpoint.entry.id) != query.excluded.end()) {
     return false;
@@ -273,18 +303,6 @@
   return RequestsAt(endpoint, basis) + 1 <= std::max(limit, 1.0);
 }
 
-bool EndpointSelector::IsSuspect(const EndpointState& endpoint,
-                                 TimePoint now) const {
-  if (now < endpoint.backoff_until)
-    return true;
-  const bool is_unresponsive =
-      endpoint.own_requests > 0 &&
-      endpoint.unanswered_since > endpoint.last_response_at &&
-      now - endpoint.unanswered_since > kSilenceTimeout &&
-      now - endpoint.last_request_at < kMaxBackoff;
-  return is_unresponsive && endpoint.last_response_at != TimePoint{};
-}
-
 double EndpointSelector::MeanRunning(const ServiceName& service,
                                      const PeerBasis& basis) const {
   double total = 0;
@@ -319,7 +337,7 @@
   double running = RequestsAt(endpoint, basis);
   if (now - endpoint.reported_at < kMaxLoadReportAge) {
     running = std::max(running, static_cast<double>(endpoint.reported_load +
-                                                    endpoint.own_requests -
+                                                    endpoint.OwnRequests() -
                                                     endpoint.own_at_report));
   }
   cost += (query.is_plain ? kPlainRequestCost : kRunningRequestCost) * running;
@@ -379,7 +397,7 @@
   const auto sort_key = [&](const EndpointHandle& endpoint) {
     return std::make_tuple(
         this->EstimateCost(*endpoint, query, basis, &endpoint == home, now),
-        endpoint->last_request_at);
+        endpoint->availability.LastRequestAt());
   };
   const EndpointHandle* best = nullptr;
   decltype(sort_key(usable.front())) best_key;
@@ -397,11 +415,7 @@
     EndpointState& endpoint,
     std::span<const PromptSegment> segments,
     TimePoint now) {
-  if (endpoint.own_requests == 0 ||
-      endpoint.unanswered_since <= endpoint.last_response_at)
-    endpoint.unanswered_since = now;
-  ++endpoint.own_requests;
-  endpoint.last_request_at = now;
+  endpoint.availability.RecordRequest(now);
   std::int64_t uncached_tokens = 0;
   const PromptSegment* shared = LastSharedSegment(segments);
   if (endpoint.segment_prefilled_at.size() > kMaxTrackedSegments)
@@ -445,17 +459,54 @@
 
 void EndpointSelector::RecordResponseData(EndpointState& endpoint,
                                           TimePoint now) {
-  endpoint.last_response_at = now;
+  endpoint.availability.RecordResponse(now);
 }
 
 void EndpointSelector::RecordMisdirected(EndpointState& endpoint,
                                          TimePoint now) {
-  endpoint.backoff = kMaxBackoff;
-  endpoint.backoff_until = now + kMaxBackoff;
+  endpoint.availability.RecordMisdirected(now);
+}
+
+void EndpointSelector::RecordLeaving(EndpointState& endpoint, TimePoint now) {
+  endpoint.availability.RecordLeaving(now);
+  this->RememberStatement(endpoint);
+}
+
+void EndpointSelector::RecordClosed(EndpointState& endpoint, TimePoint until) {
+  endpoint.availability.RecordClosed(until);
+  this->RememberStatement(endpoint);
+}
+
+void EndpointSelector::RememberStatement(EndpointState& endpoint) {
+  if (this->statements.size() >= kMaxStatements) {
+    std::erase_if(this->statements, [this](const auto& entry) {
+      return !this->endpoints.contains(entry.first);
+    });
+  }
+  EndpointStatement statement = endpoint.availability.Statement();
+  statement.born_ms = endpoint.entry.born_ms;
+  this->statements[endpoint.entry.id] = statement;
+  // The endpoint may have been published anew while it answered.
+  const EndpointHandle current = this->Find(endpoint.entry.id);
+  if (current)
+    this->RestoreStatement(*current);
+}
+
+void EndpointSelector::RestoreStatement(EndpointState& endpoint) {
+  const auto said = this->statements.find(endpoint.entry.id);
+  if (said == this->statements.end())
+    return;
+  const std::int64_t born_before = said->second.born_ms;
+  if (born_before != 0 && endpoint.entry.born_ms > born_before) {
+    this->statements.erase(said);
+    endpoint.availability.SetStatement({});
+    return;
+  }
+  endpoint.availability.SetStatement(said->second);
 }
 
 void EndpointSelector::RecordEnd(EndpointState& endpoint) {
-  --endpoint.own_requests;
+  endpoint.availability.RecordRequestEnd();
 }
 
 void EndpointSelector::RecordResult(EndpointState& endpoint,
@@ -466,22 +517,20 @@
   endpoint.failure_rate +=
       kFailureRateSmoothing * ((failed ? 1.0 : 0.0) - endpoint.failure_rate);
   if (result == EndpointResult::kUnreachable) {
-    endpoint.backoff =
-        std::clamp(endpoint.backoff * 2, kMinBackoff, kMaxBackoff);
-    endpoint.backoff_until = now + endpoint.backoff;
+    endpoint.availability.RecordUnreachable(now);
     return;
   }
   if (result != EndpointResult::kBroken)
-    endpoint.last_response_at = now;
+    endpoint.availability.RecordResponse(now);
   if (result == EndpointResult::kServed)
-    endpoint.backoff = milliseconds(0);
+    endpoint.availability.RecordServed();
 }
 
 void EndpointSelector::RecordReportedLoad(EndpointState& endpoint,
                                           SelfReportedLoad load,
                                           TimePoint now) {
   endpoint.reported_load = load.running + load.waiting;
-  endpoint.own_at_report = endpoint.own_requests;
+  endpoint.own_at_report = endpoint.OwnRequests();
   endpoint.reported_at = now;
 }
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -52,6 +52,11 @@
 constexpr milliseconds kMinRetryAfter{50};
 constexpr int kRetryAfterDivisor = 3;
 
+/** Callers that wait for the same endpoint return over this part of the time
+ * until then, and over at least this time. */
+constexpr int kReturnSpreadDivisor = 4;
+constexpr milliseconds kMinReturnSpread{300};
+
 /** Retry-After of a process that has no configuration yet: a caller that
  * returns at once would use up its retries before the first read can succeed.
  */
@@ -91,9 +96,10 @@
   EndpointResult endpoint_result;
 };
 
-constexpr std::array<AttemptResultRow, 7> kAttemptResults = {{
+constexpr std::array<AttemptResultRow, 8> kAttemptResults = {{
     {"answered", EndpointResult::kServed},
     {"no_room", EndpointResult::kFull},
+    {"withheld", EndpointResult::kFull},
     {"quarantined", EndpointResult::kFull},
     {"unreachable", EndpointResult::kUnreachable},
     {"not_executed", EndpointResult::kFull},
@@ -192,6 +198,7 @@
   RetryBudget& budget = this->state.QueueOf(this->request.service).retry_budget;
   switch (result) {
     case AttemptResult::kUnreachable:
+    case AttemptResult::kWithheld:
       return ++this->connect_failures < kMaxConnectFailures;
     case AttemptResult::kNotExecuted:
       return this->attempts < this->request.route->max_attempts &&
@@ -242,7 +249,9 @@
     co_return chosen;
   ServiceQueue& queue = this->state.QueueOf(this->request.service);
   const milliseconds max_wait = this->TimeLeft() / kMaxWaitDivisor;
-  if (!this->state.selector.HasAvailableEndpoint(this->request.service) ||
+  const auto now = Clock::now();
+  if (!this->state.selector.HasAvailableEndpoint(this->request.service, now,
+                                                 now + max_wait) ||
       queue.waiting.EstimateWait(this->request.priority, Clock::now()) >
           max_wait) {
     co_return nullptr;
@@ -310,8 +319,12 @@
   try {
     if (!this->is_aborted)
       is_open = co_await this->OpenConnection(endpoint);
+    // The endpoint or the prompt may have been ruled out meanwhile.
+    const EndpointUse use = endpoint.Availability().StateAt(Clock::now()).use;
     if (is_open && this->IsQuarantined())
       result = AttemptResult::kQuarantined;
+    else if (is_open && use == EndpointUse::kNever)
+      result = AttemptResult::kWithheld;
     else if (is_open && !this->is_aborted)
       result = co_await this->SendTo(endpoint);
   } catch (const std::exception& error) {
@@ -466,6 +479,8 @@
   if (this->response.load)
     this->state.selector.RecordReportedLoad(endpoint, *this->response.load,
                                             now);
+  this->state.RecordStatements(endpoint, this->response,
+                               this->connection->Head().result_int());
   this->connection->idle_timeout = this->response.idle_timeout;
   this->record.RecordFirstByte(now);
 }
@@ -569,6 +584,19 @@
   co_await this->Refuse(not_run);
 }
 
+std::optional<milliseconds> ForwardSession::TimeUntilReturn() const {
+  const auto now = Clock::now();
+  const auto returns_at =
+      this->state.selector.EarliestReturn(this->request.service, now);
+  if (!returns_at)
+    return std::nullopt;
+  const milliseconds time = Elapsed(now, *returns_at);
+  const auto spread = std::chrono::duration_cast<milliseconds>(
+      std::max<milliseconds>(kMinReturnSpread, time / kReturnSpreadDivisor) *
+      SpreadOf(this->request.metadata.request_id));
+  return time + spread;
+}
+
 milliseconds ForwardSession::RetryAfter() const {
   if (!this->table)
     return kStartRetryAfter;
@@ -576,6 +604,9 @@
       this->request.metadata.segments, Clock::now());
   if (quarantined)
     return std::max(quarantined->remaining, kMinRetryAfter);
+  // Earlier, the caller would be refused again.
+  if (const auto until_return = this->TimeUntilReturn())
+    return std::max(*until_return, kMinRetryAfter);
   const auto queue = this->state.queues.find(this->request.service);
   if (queue == this->state.queues.end())
     return kMinRetryAfter;
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -21,6 +21,7 @@
 enum class AttemptResult {
   kAnswered,     ///< The caller has received a complete response.
   kNoCapacity,   ///< No endpoint had capacity in time; nothing was sent.
+  kWithheld,     ///< The endpoint has become unusable; nothing was sent.
   kQuarantined,  ///< The prompt is in quarantine; nothing was sent.
   kUnreachable,  ///< No connection could be opened; nothing was sent.
   kNotExecuted,  ///< The endpoint states that it did not run the request.
@@ -69,6 +70,10 @@
   /** Opens a connection to an endpoint and sends the request. */
   asio::awaitable<AttemptResult> TryEndpoint(EndpointState& endpoint);
 
+  /** @return When the next endpoint of the service may be used again, spread
+   * over the callers that wait for it; empty if one may be used now. */
+  std::optional<std::chrono::milliseconds> TimeUntilReturn() const;
+
   /** @return True if endpoints crash under the prompt of the request. */
   bool IsQuarantined() const;
 
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -124,6 +124,7 @@
         {"store_reached", this->follower.IsStoreReachable()},
         {"gossip", this->peers.Status()},
         {"connections", this->connections.size()},
+        {"unusable", this->UnusableEndpoints()},
         {"quarantine", std::move(quarantine)}};
   }
 
@@ -139,6 +140,19 @@
   }
 
  private:
+  /** @return State of each endpoint that is not in normal use, by its id. */
+  nlohmann::json UnusableEndpoints() const {
+    const auto now = Clock::now();
+    nlohmann::json states = nlohmann::json::object();
+    for (const auto& [id, endpoint] : this->state.selector.All()) {
+      const EndpointAvailability::State& state =
+          endpoint->Availability().StateAt(now);
+      if (state.use != EndpointUse::kNormal)
+        states[id.str()] = state.name;
+    }
+    return states;
+  }
+
   bool IsOutOfRotation() const {
     return Clock::now() - this->drain_begun >= kRotationExitTime;
   }
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -36,6 +36,17 @@
 /** Part of the retry burst allowance that all gateways together may spend. */
 constexpr double kRetrySlackUsed = 0.5;
 
+/** An endpoint that leaves gets its last request this long before the limit:
+ * a request may wait for a connection, and takes some time to arrive. */
+constexpr std::chrono::milliseconds kLeaveMargin{500};
+
+EndpointSelectorLimits SelectorLimits(const Settings& settings) {
+  EndpointSelectorLimits limits;
+  limits.leaving_time = std::max(settings.endpoint_leave_time - kLeaveMargin,
+                                 std::chrono::milliseconds(0));
+  return limits;
+}
+
 /** @return The log event of a change. */
 LogEventName EventOf(QuarantineChange::Kind kind) {
   switch (kind) {
@@ -64,7 +75,7 @@
       executor(executor),
       adapter(PlatformAdapter::Linked()),
       selector(FailureDomainId(settings.failure_domain),
-               EndpointSelectorLimits{}),
+               SelectorLimits(settings)),
       connection_pool(std::move(executor)),
       quarantine(SpreadOf(settings.gossip_address)),
       crash_probe(*this),
@@ -127,6 +138,38 @@
     queue.retry_budget.SetCapacity(this->RetryBurst());
 }
 
+void GatewayState::RecordStatements(EndpointState& endpoint,
+                                    const ResponseMetadata& response,
+                                    unsigned status) {
+  constexpr unsigned kMisdirected = 421;
+  constexpr unsigned kUnavailable = 503;
+  // Another process at the endpoint's address speaks of itself.
+  if (status == kMisdirected)
+    return;
+  const EndpointEntry& entry = endpoint.Entry();
+  const auto now = Clock::now();
+  const EndpointStatement before = endpoint.Availability().Statement();
+  if (response.leaving && before.leaving_since == Clock::time_point{}) {
+    LogLine(LogLevel::kNotice, "endpoint_says_leaving",
+            {{"endpoint", entry.id}, {"service", entry.service}});
+    this->selector.RecordLeaving(endpoint, now);
+    this->connection_pool.CloseIdle(entry.id);
+  }
+  if (status != kUnavailable || !response.retry_after)
+    return;
+  const auto until = now + *response.retry_after;
+  if (until <= before.closed_until)
+    return;
+  // A second refusal of the same moment is no news.
+  if (before.closed_until <= now) {
+    LogLine(LogLevel::kNotice, "endpoint_closed",
+            {{"endpoint", entry.id},
+             {"service", entry.service},
+             {"for_ms", response.retry_after->count()}});
+  }
+  this->selector.RecordClosed(endpoint, until);
+}
+
 void GatewayState::ApplyQuarantineChanges() {
   const std::vector<QuarantineChange> changes = this->quarantine.TakeChanges();
   for (const QuarantineChange& change : changes) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -65,6 +65,11 @@
   /** Starts waiting requests of all services. */
   void WakeAllWaiting();
 
+  /** Records what an endpoint says of itself in a response. */
+  void RecordStatements(EndpointState& endpoint,
+                        const ResponseMetadata& response,
+                        unsigned status);
+
   /** Logs and counts changes of the quarantine, and wakes waiting requests,
    * some of which may have to be refused now. */
   void ApplyQuarantineChanges();
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -52,6 +52,9 @@
   std::string request_id;
   bool is_from_endpoint = false;  ///< Carries the endpoint's response seal.
   bool not_executed = false;      ///< The endpoint did not run the request.
+  bool leaving = false;           ///< The endpoint is about to stop.
+  /** Time for which the endpoint wants no requests, if it refuses this one. */
+  std::optional<std::chrono::milliseconds> retry_after;
   std::optional<SelfReportedLoad> load;
   /** Idle timeout of the connection at the endpoint, if stated. */
   std::optional<std::chrono::milliseconds> idle_timeout;
--- a/src/gateway/request_record.cc
+++ b/src/gateway/request_record.cc
@@ -102,6 +102,8 @@
   if (this->attempts.empty()) {
     line.push_back(
         {"taken_share", state.selector.Utilisation(request.service)});
+    line.push_back(
+        {"unusable", state.selector.CountUnusable(request.service, now)});
   }
   if (this->sent_at != Clock::time_point{}) {
     line.push_back(
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -64,6 +64,7 @@
   std::chrono::milliseconds assignment_settle{};
   std::chrono::milliseconds order_lifetime{};
   std::chrono::milliseconds drain_timeout{};
+  std::chrono::milliseconds endpoint_leave_time{};
 };
 
 std::span<const FieldRow<Settings>> SettingRows();
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -23,7 +23,7 @@
 // clang-format off
 inline constexpr std::array kLogEvents = std::to_array<LogEventRow>({
     // Requests through a gateway
-    {"request", "request route organisation service configuration priority reason status total_ms attempts segments quarantined published_age_ms taken_share sent_ms first_byte_ms", "A request has ended; lists the decisions made for it"},
+    {"request", "request route organisation service configuration priority reason status total_ms attempts segments quarantined published_age_ms taken_share unusable sent_ms first_byte_ms", "A request has ended; lists the decisions made for it"},
     {"attempt_failed", "endpoint reason", "An attempt to forward a request ended with an exception"},
     {"request_malformed", "reason", "The header of a request is invalid"},
     // Fleet state known to a gateway
@@ -31,6 +31,10 @@
     {"endpoint_up", "endpoint service address", "An endpoint accepts requests"},
     {"endpoint_leaving", "endpoint service address", "An endpoint accepts no new requests"},
     {"endpoint_gone", "endpoint revision", "An endpoint is no longer published"},
+    {"endpoint_says_leaving", "endpoint service", "An endpoint says in a response that it leaves; it is a last resort for a short time, then unused"},
+    {"endpoint_closed", "endpoint service for_ms", "An endpoint has refused a request and wants none for this time"},
+    {"retry_after_ignored", "value", "The Retry-After of an endpoint is no number of seconds"},
+    {"retry_after_bounded", "value", "The Retry-After of an endpoint is longer than the limit, which is used instead"},
     {"endpoint_crashed", "endpoint service unanswered", "An endpoint refuses connections after it has dropped requests that it had not answered"},
     {"segment_quarantined", "segments endpoints", "Endpoints have crashed under prompts with these segments; requests with all of them are refused"},
     {"segment_cleared", "segments endpoints", "An endpoint has answered on a segment in quarantine; it is admitted again"},
--- a/src/table/settings_table.h
+++ b/src/table/settings_table.h
@@ -70,6 +70,8 @@
      "Router: maximum number of retries, relative to first attempts."},
     {"retry_slack", &Settings::retry_slack, "", 20, 0, 100000, "",
      "Gateway: retries that all gateways together may make in addition to the percentage."},
+    {"endpoint_leave_time", &Settings::endpoint_leave_time, "ms", 2000, 0, 600000, "",
+     "Gateway: time after which an endpoint that says it leaves gets no requests; until then, only if no other is left."},
     {"link_capacity", &Settings::link_capacity, "Mbit/s", 0, 0, 1000000000, "",
      "Gateway: bandwidth of the VM's link; the gateways with the most become hubs of their failure domain."},
     {"chat_memory_entries", &Settings::chat_memory_entries, "", 20000, 0, 10000000, "",
--- a/test/stories/endpoint_selector.cc
+++ b/test/stories/endpoint_selector.cc
@@ -215,7 +215,8 @@
   CPPUNIT_ASSERT(view.Choose({})->Entry().id == Entry(2).id);
   CPPUNIT_ASSERT(view.Choose({}, 0, {Entry(2).id}) == nullptr);
   view.selector.Withdraw(Entry(2).id);
-  CPPUNIT_ASSERT(!view.selector.HasAvailableEndpoint(kService));
+  CPPUNIT_ASSERT(
+      !view.selector.HasAvailableEndpoint(kService, view.now, view.now));
 }
 
 void UnreachableIsUsedOnlyAsLast() {
--- a/test/stories/settings_template.cc
+++ b/test/stories/settings_template.cc
@@ -83,8 +83,9 @@
 }
 
 void WholeNumbersAreTaken() {
-  const Settings settings =
-      RenderedSettings({{"budgetSlack", 246}, {"graceS", 8}});
+  const Settings settings = RenderedSettings(
+      {{"budgetSlack", 246}, {"graceS", 8}, {"drainMs", 4000}});
+  CPPUNIT_ASSERT(settings.endpoint_leave_time == milliseconds(4000));
   CPPUNIT_ASSERT_EQUAL(std::int64_t{246}, settings.retry_slack);
   CPPUNIT_ASSERT(settings.drain_timeout == milliseconds(8000));
 }
@@ -100,6 +101,7 @@
   const Settings settings = RenderedSettings(json::object());
   CPPUNIT_ASSERT_EQUAL(std::int64_t{20}, settings.retry_slack);
   CPPUNIT_ASSERT(settings.drain_timeout == milliseconds(600000));
+  CPPUNIT_ASSERT(settings.endpoint_leave_time == milliseconds(2000));
   CPPUNIT_ASSERT(RenderedSettings(json()).drain_timeout ==
                  milliseconds(600000));
   CPPUNIT_ASSERT(RenderedSettings({{"graceS", nullptr}}).drain_timeout ==
