Soak: endpoints that leave or ask for time, checked from what they see

The soak's endpoints refuse one request in 40 with a Retry-After of 1.2 s, and from a third of a run on one ledger says in its responses that it leaves. The history checks that no gateway's requests reach it later than the limit, and that two at most reach an endpoint in the time that it asked for; a pause or a restart of the gateway excuses. Two mutants are new, and the one for draining endpoints follows its line to the table.

--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -125,21 +125,29 @@
 }  // namespace
 
 EndpointScript SoakEndpoint(SoakHistory& history,
-                            const std::atomic<bool>& is_failing,
+                            const EndpointBehaviour& behaviour,
                             const std::string& name,
                             std::uint64_t seed) {
   auto random = std::make_shared<std::mt19937_64>(seed);
   auto mutex = std::make_shared<std::mutex>();
-  return [&history, &is_failing, name, random, mutex](ScriptedCall& call) {
+  return [&history, &behaviour, name, random, mutex](ScriptedCall& call) {
     const std::string id = call.Id();
-    history.RecordRun(id, call.Field("Buckthornpath-Tenant"),
-                      !call.Field("X-Api-Key").empty(), name);
+    history.RecordArrival(id, name);
     constexpr int kDrawRange = 40;
     int draw = 0;
     {
       const std::lock_guard lock(*mutex);
       draw = std::uniform_int_distribution<int>(0, kDrawRange - 1)(*random);
     }
+    constexpr int kRefusalDraw = 2;
+    if (draw == kRefusalDraw) {
+      call.Answer(503, "",
+                  "Buckthornpath-Not-Executed: 1\r\nRetry-After: 1.2\r\n");
+      history.RecordAskedForTime(id, name, milliseconds(1200));
+      return;
+    }
+    history.RecordRun(id, call.Field("Buckthornpath-Tenant"),
+                      !call.Field("X-Api-Key").empty(), name);
     if (id.starts_with(kDisconnectPrefix)) {
       if (call.WaitForClose(kLongRequestTime))
         history.RecordWorkStopped(id);
@@ -148,12 +156,17 @@
       return;
     }
     std::this_thread::sleep_for(milliseconds(5 + draw));
-    if (draw == 0 || (is_failing && !id.starts_with(kOncePrefix)))
+    const bool is_leaving = behaviour.is_leaving && name == kLeavingEndpoint;
+    if (draw == 0 || (behaviour.is_failing && !id.starts_with(kOncePrefix))) {
       call.Close(true);
-    else if (id.starts_with(kStreamPrefix))
+    } else if (id.starts_with(kStreamPrefix)) {
       StreamFrom(call, draw == 1);
-    else
-      call.Answer(200, "answer to " + id);
+    } else {
+      call.Answer(200, "answer to " + id,
+                  is_leaving ? "Server-Leaving: 1\r\n" : "");
+      if (is_leaving)
+        history.RecordSaidLeaving(id, name);
+    }
   };
 }
 
--- a/test/soak/soak_callers.h
+++ b/test/soak/soak_callers.h
@@ -16,14 +16,24 @@
  * and the minimum pause between faults. */
 inline constexpr std::chrono::milliseconds kMinPause{50};
 
+/** How endpoints behave at the moment. */
+struct EndpointBehaviour {
+  /** They close the connection of every retryable request without a response.
+   */
+  std::atomic<bool> is_failing = false;
+  /** The endpoint kLeavingEndpoint says so in its responses. */
+  std::atomic<bool> is_leaving = false;
+};
+
+inline constexpr const char* kLeavingEndpoint = "ledger-2";
+
 /**
- * @param is_failing True while the endpoint closes the connection of every
- * retryable request without a response.
  * @return A script that responds after 5 to 44 ms. At random, it closes one
- * connection in 40 without a response, and interrupts one stream in 40 halfway.
+ * connection in 40 without a response, refuses one request in 40 and asks for
+ * time, and interrupts one stream in 40 halfway.
  */
 EndpointScript SoakEndpoint(SoakHistory& history,
-                            const std::atomic<bool>& is_failing,
+                            const EndpointBehaviour& behaviour,
                             const std::string& name,
                             std::uint64_t seed);
 
--- a/test/soak/soak_history.cc
+++ b/test/soak/soak_history.cc
@@ -37,6 +37,17 @@
 /** Time in which the platform reports the end of a process to its callers. */
 constexpr milliseconds kKillReportTime{100};
 
+/** Time that the platform allows until a wish of an endpoint holds, and the
+ * requests that may reach it all the same. */
+constexpr milliseconds kNoticeTime{500};
+constexpr int kMaxArrivalsWhileClosed = 2;
+
+/** @return The gateway that a request was sent to: the number after the prefix
+ * of its id. */
+std::size_t GatewayOf(const std::string& id) {
+  return std::stoul(id.substr(id.find('-') + 1));
+}
+
 bool MustRunAtMostOnce(const std::string& id) {
   return id.starts_with(kOncePrefix) || id.starts_with(kDisconnectPrefix);
 }
@@ -58,6 +69,57 @@
     this->AddViolation(id + " ran at " + endpoint + " after it had left");
 }
 
+SoakHistory::Statement& SoakHistory::StatementFor(const std::string& id,
+                                                  const std::string& endpoint) {
+  const std::size_t gateway = GatewayOf(id);
+  Statement& said = this->statements[{endpoint, gateway}];
+  const Clock::time_point latest = std::max(said.leaving_since, said.asked_at);
+  if (latest < this->started_at[gateway])
+    said = {};
+  return said;
+}
+
+void SoakHistory::RecordArrival(const std::string& id,
+                                const std::string& endpoint) {
+  const std::lock_guard lock(this->mutex);
+  Statement& said = this->StatementFor(id, endpoint);
+  const auto now = Clock::now();
+  const auto paused_at = this->paused_at[GatewayOf(id)];
+  // A request that was sent before the limit may still arrive.
+  if (said.leaving_since != Clock::time_point{} &&
+      paused_at < said.leaving_since &&
+      now - said.leaving_since > kMaxDrainTime + kNoticeTime)
+    this->AddViolation(id + " reached " + endpoint +
+                       " after it had said that it leaves");
+  if (now - said.asked_at <= kNoticeTime || now >= said.closed_until ||
+      paused_at >= said.asked_at)
+    return;
+  if (++said.arrivals_while_closed > kMaxArrivalsWhileClosed)
+    this->AddViolation(id + " reached " + endpoint +
+                       " in the time that it had asked for");
+}
+
+void SoakHistory::RecordSaidLeaving(const std::string& id,
+                                    const std::string& endpoint) {
+  const std::lock_guard lock(this->mutex);
+  Statement& said = this->StatementFor(id, endpoint);
+  if (said.leaving_since == Clock::time_point{})
+    said.leaving_since = Clock::now();
+}
+
+void SoakHistory::RecordAskedForTime(const std::string& id,
+                                     const std::string& endpoint,
+                                     milliseconds time) {
+  const std::lock_guard lock(this->mutex);
+  Statement& said = this->StatementFor(id, endpoint);
+  const auto now = Clock::now();
+  if (now < said.closed_until)
+    return;
+  said.asked_at = now;
+  said.closed_until = now + time;
+  said.arrivals_while_closed = 0;
+}
+
 void SoakHistory::RecordOutcome(const CallOutcome& outcome) {
   const std::lock_guard lock(this->mutex);
   ++this->result.calls;
@@ -145,6 +207,11 @@
   }
 }
 
+void SoakHistory::RecordPause(std::size_t gateway) {
+  const std::lock_guard lock(this->mutex);
+  this->paused_at[gateway] = Clock::now();
+}
+
 void SoakHistory::RecordKill(std::size_t gateway) {
   const std::lock_guard lock(this->mutex);
   this->kills.emplace_back(gateway, Clock::now());
--- a/test/soak/soak_history.h
+++ b/test/soak/soak_history.h
@@ -62,13 +62,24 @@
                  const std::string& organisation,
                  bool has_key,
                  const std::string& endpoint);
+  /** Records that a request has reached an endpoint, run or not. */
+  void RecordArrival(const std::string& id, const std::string& endpoint);
+
+  /** Record that an endpoint has told the gateway of a request that it leaves,
+   * or that it wants nothing for a time. */
+  void RecordSaidLeaving(const std::string& id, const std::string& endpoint);
+  void RecordAskedForTime(const std::string& id,
+                          const std::string& endpoint,
+                          std::chrono::milliseconds time);
+
   void RecordOutcome(const CallOutcome& outcome);
   void RecordFault();
 
   /** Records that an endpoint starts to drain, or is ready again. */
   void RecordDraining(const std::string& endpoint, bool is_draining);
 
-  /** Record that a gateway was killed, or was started. */
+  /** Record that a gateway was paused, was killed, or was started. */
+  void RecordPause(std::size_t gateway);
   void RecordKill(std::size_t gateway);
   void RecordStart(std::size_t gateway);
 
@@ -109,8 +120,22 @@
                  Clock::time_point from,
                  Clock::time_point to) const;
 
+  /** What an endpoint has told one gateway. */
+  struct Statement {
+    Clock::time_point leaving_since{};  ///< Zero: it does not leave.
+    Clock::time_point asked_at{};
+    Clock::time_point closed_until{};
+    int arrivals_while_closed = 0;
+  };
+
+  /** @return What an endpoint has told the gateway of a request, or its state
+   * before anything if the gateway's process is a new one. */
+  Statement& StatementFor(const std::string& id, const std::string& endpoint);
+
   std::mutex mutex;
   SoakResult result;
+  std::map<std::pair<std::string, std::size_t>, Statement> statements;
+  std::map<std::size_t, Clock::time_point> paused_at;
   std::map<std::string, int> runs;
   std::map<std::string, std::string> service_of;  ///< By request ID.
   std::map<std::string, Clock::time_point> draining_since;
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -54,11 +54,11 @@
  public:
   FaultInjector(GatewayFleet& fleet,
                 SoakHistory& history,
-                std::atomic<bool>& is_failing,
+                EndpointBehaviour& behaviour,
                 const SoakPlan& plan)
       : fleet(fleet),
         history(history),
-        is_failing(is_failing),
+        behaviour(behaviour),
         plan(plan),
         random(plan.seed) {}
 
@@ -68,7 +68,9 @@
     // every request needs one.
     this->PublishConfiguration();
     this->FailEndpoints();
+    const auto leaving_at = Clock::now() + (end - Clock::now()) / 3;
     while (Clock::now() < end) {
+      this->behaviour.is_leaving = Clock::now() >= leaving_at;
       this->RestartEnded();
       this->CheckMemory();
       this->Inject();
@@ -90,7 +92,7 @@
 
   /** Removes all faults, so that every gateway can recover. */
   void RemoveFaults() {
-    this->is_failing = false;
+    this->behaviour.is_failing = false;
     this->fleet.Store().SetMode(StoreMode::kServing);
     for (std::size_t i = 0; i < kLedgers; ++i)
       this->SetDraining(i, false);
@@ -141,9 +143,11 @@
     gateway.Signal(SIGTERM);
   }
   void PauseProcess() {
-    ChildProcess& gateway = this->fleet.Gateway(this->RandomGateway());
+    const std::size_t index = this->RandomGateway();
+    ChildProcess& gateway = this->fleet.Gateway(index);
     gateway.Signal(SIGSTOP);
     std::this_thread::sleep_for(RandomPause(this->random));
+    this->history.RecordPause(index);
     gateway.Signal(SIGCONT);
   }
   void Reload() { this->fleet.Gateway(this->RandomGateway()).Signal(SIGHUP); }
@@ -182,9 +186,9 @@
 
   /** Makes all endpoints fail retryable requests for a while. */
   void FailEndpoints() {
-    this->is_failing = true;
+    this->behaviour.is_failing = true;
     std::this_thread::sleep_for(kEndpointFailureTime);
-    this->is_failing = false;
+    this->behaviour.is_failing = false;
   }
   void ChangeDraining() {
     const std::size_t ledger = 1 + RandomBelow(this->random, kLedgers - 1);
@@ -213,7 +217,7 @@
 
   GatewayFleet& fleet;
   SoakHistory& history;
-  std::atomic<bool>& is_failing;
+  EndpointBehaviour& behaviour;
   const SoakPlan& plan;
   Random random;
   std::uint64_t version = 1;
@@ -256,18 +260,16 @@
                          {"retry_slack", kRetryBurst},
                          {"log_bytes_per_second", kLogBytesPerSecond}};
   SoakHistory history;
-  std::atomic<bool> is_failing = false;
+  EndpointBehaviour behaviour;
   const auto started_at = Clock::now();
   GatewayFleet fleet(fleet_plan);
   for (std::size_t i = 0; i < kEngines; ++i) {
-    fleet.Engine(i).SetScript(SoakEndpoint(history, is_failing,
-                                           "engine-" + std::to_string(i),
-                                           plan.seed * 10 + i));
+    fleet.Engine(i).SetScript(SoakEndpoint(
+        history, behaviour, "engine-" + std::to_string(i), plan.seed * 10 + i));
   }
   for (std::size_t i = 0; i < kLedgers; ++i) {
-    fleet.Ledger(i).SetScript(SoakEndpoint(history, is_failing,
-                                           "ledger-" + std::to_string(i),
-                                           plan.seed * 20 + i));
+    fleet.Ledger(i).SetScript(SoakEndpoint(
+        history, behaviour, "ledger-" + std::to_string(i), plan.seed * 20 + i));
   }
   std::atomic<bool> is_over = false;
   std::vector<std::thread> callers;
@@ -281,7 +283,7 @@
     callers.emplace_back(
         [&, gateway] { DisconnectUntil(is_over, fleet, history, gateway); });
   }
-  FaultInjector injector(fleet, history, is_failing, plan);
+  FaultInjector injector(fleet, history, behaviour, plan);
   injector.RunUntil(Clock::now() + plan.length);
   injector.RemoveFaults();
   const bool has_recovered = WaitUntil(
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -38,9 +38,15 @@
 mutant src/gateway/event_relay.cc \
   'if (id && this->last_event_id && *id <= *this->last_event_id)' 'if (id && *id == 2)' \
   'events out of order or twice\|short stream'
-mutant src/decision/endpoint_selector.cc \
-  'if (endpoint.entry.leaving)
-    return false;' '' 'after it had left'
+mutant src/decision/endpoint_availability.cc \
+  '{"draining", EndpointUse::kNever' '{"draining", EndpointUse::kNormal' \
+  'after it had left'
+mutant src/decision/endpoint_availability.cc \
+  'return this->statement.leaving_since != TimePoint{};' 'return false;' \
+  'after it had said that it leaves'
+mutant src/decision/endpoint_availability.cc \
+  'return now < this->statement.closed_until;' 'return false;' \
+  'in the time that it had asked for'
 mutant platform/wire_names.h 'kApiKey,' '' 'with the key'
 mutant src/gateway/forward_stream.cc \
   'chunk = std::move(events);' 'chunk = "";' \
