--- a/test/stories/gateway_crashing_prompts.cc
+++ b/test/stories/gateway_crashing_prompts.cc
@@ -2,11 +2,7 @@
 
 #include <cppunit/TestAssert.h>
 
-#include <array>
 #include <atomic>
-#include <csignal>
-#include <mutex>
-#include <set>
 #include <thread>
 #include <vector>
 
@@ -51,7 +47,7 @@
   CrashingEngines(GatewayFleet& fleet,
                   std::size_t count,
                   CrashMoment moment = CrashMoment::kAfterHead)
-      : fleet(fleet), count(count) {
+      : fleet(fleet) {
     for (std::size_t i = 0; i < count; ++i) {
       fleet.Engine(i).SetScript([this, i, moment](ScriptedCall& call) {
         this->Answer(call, this->fleet.Engine(i), moment);
@@ -97,7 +93,6 @@
   }
 
   GatewayFleet& fleet;
-  std::size_t count;
   std::atomic<std::size_t> crashes = 0;
   std::atomic<std::size_t> deadly_arrivals = 0;
 };
@@ -152,7 +147,7 @@
 
 /** A fleet whose gateways have sent deadly requests in turn, one each. */
 struct PoisonedFleet {
-  explicit PoisonedFleet(GatewayPlan plan,
+  explicit PoisonedFleet(const GatewayPlan& plan,
                          const std::string& path = "/draft/x",
                          CrashMoment moment = CrashMoment::kAfterHead)
       : gateways(plan.gateways),
--- a/test/stories/segment_quarantine.cc
+++ b/test/stories/segment_quarantine.cc
@@ -28,6 +28,7 @@
 /** @return A prompt of these segments and one of its own. */
 std::vector<PromptSegment> Prompt(const std::vector<std::uint64_t>& shared) {
   std::vector<PromptSegment> prompt;
+  prompt.reserve(shared.size() + 1);
   for (const std::uint64_t id : shared)
     prompt.push_back({id, 100});
   prompt.push_back({999, 10});
