Statements of an endpoint survive responses to requests sent under an older record

Found on reading the change: a response to a request that was sent before the endpoint's record changed its address replaced what the endpoint had said since, so that one that leaves came back. And a response of an old process could speak for its successor. Change: a record takes over what is remembered before it records more, and one of an older process is not heard. Besides, a Retry-After of "inf" is no number, and an attempt that was withheld says nothing about the endpoint's health. Evidence: endpoint_selector, "what one has said outlives its record, until a new process", failed before; gateway_statements checks which odd times are ignored."

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -313,6 +313,9 @@
 
   const std::vector<EndpointHandle>& EndpointsOf(const ServiceName& name) const;
   void RemoveFromService(const EndpointHandle& endpoint);
+  /** Restores what an endpoint has said before it says more. @return False if
+   * a later process with its id has spoken. */
+  bool CanSpeak(EndpointState& endpoint);
   void RememberStatement(EndpointState& endpoint);
   void RestoreStatement(EndpointState& endpoint);
   static const ServiceTimes kDefaultTimes;
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -468,15 +468,28 @@
 }
 
 void EndpointSelector::RecordLeaving(EndpointState& endpoint, TimePoint now) {
+  if (!this->CanSpeak(endpoint))
+    return;
   endpoint.availability.RecordLeaving(now);
   this->RememberStatement(endpoint);
 }
 
 void EndpointSelector::RecordClosed(EndpointState& endpoint, TimePoint until) {
+  if (!this->CanSpeak(endpoint))
+    return;
   endpoint.availability.RecordClosed(until);
   this->RememberStatement(endpoint);
 }
 
+bool EndpointSelector::CanSpeak(EndpointState& endpoint) {
+  const auto said = this->statements.find(endpoint.entry.id);
+  if (said != this->statements.end() &&
+      said->second.born_ms > endpoint.entry.born_ms)
+    return false;
+  this->RestoreStatement(endpoint);
+  return true;
+}
+
 void EndpointSelector::RememberStatement(EndpointState& endpoint) {
   if (this->statements.size() >= kMaxStatements) {
     std::erase_if(this->statements, [this](const auto& entry) {
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -90,17 +90,18 @@
   return std::string(text.data(), static_cast<std::size_t>(size));
 }
 
-/** Log name of an attempt's result, and the result for its endpoint. */
+/** Log name of an attempt's result, and the result for its endpoint if it says
+ * anything about it. */
 struct AttemptResultRow {
   const char* name;
-  EndpointResult endpoint_result;
+  std::optional<EndpointResult> endpoint_result;
 };
 
 constexpr std::array<AttemptResultRow, 8> kAttemptResults = {{
     {"answered", EndpointResult::kServed},
-    {"no_room", EndpointResult::kFull},
-    {"withheld", EndpointResult::kFull},
-    {"quarantined", EndpointResult::kFull},
+    {"no_room", std::nullopt},
+    {"withheld", std::nullopt},
+    {"quarantined", std::nullopt},
     {"unreachable", EndpointResult::kUnreachable},
     {"not_executed", EndpointResult::kFull},
     {"failed", EndpointResult::kFailed},
@@ -364,9 +365,9 @@
                                          Elapsed(this->reserved_at, now));
   // An attempt ended by the caller or the deadline says nothing about the
   // endpoint.
-  if (!this->is_aborted)
-    this->state.selector.RecordResult(endpoint, RowOf(result).endpoint_result,
-                                      now);
+  const auto endpoint_result = RowOf(result).endpoint_result;
+  if (endpoint_result && !this->is_aborted)
+    this->state.selector.RecordResult(endpoint, *endpoint_result, now);
   this->RecordLoadOfService(result, now);
   if (result != AttemptResult::kAnswered)
     this->excluded_endpoints.push_back(id);
--- a/test/stories/endpoint_selector.cc
+++ b/test/stories/endpoint_selector.cc
@@ -219,6 +219,38 @@
       !view.selector.HasAvailableEndpoint(kService, view.now, view.now));
 }
 
+std::string StateOf(const View& view, const EndpointHandle& endpoint) {
+  return endpoint->Availability().StateAt(view.now).name;
+}
+
+void StatementsOutliveTheRecord() {
+  View view(2);
+  EndpointEntry entry = Entry(0);
+  entry.born_ms = 1000;
+  view.selector.Publish(entry);
+  const EndpointHandle old_record = view.selector.Find(entry.id);
+  entry.address = "10.0.0.99:1";
+  view.selector.Publish(entry);
+  const EndpointHandle record = view.selector.Find(entry.id);
+  CPPUNIT_ASSERT(old_record != record);
+  view.selector.RecordLeaving(*record, view.now);
+  // A response to a request that was sent under the old record.
+  view.selector.RecordClosed(*old_record, view.now + milliseconds(500));
+  CPPUNIT_ASSERT_EQUAL(std::string("closed"), StateOf(view, record));
+  view.now += milliseconds(1000);
+  CPPUNIT_ASSERT_EQUAL(std::string("leaving"), StateOf(view, record));
+  // A new process has said nothing, and the old one does not speak for it.
+  entry.born_ms = 2000;
+  entry.address = "10.0.0.99:2";
+  view.selector.Publish(entry);
+  const EndpointHandle successor = view.selector.Find(entry.id);
+  CPPUNIT_ASSERT_EQUAL(std::string("usable"), StateOf(view, successor));
+  view.selector.RecordClosed(*successor, view.now + milliseconds(500));
+  view.selector.RecordLeaving(*old_record, view.now);
+  view.now += milliseconds(1000);
+  CPPUNIT_ASSERT_EQUAL(std::string("usable"), StateOf(view, successor));
+}
+
 void UnreachableIsUsedOnlyAsLast() {
   View view(2);
   const EndpointHandle faulty = view.selector.Find(Entry(0).id);
@@ -327,20 +359,23 @@
                        RunningNeverExceedsSlots),
                 Then("requests of peer gateways count as load",
                      RequestsOfPeersCountAsLoad)}),
-       Section("when endpoints leave, fail or return",
-               {Then("none that leaves or failed the request is chosen",
-                     LeavingOrExcludedIsNotChosen),
-                Then("an unreachable one is avoided unless it is the last",
-                     UnreachableIsUsedOnlyAsLast),
-                Then("a service never loses all endpoints to faults",
-                     ServiceKeepsAUsableEndpoint),
-                Then("a failing one gets fewer requests",
-                     FailingEndpointGetsFewerRequests),
-                Then("response time counts from the first pending request",
-                     ResponseTimeCountsFromFirstPending),
-                Then("a cold one is used last", ColdEndpointIsUsedLast),
-                Then("one with a new address starts without load",
-                     NewAddressIsANewEndpoint)})});
+       Section(
+           "when endpoints leave, fail or return",
+           {Then("none that leaves or failed the request is chosen",
+                 LeavingOrExcludedIsNotChosen),
+            Then("what one has said outlives its record, until a new process",
+                 StatementsOutliveTheRecord),
+            Then("an unreachable one is avoided unless it is the last",
+                 UnreachableIsUsedOnlyAsLast),
+            Then("a service never loses all endpoints to faults",
+                 ServiceKeepsAUsableEndpoint),
+            Then("a failing one gets fewer requests",
+                 FailingEndpointGetsFewerRequests),
+            Then("response time counts from the first pending request",
+                 ResponseTimeCountsFromFirstPending),
+            Then("a cold one is used last", ColdEndpointIsUsedLast),
+            Then("one with a new address starts without load",
+                 NewAddressIsANewEndpoint)})});
 });
 
 }  // namespace
--- a/test/stories/gateway_statements.cc
+++ b/test/stories/gateway_statements.cc
@@ -312,6 +312,11 @@
     ledgers.SendUntilArrivalAt(0);
     CPPUNIT_ASSERT_EQUAL(200U, ledgers.Send().status);
     CPPUNIT_ASSERT(ledgers.fleet.Gateway(0).IsRunning());
+    const bool is_bounded = std::string(value).starts_with("1e12") ||
+                            std::string(value).starts_with("1000000000000");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(value,
+                                 std::string(is_bounded ? "closed" : "usable"),
+                                 ledgers.StateOf("ledger-0"));
   }
   LedgerFleet ledgers;
   ledgers.fleet.Ledger(0).SetScript(
