--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -45,7 +45,7 @@
   'return this->statement.leaving_since != TimePoint{};' 'return false;' \
   'after it had said that it leaves'
 mutant src/decision/endpoint_availability.cc \
-  'return now < this->statement.closed_until;' 'return false;' \
+  'return now < this->statement.closed_until;' 'return now < TimePoint{};' \
   'in the time that it had asked for'
 mutant platform/wire_names.h 'kApiKey,' '' 'with the key'
 mutant src/gateway/forward_stream.cc \
