Stories: a request that waits for an endpoint that leaves; a successor at its address

Both fail on the daemon without the statements (the first runs; the second never sees the state left). No code changes.

--- a/test/stories/gateway_statements.cc
+++ b/test/stories/gateway_statements.cc
@@ -5,7 +5,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -45,7 +47,9 @@
 
 /** A gateway, two endpoints of a plain service, and its callers. */
 struct LedgerFleet {
-  explicit LedgerFleet(std::size_t ledgers = 2) : fleet(PlanOf(ledgers)) {}
+  explicit LedgerFleet(std::size_t ledgers = 2)
+      : LedgerFleet(PlanOf(ledgers)) {}
+  explicit LedgerFleet(const GatewayPlan& plan) : fleet(plan) {}
 
   static GatewayPlan PlanOf(std::size_t ledgers) {
     GatewayPlan plan;
@@ -78,7 +82,10 @@
     }));
   }
 
-  void PublishLedger(std::size_t index, std::int64_t born_ms) {
+  /** @param id Number in the endpoint's id, if another one has its address. */
+  void PublishLedger(std::size_t index,
+                     std::int64_t born_ms,
+                     std::optional<std::size_t> id = std::nullopt) {
     json entry = {{"service", "ledger"},
                   {"address", this->AddressOf(index)},
                   {"zone", "a"},
@@ -86,7 +93,8 @@
                   {"state", "ready"}};
     if (born_ms > 0)
       entry["born"] = born_ms;
-    const std::string key = "servers/ledger-" + std::to_string(index);
+    const std::string key =
+        "servers/ledger-" + std::to_string(id.value_or(index));
     this->fleet.Store().Put(key, entry);
   }
 
@@ -102,7 +110,7 @@
   }
 
   GatewayFleet fleet;
-  std::size_t sent = 0;
+  std::atomic<std::size_t> sent = 0;
 };
 
 void LeavingEndpointIsLeftForOthers() {
@@ -141,6 +149,25 @@
   CPPUNIT_ASSERT_EQUAL(before, ledgers.Arrivals(0));
 }
 
+void WaitingRequestIsNotSentAfterTheLimit() {
+  GatewayPlan plan = LedgerFleet::PlanOf(1);
+  plan.slots = 1;
+  LedgerFleet ledgers(plan);
+  ledgers.fleet.Ledger(0).SetScript(Answering(kLeaving));
+  CPPUNIT_ASSERT_EQUAL(200U, ledgers.Send().status);
+  // The next one holds the only slot beyond the time for a last resort.
+  ledgers.fleet.Ledger(0).SetScript([](ScriptedCall& call) {
+    std::this_thread::sleep_for(milliseconds(1700));
+    call.Answer(200, "served", kLeaving);
+  });
+  std::thread holder([&] { ledgers.Send(); });
+  CPPUNIT_ASSERT(WaitUntil([&] { return ledgers.Arrivals(0) == 2; }));
+  const RawAnswer answer = ledgers.Send();
+  holder.join();
+  CPPUNIT_ASSERT_EQUAL(503U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ledgers.Arrivals(0));
+}
+
 /** @param publish Publishes the endpoint once more, after it has left. */
 void CheckThatItStaysAway(const std::function<void(LedgerFleet&)>& publish) {
   LedgerFleet ledgers(1);
@@ -198,6 +225,19 @@
   CPPUNIT_ASSERT_EQUAL(std::string("usable"), ledgers.StateOf("ledger-0"));
 }
 
+void SuccessorAtTheAddressIsUsed() {
+  LedgerFleet ledgers(1);
+  ledgers.fleet.Ledger(0).SetScript(Answering(kLeaving));
+  CPPUNIT_ASSERT_EQUAL(200U, ledgers.Send().status);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return ledgers.StateOf("ledger-0") == "left"; }));
+  ledgers.fleet.Ledger(0).SetScript(Answering(""));
+  ledgers.PublishLedger(0, 0, 9);
+  CPPUNIT_ASSERT(WaitUntil([&] { return ledgers.Send().status == 200; }));
+  CPPUNIT_ASSERT_EQUAL(std::string("left"), ledgers.StateOf("ledger-0"));
+  CPPUNIT_ASSERT_EQUAL(std::string("usable"), ledgers.StateOf("ledger-9"));
+}
+
 void BrokenStreamIsResumedElsewhere() {
   GatewayPlan plan;
   plan.engines = 3;
@@ -344,12 +384,16 @@
                 Then("whatever the status of the response", AnyStatusSaysIt),
                 Then("the last one is used until the limit, and not beyond",
                      LastEndpointServesUntilTheLimit),
+                Then("a request that waits for it is not sent after the limit",
+                     WaitingRequestIsNotSentAfterTheLimit),
                 Then("a broken stream is resumed at another",
                      BrokenStreamIsResumedElsewhere),
                 Then("its being published again does not bring it back",
                      PublicationDoesNotBringItBack),
                 Then("nor does a store that was away",
                      StoreThatIsAwayChangesNothing),
+                Then("another endpoint at its address is used",
+                     SuccessorAtTheAddressIsUsed),
                 Then("a new process with its id is used",
                      NewProcessWithTheIdIsUsed)}),
        Section("when one refuses a request and asks for time",
