Logs tell a stream that was given up from one that broke off

An attempt that the gateway gave up for silence and one that the endpoint broke off were both "broken", and cut_off named targets, not what the requests waited for; of a process that is killed nothing is left.

Change: attempts end as "stalled" and say silent_ms; stream_silent is logged for each choice about a silent stream, with its reason; a drain names the requests that it waits for once a second (drain_waits, at most 20), with phase, endpoint, events and silence, and cut_off does so too. Decisions are as before.

--- a/src/daemon/drain.cc
+++ b/src/daemon/drain.cc
@@ -12,6 +12,9 @@
 
 constexpr std::chrono::milliseconds kPollInterval{20};
 
+/** Interval of the log lines that name the calls in flight. */
+constexpr std::chrono::milliseconds kReportInterval{1000};
+
 /** Time without calls and open exchanges after which the process ends. */
 constexpr std::chrono::milliseconds kMinIdleTime{300};
 
@@ -59,9 +62,16 @@
 }
 
 asio::awaitable<bool> Drain::AwaitCalls(Clock::time_point deadline) {
+  auto next_report = Clock::now() + kReportInterval;
   while (!this->role.InFlight().empty()) {
     if (Clock::now() >= deadline)
       co_return false;
+    if (Clock::now() >= next_report) {
+      next_report += kReportInterval;
+      LogLine(LogLevel::kNotice, "drain_waits",
+              {{"in_flight", this->role.InFlight().size()},
+               {"requests", this->role.DescribeInFlight()}});
+    }
     co_await SleepFor(kPollInterval);
   }
   co_return true;
@@ -85,7 +95,7 @@
     co_return;
   LogLine(LogLevel::kError, "cut_off",
           {{"reason", reason},
-           {"requests", this->role.InFlight()},
+           {"requests", this->role.DescribeInFlight()},
            {"open_exchanges", this->role.OpenExchanges()}});
   this->result = ExitCode::kForced;
   const auto deadline = Clock::now() + this->CutOffTime();
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -118,6 +118,7 @@
 ForwardSession::ForwardSession(GatewayState& state, CallerExchange& exchange)
     : state(state),
       exchange(exchange),
+      position(state.sessions.insert(state.sessions.end(), this)),
       table(state.table),
       record(exchange.ReceivedAt()),
       deadline_timer(state.executor),
@@ -125,10 +126,26 @@
       response_bytes(state.response_bytes, kMaxResponseBytes) {}
 
 ForwardSession::~ForwardSession() {
+  this->state.sessions.erase(this->position);
   this->exchange.SetDisconnectHandler(nullptr);
   this->exchange.SetCutOffHandler(nullptr);
 }
 
+nlohmann::json ForwardSession::Describe(Clock::time_point now) const {
+  constexpr std::array<const char*, 5> kPhaseNames = {
+      "queued", "connecting", "sent", "streaming", "answering"};
+  nlohmann::json text = {
+      {"request", this->request.metadata.request_id},
+      {"phase", kPhaseNames.at(static_cast<std::size_t>(this->phase))},
+      {"age_ms", Elapsed(this->exchange.ReceivedAt(), now).count()}};
+  if (this->reservation) {
+    text["endpoint"] = this->reservation.Endpoint()->Entry().id;
+    text["events"] = this->AttemptEvents();
+    text["silent_ms"] = Elapsed(this->progress_at, now).count();
+  }
+  return text;
+}
+
 asio::awaitable<void> ForwardSession::Run() {
   const std::optional<Refusal> refusal =
       ClassifyRequest(this->state.adapter, this->table.get(),
@@ -321,12 +338,15 @@
 }
 
 asio::awaitable<AttemptResult> ForwardSession::Attempt() {
+  this->phase = Phase::kQueued;
   co_await this->WaitForEndpoint();
   // The endpoint must outlive the reservation, which a stall may replace.
   const EndpointHandle endpoint = this->reservation.Endpoint();
   if (!endpoint)
     co_return this->RuledOut().value_or(AttemptResult::kNoCapacity);
   this->events_before_attempt = this->relay.EventCount();
+  this->is_stalled = false;
+  this->RecordProgress(Phase::kConnecting);
   const AttemptResult result = co_await this->TryEndpoint(*endpoint);
   this->RecordSuspicion(endpoint, result);
   this->FinishAttempt(*endpoint, result);
@@ -379,8 +399,10 @@
                                    AttemptResult result) {
   const auto now = Clock::now();
   const EndpointId id = endpoint.Entry().id;
-  this->record.RecordAttempt(endpoint, RowOf(result).name,
-                             this->AttemptEvents(), now);
+  const bool is_given_up = this->is_stalled && result == AttemptResult::kBroken;
+  this->record.RecordAttempt(endpoint,
+                             is_given_up ? kStalledAttempt : RowOf(result).name,
+                             this->AttemptEvents(), this->progress_at, now);
   this->state.selector.RecordHoldingTime(
       this->request.service, Elapsed(this->reservation.Time(), now));
   // An attempt ended by the caller or the deadline says nothing about the
@@ -450,6 +472,7 @@
   const bool previously_may_have_run = this->may_have_run;
   this->may_have_run = true;
   this->record.RecordSent(Clock::now());
+  this->RecordProgress(Phase::kSent);
   this->relay.DiscardPartial();
   const ForwardRequest forwarded = this->MakeRequest(endpoint);
   bool has_head = false;
@@ -552,6 +575,7 @@
 }
 
 asio::awaitable<void> ForwardSession::SendBufferedResponse() {
+  this->phase = Phase::kAnswering;
   this->record.RecordStatus(this->buffered_response->status);
   co_await this->exchange.Send(this->buffered_response->status,
                                this->buffered_response->fields,
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -3,9 +3,12 @@
 #ifndef SRC_GATEWAY_FORWARD_SESSION_H_
 #define SRC_GATEWAY_FORWARD_SESSION_H_
 
+#include <list>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/caller_connection.h"
@@ -47,6 +50,9 @@
   /** Forwards the request and sends the response or an error. */
   asio::awaitable<void> Run();
 
+  /** @return What the request waits for, for logs. */
+  nlohmann::json Describe(Clock::time_point now) const;
+
  private:
   /** Time that must be left for another attempt. */
   static constexpr std::chrono::milliseconds kMinTimeLeft{20};
@@ -54,6 +60,9 @@
   /** Events of a response after which its request has crashed no endpoint. */
   static constexpr std::size_t kProofEvents = 3;
 
+  /** What a request waits for. */
+  enum class Phase { kQueued, kConnecting, kSent, kStreaming, kAnswering };
+
   /** A complete response of an endpoint that is not yet sent to the caller. */
   struct BufferedResponse {
     unsigned status = 0;
@@ -141,6 +150,10 @@
    * as one has room. */
   void WatchForStall(CancellableTimer& timer, std::chrono::milliseconds time);
 
+  /** Logs what is done about a silent stream, once for each choice.
+   * @param reason Why the stream stays; empty if it moves. */
+  void RecordSilence(const char* reason);
+
   /** @return Time without events after which a stream has stalled. */
   std::chrono::milliseconds StallTimeout() const;
 
@@ -148,8 +161,20 @@
    * process ends. */
   void Abort();
 
+  /** Records that the request or its response has made progress. */
+  void RecordProgress(Phase next) {
+    this->phase = next;
+    this->progress_at = Clock::now();
+    this->silence_reason.reset();
+  }
+
   GatewayState& state;
   CallerExchange& exchange;
+  std::list<const ForwardSession*>::iterator position;  ///< In the state.
+  Phase phase = Phase::kQueued;
+  Clock::time_point progress_at{};  ///< Of the present attempt.
+  /** Reason that was logged last for a silent stream. */
+  std::optional<std::string_view> silence_reason;
   std::shared_ptr<const RoutingTable> table;  ///< Current at arrival.
   RequestClass request;
   RequestRecord record;
@@ -161,6 +186,7 @@
   EndpointReservation next_reservation;
   bool is_aborted = false;
   bool is_timed_out = false;
+  bool is_stalled = false;    ///< The present attempt was given up.
   bool is_cut_off = false;    ///< The process ends before the response.
   bool may_have_run = false;  ///< An endpoint may have started the request.
   bool is_head_sent = false;  ///< A response head was sent to the caller.
--- a/src/gateway/forward_stream.cc
+++ b/src/gateway/forward_stream.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "gateway/forward_session.h"
+#include "kernel/json_types.h"
+#include "kernel/log.h"
 #include "kernel/metrics.h"
 
 namespace buckthornpath {
@@ -61,13 +63,31 @@
       this->next_reservation = this->TryReserve(excluded);
     }
     // A slow stream is better than none.
-    if (this->next_reservation)
+    if (this->next_reservation) {
+      this->RecordSilence("");
+      this->is_stalled = true;
       this->connection->Close();
-    else
+    } else {
+      this->RecordSilence(this->CanResume() ? "no_room" : "not_resumable");
       this->WatchForStall(timer, kStallCheckInterval);
+    }
   });
 }
 
+void ForwardSession::RecordSilence(const char* reason) {
+  if (this->silence_reason == reason)
+    return;
+  this->silence_reason = reason;
+  const bool stays = *reason != '\0';
+  LogLine(LogLevel::kInfo, "stream_silent",
+          {{"request", this->request.metadata.request_id},
+           {"endpoint", this->reservation.Endpoint()->Entry().id},
+           {"silent_ms", Elapsed(this->progress_at, Clock::now()).count()},
+           {"events", this->AttemptEvents()},
+           {"choice", stays ? "stay" : "move"},
+           {"reason", reason}});
+}
+
 asio::awaitable<AttemptResult> ForwardSession::RelayStream(unsigned status) {
   const bool may_resume = this->request.route->IsRetryable();
   CancellableTimer stall_timer(this->state.executor);
@@ -91,8 +111,11 @@
     }
     if (may_resume) {
       chunk = std::move(events);
-      // Comments and parts of events are no progress.
-      if (this->relay.EventCount() != events_before)
+    }
+    // Comments and parts of events are no progress.
+    if (this->relay.EventCount() != events_before) {
+      this->RecordProgress(Phase::kStreaming);
+      if (may_resume)
         this->WatchForStall(stall_timer, this->StallTimeout());
     }
     if (!co_await this->RelayChunk(status, chunk))
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -92,6 +92,18 @@
     return names;
   }
 
+  nlohmann::json DescribeInFlight() const override {
+    // A bound on the size of a log line.
+    constexpr std::size_t kMaxDescribed = 20;
+    nlohmann::json requests = nlohmann::json::array();
+    for (const ForwardSession* session : this->state.sessions) {
+      if (requests.size() == kMaxDescribed)
+        break;
+      requests.push_back(session->Describe(Clock::now()));
+    }
+    return requests;
+  }
+
   void StopAccepting() override {
     // There is no time left for a request that arrives on one of these.
     this->CloseIdleConnections();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -4,6 +4,7 @@
 #define SRC_GATEWAY_GATEWAY_STATE_H_
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +25,8 @@
 
 namespace buckthornpath {
 
+class ForwardSession;
+
 /** A request that waits for an endpoint with capacity. */
 struct Waiter {
   /** Tries to start the request; false if no endpoint has capacity. */
@@ -102,6 +105,7 @@
    * gossip; set by the gossip. */
   std::function<void()> announce_crashes;
   std::unordered_map<ServiceName, ServiceQueue> queues;
+  std::list<const ForwardSession*> sessions;  ///< Requests in progress.
   GatewayRoster roster;
   std::size_t gateway_count = 1;  ///< Live gateways, this one included.
   /** Bytes of responses that are buffered until they are complete. */
--- a/src/gateway/request_record.cc
+++ b/src/gateway/request_record.cc
@@ -47,13 +47,16 @@
 void RequestRecord::RecordAttempt(const EndpointState& endpoint,
                                   const char* end,
                                   std::size_t events,
+                                  Clock::time_point silent_since,
                                   Clock::time_point now) {
-  this->has_broken_attempt |= std::string_view(end) == kBrokenAttempt;
+  this->has_broken_attempt |= std::string_view(end) == kBrokenAttempt ||
+                              std::string_view(end) == kStalledAttempt;
   this->attempts.push_back(
       {{"endpoint", endpoint.Entry().id},
        {"end", end},
        {"running", endpoint.EstimatedRequests()},
        {"events", events},
+       {"silent_ms", Elapsed(silent_since, now).count()},
        {"after_ms", Elapsed(this->received_at, now).count()}});
 }
 
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -25,6 +25,10 @@
 /** Log name of an attempt whose response is incomplete. */
 inline constexpr const char* kBrokenAttempt = "broken";
 
+/** Log name of an attempt that was given up for another one, as its endpoint
+ * had paused the stream. */
+inline constexpr const char* kStalledAttempt = "stalled";
+
 /** @return Ids of prompt segments in hexadecimal, as in request headers; at
  * most eight. */
 std::vector<std::string> FormatSegmentIds(
@@ -48,10 +52,12 @@
    * Records the result of an attempt.
    * @param end Log name of the result.
    * @param events Events that the endpoint sent in this attempt.
+   * @param silent_since Time of the last thing that it sent, or of the request.
    */
   void RecordAttempt(const EndpointState& endpoint,
                      const char* end,
                      std::size_t events,
+                     Clock::time_point silent_since,
                      Clock::time_point now);
 
   /** Records the status sent to the caller. */
--- a/src/kernel/role.h
+++ b/src/kernel/role.h
@@ -34,6 +34,9 @@
   /** @return Names of the calls in flight, for logs and operators. */
   virtual std::vector<std::string> InFlight() const = 0;
 
+  /** @return What each call in flight waits for, for logs. */
+  virtual nlohmann::json DescribeInFlight() const { return this->InFlight(); }
+
   /** Stops accepting connections; open connections are still served. */
   virtual void StopAccepting() = 0;
 
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -24,6 +24,7 @@
 inline constexpr std::array kLogEvents = std::to_array<LogEventRow>({
     // Requests through a gateway
     {"request", "request route organisation service configuration priority reason status total_ms attempts segments fingerprint quarantined published_age_ms taken_share unusable sent_ms first_byte_ms", "A request has ended; lists the decisions made for it"},
+    {"stream_silent", "request endpoint silent_ms events choice reason", "An endpoint has paused a stream; the gateway waits on, or moves the stream to another endpoint"},
     {"attempt_failed", "endpoint reason", "An attempt to forward a request ended with an exception"},
     {"request_malformed", "reason", "The header of a request is invalid"},
     // Fleet state known to a gateway
@@ -58,6 +59,7 @@
     {"stopped", "", "A process exits"},
     {"drain_begun", "in_flight", "A process drains: it completes running calls before it exits"},
     {"out_of_rotation", "connections", "No more callers are sent to a draining gateway"},
+    {"drain_waits", "requests in_flight", "A draining process waits for these calls; repeated every second"},
     {"drained", "", "A draining process has completed all calls"},
     {"cut_off", "reason requests open_exchanges", "Calls were still unfinished when the process ended"},
     {"settings_reloaded", "need_restart", "Settings were reloaded"},
--- a/test/stories/gateway_shutdown.cc
+++ b/test/stories/gateway_shutdown.cc
@@ -230,6 +230,8 @@
   CPPUNIT_ASSERT_EQUAL(504U, answer.status);
   CPPUNIT_ASSERT_EQUAL(std::string("drain_timeout"),
                        fleet.LogOf(0, text.id).value("reason", std::string()));
+  CPPUNIT_ASSERT(fleet.Log(0).find("drain_waits") != std::string::npos);
+  CPPUNIT_ASSERT(fleet.Log(0).find(R"("phase":"sent")") != std::string::npos);
   constexpr int kCutOffExitCode = 3;
   CPPUNIT_ASSERT_EQUAL(kCutOffExitCode,
                        fleet.Gateway(0).WaitForExit(kExitTimeout));
