--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -185,7 +185,7 @@
   const int host = kFirstGatewayHost + static_cast<int>(index);
   json settings = {
       {"vm", "gateway-" + std::to_string(index)},
-      {"failure_domain", "a"},
+      {"failure_domain", this->FailureDomainOf(index)},
       {"operator_address", this->Address(host, kOperatorPort)},
       {"configuration_address", this->plan.store_proxied
                                     ? this->Address(host, kStoreProxyPort)
@@ -256,7 +256,7 @@
                          {"address", this->Address(host, this->plan.proxied
                                                              ? kProxyPort
                                                              : kEndpointPort)},
-                         {"zone", "a"},
+                         {"zone", this->FailureDomainOf(index)},
                          {"version", "v1"},
                          {"slots", this->plan.slots},
                          {"state", state},
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -21,6 +21,8 @@
 /** Configuration of a GatewayFleet. */
 struct GatewayPlan {
   std::size_t gateways = 1;
+  /** Failure domains; gateways and endpoints are spread over them in turn. */
+  std::vector<std::string> failure_domains = {"a"};
   /** Number of endpoints of the service "llm". */
   std::size_t engines = 1;
   /** Number of endpoints of the service "ledger". */
@@ -103,6 +105,10 @@
  private:
   std::string Address(int host, int port) const;
   std::string Seeds() const;
+  const std::string& FailureDomainOf(std::size_t index) const {
+    return this->plan.failure_domains.at(index %
+                                         this->plan.failure_domains.size());
+  }
   void StartEndpoint(const std::string& kind, std::size_t index);
   void PublishConfiguration();
 
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -2,28 +2,24 @@
 
 #include "soak/soak_callers.h"
 
-#include <poll.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <random>
 #include <thread>
 
+#include "soak/persistent_connection.h"
+
 namespace buckthornpath {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
@@ -37,67 +33,6 @@
 constexpr milliseconds kLongRequestTime{1500};
 constexpr milliseconds kDisconnectDelay{100};
 
-/** Connection that a caller reuses for its next request. */
-class PersistentConnection {
- public:
-  explicit PersistentConnection(const SocketAddress& address)
-      : socket(this->io) {
-    this->socket.connect(address);
-  }
-
-  /** Sends a request and reads the response. @return Whether the connection can
-   * be used for another request. */
-  bool Exchange(const std::string& bytes, CallOutcome& outcome) {
-    ErrorCode error;
-    asio::write(this->socket, asio::buffer(bytes), error);
-    http::response_parser<http::string_body> parser;
-    parser.eager(true);
-    while (!error && !outcome.has_timed_out && !parser.is_done())
-      this->ReadSome(parser, error, outcome);
-    if (parser.is_header_done()) {
-      outcome.status = parser.get().result_int();
-      outcome.body = parser.get().body();
-      outcome.is_complete = !error && parser.is_done();
-    }
-    return outcome.is_complete && parser.keep_alive();
-  }
-
- private:
-  using ErrorCode = boost::system::error_code;
-
-  void ReadSome(http::response_parser<http::string_body>& parser,
-                ErrorCode& error,
-                CallOutcome& outcome) {
-    const auto remaining = std::chrono::ceil<milliseconds>(
-        outcome.sent_at + kResponseTimeout - Clock::now());
-    pollfd readable{this->socket.native_handle(), POLLIN, 0};
-    if (poll(&readable, 1, std::max(0, static_cast<int>(remaining.count()))) <=
-        0) {
-      outcome.has_timed_out = true;
-      return;
-    }
-    constexpr std::size_t kReadBytes = 4096;
-    this->buffer.commit(
-        this->socket.read_some(this->buffer.prepare(kReadBytes), error));
-    if (error == asio::error::eof && parser.is_header_done()) {
-      parser.put_eof(error);
-      return;
-    }
-    while (!error && this->buffer.size() > 0 && !parser.is_done()) {
-      const std::size_t used = parser.put(this->buffer.data(), error);
-      this->buffer.consume(used);
-      if (error == http::error::need_more)
-        error = {};
-      if (used == 0)
-        break;
-    }
-  }
-
-  asio::io_context io;
-  asio::ip::tcp::socket socket;
-  boost::beast::flat_buffer buffer;
-};
-
 CallerText TextFor(const CallOutcome& outcome, const std::string& path) {
   CallerText text;
   text.id = outcome.id;
@@ -209,7 +144,8 @@
       continue;
     }
     outcome.sent_at = Clock::now();
-    if (!connection->Exchange(TextOf(TextFor(outcome, path)), outcome))
+    if (!connection->Exchange(TextOf(TextFor(outcome, path)), kResponseTimeout,
+                              outcome))
       connection.reset();
     history.RecordOutcome(outcome);
     if (outcome.status != 200)
@@ -233,7 +169,7 @@
     try {
       PersistentConnection connection(fleet.Caller(outcome.gateway));
       outcome.sent_at = Clock::now();
-      connection.Exchange(TextOf(text), outcome);
+      connection.Exchange(TextOf(text), kResponseTimeout, outcome);
     } catch (const boost::system::system_error&) {
       continue;  // The gateway is down.
     }
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -8,12 +8,12 @@
 #include <csignal>
 #include <filesystem>
 #include <random>
-#include <sstream>
 #include <thread>
 
 #include "harness/caller.h"
 #include "harness/gateway_fleet.h"
 #include "soak/soak_callers.h"
+#include "soak/soak_evidence.h"
 #include "soak/soak_history.h"
 
 namespace buckthornpath {
@@ -249,32 +249,6 @@
   proxy.SetDown(false);
 }
 
-/** @return Log lines that help to explain violations: those of the requests
- * that they name, and those of changes of a process's state. */
-std::string FindEvidence(const GatewayFleet& fleet,
-                         std::size_t gateways,
-                         const std::vector<std::string>& violations) {
-  std::vector<std::string> needles = {
-      "\"started\"", "\"stopped\"",      "\"drain_begun\"",
-      "\"cut_off\"", "_failed\"",        "out_of_rotation",
-      "segment_",    "endpoint_crashed", "endpoint_closed"};
-  for (const std::string& violation : violations)
-    needles.push_back("\"" + violation.substr(0, violation.find(' ')) + "\"");
-  std::string evidence;
-  for (std::size_t i = 0; i < gateways; ++i) {
-    std::istringstream log(fleet.Log(i));
-    for (std::string line; std::getline(log, line);) {
-      const bool is_evidence =
-          std::any_of(needles.begin(), needles.end(), [&](const auto& needle) {
-            return line.find(needle) != std::string::npos;
-          });
-      if (is_evidence)
-        evidence += line + "\n";
-    }
-  }
-  return evidence;
-}
-
 }  // namespace
 
 SoakResult RunSoak(const SoakPlan& plan) {
