A paused stream is given up only once another endpoint has taken it over

What callers saw: a resumable stream that had been passed on ended without a whole answer, around planned stops and at other times.

Cause: silence of an endpoint ended its stream before another one had taken it. A place was reserved first, but the next endpoint could still refuse, break off or be out of reach, and the retry was taken after the connection had been closed, so several streams that stalled in one turn were given up for one retry. A stream that had no attempt left stayed at a silent endpoint until the process was cut off.

Change: StandbyAttempt takes a retry, connects, sends the request and reads the head of the response while the present connection stays open. That one is closed when the other endpoint streams; a refusal, a break or a new event of the present endpoint ends the standby instead. If the present endpoint breaks off meanwhile, the standby is waited for. Once the attempts are used up, endpoints that have had the stream before may be asked: the limit is on the endpoints that run it. A caller that reads slowly is no longer taken for a silent endpoint.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "gateway/response_head.h"
 #include "kernel/json_types.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -19,9 +20,6 @@
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
-/** Connect timeout: several round trips within a region. */
-constexpr milliseconds kConnectTimeout{300};
-
 /** Idle time limit for idempotent requests: any open connection is reused, as
  * the request can be repeated if the connection fails. */
 constexpr milliseconds kUnlimitedIdleTime{std::chrono::hours(1)};
@@ -29,10 +27,6 @@
 /** Failed connection attempts after which a request is refused. */
 constexpr int kMaxConnectFailures = 3;
 
-/** Late responses to earlier requests that are skipped on a reused connection.
- */
-constexpr int kMaxLateResponses = 2;
-
 /** A request waits for capacity for at most its time left divided by this. */
 constexpr int kMaxWaitDivisor = 2;
 
@@ -70,7 +64,6 @@
 constexpr int kUrgencyStep = 3;
 constexpr int kLowestUrgency = 9;
 
-constexpr unsigned kMisdirected = 421;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
@@ -97,7 +90,7 @@
   std::optional<EndpointResult> endpoint_result;
 };
 
-constexpr std::array<AttemptResultRow, 9> kAttemptResults = {{
+constexpr std::array<AttemptResultRow, 10> kAttemptResults = {{
     {"answered", EndpointResult::kServed},
     {"no_room", std::nullopt},
     {"withheld", std::nullopt},
@@ -107,6 +100,7 @@
     {"not_executed", EndpointResult::kFull},
     {"failed", EndpointResult::kFailed},
     {kBrokenAttempt, EndpointResult::kBroken},
+    {kStalledAttempt, EndpointResult::kBroken},
 }};
 
 const AttemptResultRow& RowOf(AttemptResult result) {
@@ -122,11 +116,14 @@
       table(state.table),
       record(exchange.ReceivedAt()),
       deadline_timer(state.executor),
+      stall_timer(state.executor),
       capacity_signal(state.executor),
+      standby_signal(state.executor),
       response_bytes(state.response_bytes, kMaxResponseBytes) {}
 
 ForwardSession::~ForwardSession() {
   this->state.sessions.erase(this->position);
+  this->CancelStandby();
   this->exchange.SetDisconnectHandler(nullptr);
   this->exchange.SetCutOffHandler(nullptr);
 }
@@ -190,6 +187,7 @@
 
 void ForwardSession::Abort() {
   this->is_aborted = true;
+  this->CancelStandby();
   if (this->connection)
     this->connection->Close();
   this->capacity_signal.Set();
@@ -215,6 +213,10 @@
       this->TimeLeft() < kMinTimeLeft) {
     return false;
   }
+  // A standby attempt has taken its retry already.
+  if (this->HasStandbyBegun())
+    return true;
+  this->CancelStandby();
   RetryBudget& budget = this->state.QueueOf(this->request.service).retry_budget;
   switch (result) {
     case AttemptResult::kUnreachable:
@@ -230,6 +232,7 @@
              !this->state.quarantine.IsSuspect(this->request.signature,
                                                Clock::now()) &&
              budget.TryTake();
+    case AttemptResult::kStalled:
     case AttemptResult::kAnswered:
     case AttemptResult::kNoCapacity:
     case AttemptResult::kQuarantined:
@@ -275,9 +278,7 @@
     this->reservation.Release();
     co_return;
   }
-  // A stream that stalled has reserved its next endpoint already.
-  if (!this->reservation)
-    this->reservation = this->TryReserve(this->excluded_endpoints);
+  this->reservation = this->TryReserve(this->excluded_endpoints);
   if (this->reservation)
     co_return;
   ServiceQueue& queue = this->state.QueueOf(this->request.service);
@@ -339,32 +340,38 @@
 
 asio::awaitable<AttemptResult> ForwardSession::Attempt() {
   this->phase = Phase::kQueued;
-  co_await this->WaitForEndpoint();
-  // The endpoint must outlive the reservation, which a stall may replace.
+  const bool has_head = this->HasStandbyBegun();
+  if (has_head)
+    this->AdoptStandby();
+  else
+    co_await this->WaitForEndpoint();
+  // The endpoint must outlive its reservation.
   const EndpointHandle endpoint = this->reservation.Endpoint();
   if (!endpoint)
     co_return this->RuledOut().value_or(AttemptResult::kNoCapacity);
   this->events_before_attempt = this->relay.EventCount();
-  this->is_stalled = false;
-  this->RecordProgress(Phase::kConnecting);
-  const AttemptResult result = co_await this->TryEndpoint(*endpoint);
+  this->RecordProgress(has_head ? Phase::kStreaming : Phase::kConnecting);
+  const AttemptResult result = co_await this->TryEndpoint(*endpoint, has_head);
   this->RecordSuspicion(endpoint, result);
   this->FinishAttempt(*endpoint, result);
   co_return result;
 }
 
 asio::awaitable<AttemptResult> ForwardSession::TryEndpoint(
-    EndpointState& endpoint) {
+    EndpointState& endpoint,
+    bool has_head) {
   AttemptResult result = AttemptResult::kUnreachable;
-  bool is_open = false;
+  bool is_open = has_head;
   std::string fault;
   try {
-    if (!this->is_aborted)
+    if (!has_head && !this->is_aborted)
       is_open = co_await this->OpenConnection(endpoint);
     // The endpoint or the prompt may have been ruled out meanwhile.
     const EndpointUse use = endpoint.Availability().StateAt(Clock::now()).use;
     const std::optional<AttemptResult> ruled_out = this->RuledOut();
-    if (is_open && ruled_out)
+    if (has_head)
+      result = co_await this->ReadResponse(endpoint);
+    else if (is_open && ruled_out)
       result = *ruled_out;
     else if (is_open && use == EndpointUse::kNever)
       result = AttemptResult::kWithheld;
@@ -388,8 +395,9 @@
   if (result == AttemptResult::kAnswered &&
       IsSuccess(this->connection->Head().result_int())) {
     this->state.quarantine.RecordAnswer(signature, now);
-  } else if (result == AttemptResult::kBroken && !this->is_aborted &&
-             !this->IsProven() &&
+  } else if ((result == AttemptResult::kBroken ||
+              result == AttemptResult::kStalled) &&
+             !this->is_aborted && !this->IsProven() &&
              this->state.quarantine.HasUnproven(signature, now)) {
     this->state.crash_probe.Check(endpoint, signature);
   }
@@ -399,9 +407,7 @@
                                    AttemptResult result) {
   const auto now = Clock::now();
   const EndpointId id = endpoint.Entry().id;
-  const bool is_given_up = this->is_stalled && result == AttemptResult::kBroken;
-  this->record.RecordAttempt(endpoint,
-                             is_given_up ? kStalledAttempt : RowOf(result).name,
+  this->record.RecordAttempt(endpoint, RowOf(result).name,
                              this->AttemptEvents(), this->progress_at, now);
   this->state.selector.RecordHoldingTime(
       this->request.service, Elapsed(this->reservation.Time(), now));
@@ -411,13 +417,16 @@
   if (endpoint_result && !this->is_aborted)
     this->state.selector.RecordResult(endpoint, *endpoint_result, now);
   this->RecordLoadOfService(result, now);
-  this->reservation = std::move(this->next_reservation);
+  this->stall_timer.Cancel();
+  this->reservation.Release();
   if (result != AttemptResult::kAnswered)
     this->excluded_endpoints.push_back(id);
+  if (result == AttemptResult::kStalled)
+    this->paused_endpoints.push_back(id);
   if (this->connection) {
-    const bool is_complete = result != AttemptResult::kBroken &&
-                             result != AttemptResult::kUnreachable &&
-                             !this->is_aborted;
+    const bool is_complete =
+        result != AttemptResult::kBroken && result != AttemptResult::kStalled &&
+        result != AttemptResult::kUnreachable && !this->is_aborted;
     this->state.connection_pool.Release(id, std::move(this->connection),
                                         is_complete, now);
   }
@@ -475,42 +484,25 @@
   this->RecordProgress(Phase::kSent);
   this->relay.DiscardPartial();
   const ForwardRequest forwarded = this->MakeRequest(endpoint);
+  const ExpectedResponse expected{
+      this->request.metadata.request_id,
+      this->exchange.Request().method() == http::verb::head};
   bool has_head = false;
   const auto send_error = co_await this->connection->Send(forwarded);
   if (!send_error)
-    has_head = co_await this->ReadMatchingHead();
+    has_head = co_await ReadMatchingHead(*this->connection, this->state.adapter,
+                                         expected, this->response);
   if (this->previous_idle_time && !this->is_aborted)
     this->state.connection_pool.RecordReuse(*this->previous_idle_time,
                                             !has_head);
   if (!has_head)
     co_return AttemptResult::kBroken;
-  this->RecordResponseHead(endpoint);
   const AttemptResult result = co_await this->ReadResponse(endpoint);
   if (result == AttemptResult::kNotExecuted)
     this->may_have_run = previously_may_have_run;
   co_return result;
 }
 
-asio::awaitable<bool> ForwardSession::ReadMatchingHead() {
-  const bool is_head = this->exchange.Request().method() == http::verb::head;
-  for (int skipped = 0; skipped <= kMaxLateResponses; ++skipped) {
-    if (co_await this->connection->ReadHead(is_head))
-      co_return false;
-    this->response =
-        this->state.adapter.ParseResponseHeader(this->connection->Head());
-    if (this->response.request_id == this->request.metadata.request_id)
-      co_return true;
-    // A late response to an earlier request on this connection.
-    ProcessMetrics().Add("foreign_answers_total");
-    std::string ignored;
-    while (!this->connection->IsResponseComplete()) {
-      if (co_await this->connection->ReadBody(ignored))
-        co_return false;
-    }
-  }
-  co_return false;
-}
-
 void ForwardSession::RecordResponseHead(EndpointState& endpoint) {
   const auto now = Clock::now();
   this->state.selector.RecordPrefillTime(
@@ -528,6 +520,7 @@
 
 asio::awaitable<AttemptResult> ForwardSession::ReadResponse(
     EndpointState& endpoint) {
+  this->RecordResponseHead(endpoint);
   const unsigned status = this->connection->Head().result_int();
   if (this->response.not_executed || status == kMisdirected) {
     // The head states that the request did not run; a truncated body does not
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -18,6 +18,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/request_class.h"
 #include "gateway/request_record.h"
+#include "gateway/standby_attempt.h"
 
 namespace buckthornpath {
 
@@ -32,6 +33,7 @@
   kNotExecuted,  ///< The endpoint states that it did not run the request.
   kFailed,       ///< The endpoint ran the request and sent a 5xx status.
   kBroken,       ///< The request was sent; the response is incomplete.
+  kStalled,      ///< Given up, as the standby attempt has begun.
 };
 
 /**
@@ -54,6 +56,12 @@
   nlohmann::json Describe(Clock::time_point now) const;
 
  private:
+  /** Connect timeout: several round trips within a region. */
+  static constexpr std::chrono::milliseconds kConnectTimeout{300};
+
+  /** Interval at which a stalled stream that stays is looked at. */
+  static constexpr std::chrono::milliseconds kStallCheckInterval{200};
+
   /** Time that must be left for another attempt. */
   static constexpr std::chrono::milliseconds kMinTimeLeft{20};
 
@@ -78,8 +86,10 @@
   bool IsAdmitted();
   asio::awaitable<AttemptResult> Attempt();
 
-  /** Opens a connection to an endpoint and sends the request. */
-  asio::awaitable<AttemptResult> TryEndpoint(EndpointState& endpoint);
+  /** Opens a connection to an endpoint and sends the request, or goes on with
+   * the response head that a standby attempt has read. */
+  asio::awaitable<AttemptResult> TryEndpoint(EndpointState& endpoint,
+                                             bool has_head);
 
   /** @return When the next endpoint of the service may be used again, spread
    * over the callers that wait for it; empty if one may be used now. */
@@ -111,10 +121,6 @@
   ForwardRequest MakeRequest(const EndpointState& endpoint) const;
 
   asio::awaitable<AttemptResult> SendTo(EndpointState& endpoint);
-
-  /** Reads heads until one belongs to this request. @return False if none does.
-   */
-  asio::awaitable<bool> ReadMatchingHead();
   asio::awaitable<AttemptResult> ReadResponse(EndpointState& endpoint);
 
   /** Buffers a complete response. @return False if it is truncated. */
@@ -143,12 +149,9 @@
   asio::awaitable<AttemptResult> RelayStream(unsigned status);
   asio::awaitable<bool> RelayChunk(unsigned status, std::string_view chunk);
 
-  /** @return True if a stream that stalls could be resumed elsewhere. */
-  bool CanResume() const;
-
-  /** Lets a stream that stalls for a time move on to another endpoint, as soon
-   * as one has room. */
-  void WatchForStall(CancellableTimer& timer, std::chrono::milliseconds time);
+  /** Starts a standby attempt once the stream has been silent for a time. The
+   * present endpoint is given up when the other one has begun. */
+  void WatchForStall(std::chrono::milliseconds time);
 
   /** Logs what is done about a silent stream, once for each choice.
    * @param reason Why the stream stays; empty if it moves. */
@@ -157,6 +160,35 @@
   /** @return Time without events after which a stream has stalled. */
   std::chrono::milliseconds StallTimeout() const;
 
+  // Moving a stream that stalls: forward_standby.cc.
+
+  /** Sends the request to another endpoint as well.
+   * @return Why this can't be done; empty if it is done. */
+  const char* StartStandby();
+
+  /** @return Endpoints that must not be asked to take the stream over. Once the
+   * attempts are used up, only endpoints that have had the request are left. */
+  std::vector<EndpointId> StandbyExclusions() const;
+
+  /** Takes back that the standby attempt counts as one. */
+  void UncountStandby();
+
+  /** Gives the present endpoint up if the standby attempt has succeeded. */
+  void HandleStandbyEnd();
+
+  /** Records the result of a standby attempt that has failed. */
+  void RecordStandbyFailure();
+
+  /** @return True if there is a standby attempt whose endpoint streams. */
+  bool HasStandbyBegun() const;
+
+  /** Waits until the standby attempt has begun or failed, if there is one. */
+  asio::awaitable<void> AwaitStandby();
+
+  /** Goes on with the standby attempt as the present one. */
+  void AdoptStandby();
+  void CancelStandby();
+
   /** Ends I/O in progress: the caller disconnected, the deadline passed or the
    * process ends. */
   void Abort();
@@ -180,13 +212,17 @@
   RequestRecord record;
   Clock::time_point deadline;  ///< Time at which the response is due.
   CancellableTimer deadline_timer;
+  CancellableTimer stall_timer;
   WakeSignal capacity_signal;
+  WakeSignal standby_signal;        ///< The standby attempt has ended.
   EndpointReservation reservation;  ///< Of the attempt in progress.
-  /** Of the next attempt, if a stream that stalls moves on. */
-  EndpointReservation next_reservation;
+  /** Attempt that may replace the one in progress; null if there is none. */
+  std::shared_ptr<StandbyAttempt> standby;
+  bool is_standby_counted = false;  ///< Among the attempts.
+  /** Endpoints that may have run a part of the stream, and have not failed. */
+  std::vector<EndpointId> paused_endpoints;
   bool is_aborted = false;
   bool is_timed_out = false;
-  bool is_stalled = false;    ///< The present attempt was given up.
   bool is_cut_off = false;    ///< The process ends before the response.
   bool may_have_run = false;  ///< An endpoint may have started the request.
   bool is_head_sent = false;  ///< A response head was sent to the caller.
--- a/src/gateway/forward_stream.cc
+++ b/src/gateway/forward_stream.cc
@@ -19,9 +19,6 @@
 constexpr int kStallGapMultiple = 4;
 constexpr milliseconds kMinStallTimeout{700};
 
-/** Interval at which a stalled stream that cannot move on yet is looked at. */
-constexpr milliseconds kStallCheckInterval{200};
-
 /** Limit of one event; a stream that exceeds it sends no events. */
 constexpr std::size_t kMaxEventBytes = std::size_t{128} * 1024;
 
@@ -40,37 +37,18 @@
   co_return !this->exchange.IsDisconnected();
 }
 
-bool ForwardSession::CanResume() const {
-  const auto queue = this->state.queues.find(this->request.service);
-  return this->attempts < this->request.route->max_attempts &&
-         this->TimeLeft() >= kMinTimeLeft &&
-         !this->state.quarantine.IsSuspect(this->request.signature,
-                                           Clock::now()) &&
-         queue != this->state.queues.end() &&
-         queue->second.retry_budget.CanTake();
-}
-
 milliseconds ForwardSession::StallTimeout() const {
   return std::max(kMinStallTimeout,
                   this->request.route->target_event_gap * kStallGapMultiple);
 }
 
-void ForwardSession::WatchForStall(CancellableTimer& timer, milliseconds time) {
-  timer.Set(Clock::now() + time, [this, &timer] {
-    if (this->CanResume()) {
-      std::vector<EndpointId> excluded = this->excluded_endpoints;
-      excluded.push_back(this->reservation.Endpoint()->Entry().id);
-      this->next_reservation = this->TryReserve(excluded);
-    }
+void ForwardSession::WatchForStall(milliseconds time) {
+  this->stall_timer.Set(Clock::now() + time, [this] {
+    const char* obstacle = this->StartStandby();
+    this->RecordSilence(obstacle);
     // A slow stream is better than none.
-    if (this->next_reservation) {
-      this->RecordSilence("");
-      this->is_stalled = true;
-      this->connection->Close();
-    } else {
-      this->RecordSilence(this->CanResume() ? "no_room" : "not_resumable");
-      this->WatchForStall(timer, kStallCheckInterval);
-    }
+    if (*obstacle != '\0')
+      this->WatchForStall(kStallCheckInterval);
   });
 }
 
@@ -84,20 +62,24 @@
            {"endpoint", this->reservation.Endpoint()->Entry().id},
            {"silent_ms", Elapsed(this->progress_at, Clock::now()).count()},
            {"events", this->AttemptEvents()},
-           {"choice", stays ? "stay" : "move"},
+           {"choice", stays ? "stay" : "standby"},
            {"reason", reason}});
 }
 
 asio::awaitable<AttemptResult> ForwardSession::RelayStream(unsigned status) {
   const bool may_resume = this->request.route->IsRetryable();
-  CancellableTimer stall_timer(this->state.executor);
   if (may_resume)
-    this->WatchForStall(stall_timer, this->StallTimeout());
+    this->WatchForStall(this->StallTimeout());
   std::string chunk;
   bool is_proven = false;
   do {
-    if (co_await this->connection->ReadBody(chunk))
+    if (co_await this->connection->ReadBody(chunk)) {
+      if (this->HasStandbyBegun())
+        co_return AttemptResult::kStalled;
+      // The endpoint broke off by itself.
+      co_await this->AwaitStandby();
       co_return AttemptResult::kBroken;
+    }
     const std::size_t events_before = this->relay.EventCount();
     std::string events = this->relay.Feed(chunk);
     if (!is_proven && this->IsProven()) {
@@ -109,19 +91,27 @@
       ProcessMetrics().Add("oversized_responses_total");
       co_return AttemptResult::kBroken;
     }
-    if (may_resume) {
+    if (may_resume)
       chunk = std::move(events);
-    }
     // Comments and parts of events are no progress.
-    if (this->relay.EventCount() != events_before) {
+    const bool has_progress = this->relay.EventCount() != events_before;
+    if (has_progress)
       this->RecordProgress(Phase::kStreaming);
-      if (may_resume)
-        this->WatchForStall(stall_timer, this->StallTimeout());
+    // An endpoint that has begun has replaced this one already.
+    const bool is_watched =
+        may_resume && has_progress && !this->HasStandbyBegun();
+    if (is_watched) {
+      this->CancelStandby();
+      this->stall_timer.Cancel();
     }
     if (!co_await this->RelayChunk(status, chunk))
       co_return AttemptResult::kBroken;
+    // A caller that reads slowly is no silence of the endpoint.
+    if (is_watched)
+      this->WatchForStall(this->StallTimeout());
   } while (!this->connection->IsResponseComplete());
-  stall_timer.Cancel();
+  this->stall_timer.Cancel();
+  this->CancelStandby();
   // Without a length, only the events show whether the stream is complete.
   if (this->connection->EndsResponseByClosing() &&
       this->relay.HasPartialEvent())
--- /dev/null
+++ b/src/gateway/standby_attempt.cc
@@ -0,0 +1,125 @@
+/** @file standby_attempt.cc Next attempt of a stream whose endpoint pauses. */
+
+#include "gateway/standby_attempt.h"
+
+#include <utility>
+
+#include "gateway/response_head.h"
+#include "kernel/json_types.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "kernel/worker_pool.h"
+
+namespace buckthornpath {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/** Any idle connection will do: the present endpoint keeps the stream if this
+ * one fails. */
+constexpr std::chrono::milliseconds kUnlimitedIdleTime{std::chrono::hours(1)};
+
+}  // namespace
+
+StandbyAttempt::StandbyAttempt(GatewayState& state,
+                               EndpointReservation reservation,
+                               ForwardRequest request,
+                               std::string request_id)
+    : state(state),
+      reservation(std::move(reservation)),
+      endpoint_id(this->reservation.Endpoint()->Entry().id),
+      request(std::move(request)),
+      request_id(std::move(request_id)) {}
+
+void StandbyAttempt::Start(std::chrono::milliseconds connect_timeout,
+                           std::function<void()> handler) {
+  this->on_end = std::move(handler);
+  this->is_running = true;
+  WorkerPool::SpawnOn(this->state.executor, this->Run(connect_timeout));
+}
+
+void StandbyAttempt::Cancel() {
+  this->is_cancelled = true;
+  this->on_end = nullptr;
+  // An operation in progress uses the connection until it has returned.
+  if (this->is_running && this->connection)
+    this->connection->Close();
+  else
+    this->ReleaseConnection();
+  this->reservation.Release();
+}
+
+unsigned StandbyAttempt::ResponseStatus() const {
+  return this->connection ? this->connection->Head().result_int() : 0;
+}
+
+void StandbyAttempt::ReleaseConnection() {
+  if (!this->connection)
+    return;
+  this->state.connection_pool.Release(
+      this->endpoint_id, std::move(this->connection), false, Clock::now());
+}
+
+asio::awaitable<void> StandbyAttempt::Run(
+    std::chrono::milliseconds connect_timeout) {
+  const auto self = this->shared_from_this();
+  Status result = Status::kBroken;
+  std::string fault;
+  try {
+    result = co_await this->Open(connect_timeout);
+  } catch (const std::exception& error) {
+    fault = error.what();
+  }
+  this->is_running = false;
+  if (!fault.empty()) {
+    LogLine(LogLevel::kError, "attempt_failed",
+            {{"endpoint", this->endpoint_id}, {"reason", fault}});
+  }
+  this->status = result;
+  if (this->is_cancelled) {
+    this->ReleaseConnection();
+    co_return;
+  }
+  if (const auto handler = std::exchange(this->on_end, nullptr))
+    handler();
+}
+
+asio::awaitable<StandbyAttempt::Status> StandbyAttempt::Open(
+    std::chrono::milliseconds connect_timeout) {
+  const EndpointHandle endpoint = this->reservation.Endpoint();
+  EndpointConnectionPool& pool = this->state.connection_pool;
+  this->connection =
+      pool.TakeIdle(this->endpoint_id, kUnlimitedIdleTime, Clock::now());
+  if (!this->connection) {
+    this->connection = pool.CreateConnection(this->endpoint_id);
+    ProcessMetrics().Add("endpoint_connections_total");
+    const auto connect_error = co_await this->connection->Connect(
+        ParseSocketAddress(endpoint->Entry().address), connect_timeout);
+    if (connect_error)
+      co_return Status::kUnreachable;
+  }
+  if (this->is_cancelled)
+    co_return Status::kUnreachable;
+  this->status = Status::kSent;
+  const auto send_error = co_await this->connection->Send(this->request);
+  if (send_error)
+    co_return Status::kBroken;
+  const ExpectedResponse expected{this->request_id, false};
+  const bool has_head = co_await ReadMatchingHead(
+      *this->connection, this->state.adapter, expected, this->response);
+  co_return has_head ? this->JudgeHead() : Status::kBroken;
+}
+
+StandbyAttempt::Status StandbyAttempt::JudgeHead() const {
+  const auto& head = this->connection->Head();
+  if (this->response.not_executed || head.result_int() == kMisdirected)
+    return Status::kNotExecuted;
+  const std::string_view type = head[http::field::content_type];
+  const bool is_stream = head.result_int() / 100 == 2 &&
+                         this->response.is_from_endpoint &&
+                         type.starts_with("text/event-stream");
+  return is_stream ? Status::kReady : Status::kFailed;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/src/gateway/standby_attempt.h
@@ -0,0 +1,89 @@
+/** @file standby_attempt.h Next attempt of a stream whose endpoint pauses. */
+
+#ifndef SRC_GATEWAY_STANDBY_ATTEMPT_H_
+#define SRC_GATEWAY_STANDBY_ATTEMPT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "gateway/endpoint_connection.h"
+#include "gateway/endpoint_reservation.h"
+#include "gateway/gateway_state.h"
+#include "gateway/platform_adapter.h"
+
+namespace buckthornpath {
+
+/**
+ * Sends a stream's request to another endpoint while the present connection
+ * stays open, and reads the head of the response. The present endpoint is given
+ * up only once the other one has begun. Not thread-safe.
+ */
+class StandbyAttempt final
+    : public std::enable_shared_from_this<StandbyAttempt> {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  enum class Status {
+    kOpening,      ///< Nothing has been sent yet.
+    kSent,         ///< The endpoint may have begun.
+    kReady,        ///< The endpoint streams.
+    kUnreachable,  ///< No connection could be opened.
+    kNotExecuted,  ///< The endpoint states that it did not run the request.
+    kFailed,       ///< The endpoint sent another response than a stream.
+    kBroken,       ///< There was no response head.
+  };
+
+  StandbyAttempt(GatewayState& state,
+                 EndpointReservation reservation,
+                 ForwardRequest request,
+                 std::string request_id);
+
+  /** Begins. @param on_end Called once, when the status is final. */
+  void Start(std::chrono::milliseconds connect_timeout,
+             std::function<void()> on_end);
+
+  /** Closes the connection; on_end is not called any more. */
+  void Cancel();
+
+  Status State() const { return this->status; }
+  const EndpointHandle& Endpoint() const {
+    return this->reservation.Endpoint();
+  }
+  Clock::time_point StartedAt() const { return this->reservation.Time(); }
+
+  /** @return What the head of the response says. */
+  const ResponseMetadata& Response() const { return this->response; }
+  unsigned ResponseStatus() const;
+
+  /** Hand over the attempt. @pre Its status is kReady. */
+  EndpointReservation TakeReservation() { return std::move(this->reservation); }
+  std::unique_ptr<EndpointConnection> TakeConnection() {
+    return std::move(this->connection);
+  }
+
+ private:
+  asio::awaitable<void> Run(std::chrono::milliseconds connect_timeout);
+  asio::awaitable<Status> Open(std::chrono::milliseconds connect_timeout);
+  Status JudgeHead() const;
+
+  /** Returns the connection to the pool, which closes it. */
+  void ReleaseConnection();
+
+  GatewayState& state;
+  EndpointReservation reservation;
+  EndpointId endpoint_id;
+  ForwardRequest request;
+  std::string request_id;
+  std::function<void()> on_end;
+  std::unique_ptr<EndpointConnection> connection;
+  ResponseMetadata response;
+  Status status = Status::kOpening;
+  bool is_running = false;
+  bool is_cancelled = false;
+};
+
+}  // namespace buckthornpath
+
+#endif  // SRC_GATEWAY_STANDBY_ATTEMPT_H_
