A seed tells other failure domains of its own domain's leader

Cause: RosterFor() left out the hubs of the own failure domain for a receiver of another one. Leaders exchange digests; a seed that is only the second hub introduced a newcomer to nobody, if the leader had come before it. Such gateways know fewer others than there are, so they take a greater share of connections and retries, and count the load of the others as the mean.

Change: the roster for another domain names the own hubs too, two entries more.

With the platform's seeds, one for each failure domain, a hello to another seed heals it.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -207,8 +207,9 @@
   std::vector<RosterEntry> entries = {{this->state.roster.Self(), {}}};
   for (const auto& [address, contact] : this->state.roster.Others()) {
     const GatewayMember& member = contact.member;
+    // The sender may be no leader: the other domain must hear of that one too.
     if (member.failure_domain == domain || IsVersion1(member) ||
-        Contains(hubs, address)) {
+        Contains(hubs, address) || Contains(this->hubs, address)) {
       entries.push_back({member, std::chrono::duration_cast<milliseconds>(
                                      now - contact.heard_at)});
     }
--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -198,6 +198,9 @@
       {"drain_timeout", 8000},
       {"worker_count", 1}};
   settings.update(this->plan.settings);
+  if (const auto own = this->plan.gateway_settings.find(index);
+      own != this->plan.gateway_settings.end())
+    settings.update(own->second);
   const std::string name = "gateway-" + std::to_string(index);
   const std::string path = this->scratch.Write(name + ".json", settings.dump());
   this->gateways[index] = std::make_unique<ChildProcess>(
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -3,6 +3,7 @@
 #ifndef TEST_HARNESS_GATEWAY_FLEET_H_
 #define TEST_HARNESS_GATEWAY_FLEET_H_
 
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -31,6 +32,8 @@
   std::size_t max_connections = 100;  ///< Of each endpoint.
   /** Settings that differ from the defaults. */
   nlohmann::json settings = nlohmann::json::object();
+  /** Settings of single gateways that differ from these. */
+  std::map<std::size_t, nlohmann::json> gateway_settings;
   bool publishes_configuration = true;
   bool proxied = false;  ///< Gateways reach endpoints through a FaultProxy.
   bool store_proxied = false;  ///< Each reaches the store through a FaultProxy.
--- a/test/stories/gateway_hub_fleet.cc
+++ b/test/stories/gateway_hub_fleet.cc
@@ -243,10 +243,44 @@
   }
 }
 
+/** Guards against two failure domains that never hear of each other: the seed
+ * that introduces a gateway is a hub of the other domain, and not its leader.
+ */
+void SeedIntroducesItsLeaderToOtherDomains() {
+  constexpr std::size_t kOther = 2;
+  GatewayPlan plan;
+  plan.gateways = 3;
+  plan.failure_domains = {"a", "a", "b"};
+  plan.gateway_settings[1] = {{"link_capacity", "2000"}};
+  GatewayFleet fleet(plan);
+  CPPUNIT_ASSERT_EQUAL(std::string("leader"),
+                       GossipStatus(fleet, 1).value("role", ""));
+  fleet.Gateway(kOther).Kill();
+  const auto have_peers = [&](std::size_t first, std::size_t last,
+                              std::size_t peers) {
+    for (std::size_t i = first; i <= last; ++i) {
+      const json status = LocalFleet::StatusOf(fleet.Operator(i));
+      if (!status.is_object() || status.value("peers", std::size_t{0}) != peers)
+        return false;
+    }
+    return true;
+  };
+  CPPUNIT_ASSERT(WaitUntil([&] { return have_peers(0, 1, 1); }));
+  fleet.Restart(kOther);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return have_peers(0, kOther, 2); }, kElectionTimeout));
+  // They go on hearing of each other.
+  std::this_thread::sleep_for(milliseconds(2500));
+  CPPUNIT_ASSERT(have_peers(0, kOther, 2));
+}
+
 const Story kStory("gateway_hub_fleet", [] {
   return Section(
-      "given five gateways of one failure domain",
-      {Section("when nothing fails",
+      "given gateways that elect hubs",
+      {Section("when the seed of a failure domain is no leader of another",
+               {Then("the gateways of both hear of each other",
+                     SeedIntroducesItsLeaderToOtherDomains)}),
+       Section("when nothing fails",
                {Then("only the hubs read the store", OnlyHubsReadTheStore)}),
        Section("when a configuration is published while hubs fail",
                {Then("the others apply it in time though the leader dies",
