--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -147,6 +147,17 @@
   // Relaying a stream: forward_stream.cc.
 
   asio::awaitable<AttemptResult> RelayStream(unsigned status);
+
+  /** @return Whether the stream was given up for the standby attempt; one that
+   * broke off waits for that attempt, if there is one. */
+  asio::awaitable<AttemptResult> HandleStreamBreak();
+
+  /** Relays what has arrived of the stream. @return False if the attempt has to
+   * end. */
+  asio::awaitable<bool> RelayEvents(unsigned status, std::string& chunk);
+
+  /** Records, once an attempt, that an endpoint can answer the request. */
+  void RecordProof();
   asio::awaitable<bool> RelayChunk(unsigned status, std::string_view chunk);
 
   /** Starts a standby attempt once the stream has been silent for a time. The
@@ -219,6 +230,7 @@
   /** Attempt that may replace the one in progress; null if there is none. */
   std::shared_ptr<StandbyAttempt> standby;
   bool is_standby_counted = false;  ///< Among the attempts.
+  bool is_proof_recorded = false;   ///< Of the present attempt.
   /** Endpoints that may have run a part of the stream, and have not failed. */
   std::vector<EndpointId> paused_endpoints;
   bool is_aborted = false;
--- a/src/gateway/forward_stream.cc
+++ b/src/gateway/forward_stream.cc
@@ -66,49 +66,63 @@
            {"reason", reason}});
 }
 
+asio::awaitable<AttemptResult> ForwardSession::HandleStreamBreak() {
+  if (this->HasStandbyBegun())
+    co_return AttemptResult::kStalled;
+  // The endpoint broke off by itself.
+  co_await this->AwaitStandby();
+  co_return AttemptResult::kBroken;
+}
+
+void ForwardSession::RecordProof() {
+  if (std::exchange(this->is_proof_recorded, true))
+    return;
+  this->state.quarantine.RecordAnswer(this->request.signature, Clock::now());
+}
+
+asio::awaitable<bool> ForwardSession::RelayEvents(unsigned status,
+                                                  std::string& chunk) {
+  const bool may_resume = this->request.route->IsRetryable();
+  const std::size_t events_before = this->relay.EventCount();
+  std::string events = this->relay.Feed(chunk);
+  if (this->IsProven())
+    this->RecordProof();
+  if (this->relay.PartialSize() > kMaxEventBytes) {
+    ProcessMetrics().Add("oversized_responses_total");
+    co_return false;
+  }
+  if (may_resume)
+    chunk = std::move(events);
+  // Comments and parts of events are no progress.
+  const bool has_progress = this->relay.EventCount() != events_before;
+  if (has_progress)
+    this->RecordProgress(Phase::kStreaming);
+  // An endpoint that has begun has replaced this one already.
+  const bool is_watched =
+      may_resume && has_progress && !this->HasStandbyBegun();
+  if (is_watched) {
+    this->CancelStandby();
+    this->stall_timer.Cancel();
+  }
+  const bool is_relayed = co_await this->RelayChunk(status, chunk);
+  // A caller that reads slowly is no silence of the endpoint.
+  if (is_watched)
+    this->WatchForStall(this->StallTimeout());
+  co_return is_relayed;
+}
+
 asio::awaitable<AttemptResult> ForwardSession::RelayStream(unsigned status) {
   const bool may_resume = this->request.route->IsRetryable();
+  this->is_proof_recorded = false;
   if (may_resume)
     this->WatchForStall(this->StallTimeout());
   std::string chunk;
-  bool is_proven = false;
   do {
-    if (co_await this->connection->ReadBody(chunk)) {
-      if (this->HasStandbyBegun())
-        co_return AttemptResult::kStalled;
-      // The endpoint broke off by itself.
-      co_await this->AwaitStandby();
-      co_return AttemptResult::kBroken;
-    }
-    const std::size_t events_before = this->relay.EventCount();
-    std::string events = this->relay.Feed(chunk);
-    if (!is_proven && this->IsProven()) {
-      is_proven = true;
-      this->state.quarantine.RecordAnswer(this->request.signature,
-                                          Clock::now());
-    }
-    if (this->relay.PartialSize() > kMaxEventBytes) {
-      ProcessMetrics().Add("oversized_responses_total");
-      co_return AttemptResult::kBroken;
-    }
-    if (may_resume)
-      chunk = std::move(events);
-    // Comments and parts of events are no progress.
-    const bool has_progress = this->relay.EventCount() != events_before;
-    if (has_progress)
-      this->RecordProgress(Phase::kStreaming);
-    // An endpoint that has begun has replaced this one already.
-    const bool is_watched =
-        may_resume && has_progress && !this->HasStandbyBegun();
-    if (is_watched) {
-      this->CancelStandby();
-      this->stall_timer.Cancel();
-    }
-    if (!co_await this->RelayChunk(status, chunk))
+    if (co_await this->connection->ReadBody(chunk))
+      co_return co_await this->HandleStreamBreak();
+    const bool is_relayed = co_await this->RelayEvents(status, chunk);
+    if (!is_relayed)
       co_return AttemptResult::kBroken;
-    // A caller that reads slowly is no silence of the endpoint.
-    if (is_watched)
-      this->WatchForStall(this->StallTimeout());
   } while (!this->connection->IsResponseComplete());
   this->stall_timer.Cancel();
   this->CancelStandby();
