--- a/test/soak/stop_soak.cc
+++ b/test/soak/stop_soak.cc
@@ -140,6 +140,7 @@
       this->history.RecordWork(id, this->name);
       const bool pauses_now = pauses && event == paused_event;
       if (!this->Pause(call, pauses_now ? pause : kEventInterval)) {
+        this->history.RecordHeld(id);
         call.Close(false);
         return;
       }
