Soak of stops: worlds in which a gateway can always do right; harsher ones apart

Change: stops has one engine at a time that pauses, for 0.85 to 1.05 s: longer than a gateway waits, shorter than the time in which the platform asks for work.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -1,8 +1,10 @@
 /** @file soak.cc Runs a soak test; see the usage below. */
 
+#include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <iostream>
-#include <string>
+#include <string_view>
 
 #include "soak/soak_run.h"
 #include "soak/stop_soak.h"
@@ -18,31 +20,62 @@
   return RunSoak(plan);
 }
 
-SoakResult RunStops(std::uint64_t seed, std::size_t gateways) {
+StopSoakPlan StopPlan(std::uint64_t seed, std::size_t gateways) {
   StopSoakPlan plan;
   plan.seed = seed;
   plan.gateways = gateways;
+  return plan;
+}
+
+SoakResult RunStops(std::uint64_t seed, std::size_t gateways) {
+  return RunStopSoak(StopPlan(seed, gateways));
+}
+
+SoakResult RunJointStops(std::uint64_t seed, std::size_t gateways) {
+  StopSoakPlan plan = StopPlan(seed, gateways);
+  plan.has_joint_pauses = true;
+  plan.refused_one_in = 40;
+  plan.min_pause = std::chrono::milliseconds(300);
+  plan.max_pause = std::chrono::milliseconds(1800);
   return RunStopSoak(plan);
 }
 
+/** A kind of run, by the name in the last argument. */
+struct SoakKind {
+  std::string_view name;
+  SoakResult (*run)(std::uint64_t seed, std::size_t gateways);
+};
+
+constexpr std::array<SoakKind, 3> kKinds = {{{"faults", RunFaults},
+                                             {"stops", RunStops},
+                                             {"joint-stops", RunJointStops}}};
+
 int Main(int argc, char** argv) {
   constexpr int kMinArguments = 4;
   if (argc < kMinArguments) {
-    std::cerr << "usage: soak <first seed> <runs> <gateways> [stops]\n"
-                 "stops: planned stops in series and no other fault\n";
+    std::cerr << "usage: soak <first seed> <runs> <gateways> [kind]\n"
+                 "faults: random faults; the default\n"
+                 "stops: planned stops in series, engines that pause\n"
+                 "joint-stops: the same, several engines pause at a time\n";
     return 2;
   }
   const auto number = [&](int index) {
     return std::strtoull(argv[index], nullptr, 10);
   };
-  const bool has_stops =
-      argc > kMinArguments && argv[kMinArguments] == std::string("stops");
-  const auto run = has_stops ? RunStops : RunFaults;
+  const std::string_view name =
+      argc > kMinArguments ? argv[kMinArguments] : kKinds.front().name;
+  const auto* const kind =
+      std::find_if(kKinds.begin(), kKinds.end(),
+                   [&](const SoakKind& row) { return row.name == name; });
+  if (kind == kKinds.end()) {
+    std::cerr << "unknown kind of soak \"" << name << "\"\n";
+    return 2;
+  }
   std::size_t failed = 0;
   std::size_t passed = 0;
   for (std::uint64_t i = 0; i < number(2); ++i) {
     const std::uint64_t seed = number(1) + i;
-    const SoakResult result = run(seed, number(3));
+    const SoakResult result = kind->run(seed, number(3));
     std::cout << "seed " << seed << ": " << result.calls << " calls, "
               << result.served << " served, " << result.faults << " faults, "
               << result.violations.size() << " violations" << std::endl;
--- a/test/soak/stop_history.cc
+++ b/test/soak/stop_history.cc
@@ -56,19 +56,6 @@
   this->work[id].last_at = Clock::now();
 }
 
-void StopHistory::RecordHeld(const std::string& id) {
-  const std::lock_guard lock(this->mutex);
-  this->work[id].held_at = Clock::now();
-}
-
-StopHistory::Clock::time_point StopHistory::LastWork(const std::string& id,
-                                                     const Work& request) {
-  const bool has_begun = request.last_at != Clock::time_point{};
-  return id.starts_with(kDraftPrefix) && has_begun
-             ? std::max(request.last_at, request.held_at)
-             : request.last_at;
-}
-
 void StopHistory::RecordEnd(const std::string& id) {
   const std::lock_guard lock(this->mutex);
   this->work[id].has_ended = true;
@@ -143,8 +130,7 @@
     const bool is_excused =
         Between(stop, outcome.sent_at) <= kExcusedSendTime &&
         after_stop >= kLastWorkTime &&
-        Between(stop, LastWork(outcome.id, request)) >= kLastWorkTime &&
-        !request.has_ended;
+        Between(stop, request.last_at) >= kLastWorkTime && !request.has_ended;
     if (is_excused)
       return;
     where = "at";
--- a/test/soak/stop_history.h
+++ b/test/soak/stop_history.h
@@ -45,10 +45,6 @@
   /** Records that an endpoint works on a request at this time. */
   void RecordWork(const std::string& id, const std::string& endpoint);
 
-  /** Records that an endpoint held a request, paused, until the gateway closed
-   * its connection. */
-  void RecordHeld(const std::string& id);
-
   /** Records that an endpoint has ended the last run of a request. */
   void RecordEnd(const std::string& id);
 
@@ -72,14 +68,9 @@
   struct Work {
     std::vector<std::string> endpoints;  ///< Of all runs, in order.
     Clock::time_point last_at{};         ///< Latest event of any endpoint.
-    Clock::time_point held_at{};         ///< Latest end of a paused run.
     int refusals = 0;
     bool has_ended = false;
   };
-  /** @return Latest time at which an endpoint was at work on a request. One
-   * that is paused counts only for a request that can't be moved. */
-  static Clock::time_point LastWork(const std::string& id, const Work& request);
-
   struct Ended {
     CallOutcome outcome;
     Clock::time_point at;
--- a/test/soak/stop_soak.cc
+++ b/test/soak/stop_soak.cc
@@ -68,18 +68,21 @@
  public:
   PausingEngine(StopHistory& history,
                 std::string name,
-                std::size_t slots,
+                const StopSoakPlan& plan,
                 std::uint64_t seed)
-      : history(history), name(std::move(name)), slots(slots), random(seed) {}
+      : history(history), name(std::move(name)), plan(plan), random(seed) {}
 
   void PauseAll(milliseconds time) {
     this->paused_until = (Clock::now() + time).time_since_epoch();
   }
 
+  bool IsPaused() const {
+    return Clock::now() < Clock::time_point(this->paused_until.load());
+  }
+
   void Serve(ScriptedCall& call) {
     const std::string id = call.Id();
-    constexpr int kRefusedOneIn = 40;
-    if (this->random.OneIn(kRefusedOneIn)) {
+    if (this->random.OneIn(this->plan.refused_one_in)) {
       this->history.RecordRefusal(id);
       call.Answer(503, "", "Buckthornpath-Not-Executed: 1\r\n");
       return;
@@ -98,7 +101,7 @@
   bool TakeSlot(ScriptedCall& call) {
     while (true) {
       std::size_t count = this->running;
-      if (count < this->slots) {
+      if (count < this->plan.slots) {
         if (this->running.compare_exchange_weak(count, count + 1))
           return true;
         continue;
@@ -127,10 +130,11 @@
     const std::string after = call.Field("Last-Event-Id");
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
     const int last = LastEventOf(id);
-    const bool pauses = this->random.OneIn(kPausedOneIn);
+    const bool pauses =
+        this->plan.has_joint_pauses && this->random.OneIn(kPausedOneIn);
     const std::int64_t paused_event = this->random.Between(first - 1, last);
     const milliseconds pause =
-        this->random.Time(milliseconds(300), milliseconds(1800));
+        this->random.Time(this->plan.min_pause, this->plan.max_pause);
     if (!this->Pause(call,
                      pauses && paused_event < first ? pause : kEventInterval))
       return;
@@ -140,7 +144,6 @@
       this->history.RecordWork(id, this->name);
       const bool pauses_now = pauses && event == paused_event;
       if (!this->Pause(call, pauses_now ? pause : kEventInterval)) {
-        this->history.RecordHeld(id);
         call.Close(false);
         return;
       }
@@ -151,7 +154,7 @@
 
   StopHistory& history;
   std::string name;
-  std::size_t slots;
+  const StopSoakPlan& plan;
   SharedRandom random;
   std::atomic<std::size_t> running = 0;
   std::atomic<Clock::duration> paused_until{Clock::duration::zero()};
@@ -271,6 +274,7 @@
       : fleet(fleet),
         history(history),
         engines(engines),
+        plan(plan),
         random(plan.seed),
         stopped_at(plan.gateways),
         started_at(plan.gateways) {}
@@ -286,11 +290,9 @@
             now + this->random.Time(milliseconds(200), milliseconds(3500));
       }
       if (now >= next_pause) {
-        this->engines.at(this->Draw(this->engines.size()))
-            ->PauseAll(
-                this->random.Time(milliseconds(300), milliseconds(1800)));
+        this->PauseEngine();
         next_pause =
-            now + this->random.Time(milliseconds(200), milliseconds(1500));
+            now + this->random.Time(milliseconds(100), milliseconds(700));
       }
       this->KillAndRestart();
       std::this_thread::sleep_for(milliseconds(5));
@@ -303,6 +305,17 @@
         this->random.Between(0, static_cast<std::int64_t>(count) - 1));
   }
 
+  void PauseEngine() {
+    const bool is_any_paused =
+        std::any_of(this->engines.begin(), this->engines.end(),
+                    [](const auto& engine) { return engine->IsPaused(); });
+    if (is_any_paused && !this->plan.has_joint_pauses)
+      return;
+    const milliseconds time =
+        this->random.Time(this->plan.min_pause, this->plan.max_pause);
+    this->engines.at(this->Draw(this->engines.size()))->PauseAll(time);
+  }
+
   bool IsAnyStopping() const {
     return std::any_of(this->stopped_at.begin(), this->stopped_at.end(),
                        [](const auto& time) { return time.has_value(); });
@@ -344,6 +357,7 @@
   GatewayFleet& fleet;
   StopHistory& history;
   std::vector<std::unique_ptr<PausingEngine>>& engines;
+  const StopSoakPlan& plan;
   SharedRandom random;
   std::vector<std::optional<Clock::time_point>> stopped_at;
   std::vector<Clock::time_point> started_at;
@@ -369,9 +383,8 @@
   fleet.PublishLongTimeouts();
   std::vector<std::unique_ptr<PausingEngine>> engines;
   for (std::size_t i = 0; i < plan.engines; ++i) {
-    engines.push_back(
-        std::make_unique<PausingEngine>(history, "engine-" + std::to_string(i),
-                                        plan.slots, plan.seed * 100 + i));
+    engines.push_back(std::make_unique<PausingEngine>(
+        history, "engine-" + std::to_string(i), plan, plan.seed * 100 + i));
     fleet.Engine(i).SetScript([engine = engines.back().get()](
                                   ScriptedCall& call) { engine->Serve(call); });
   }
--- a/test/soak/stop_soak.h
+++ b/test/soak/stop_soak.h
@@ -20,6 +20,16 @@
   std::size_t engines = 6;
   std::size_t callers_per_gateway = 12;
   std::size_t slots = 12;  ///< Of each engine.
+  int refused_one_in = 8;  ///< Requests that an engine refuses.
+  /** Limits of a pause of an engine: longer than a gateway waits for an event;
+   * shorter than the time between the last sixth of a stop's grace, in which
+   * an endpoint must be at work, and the cut-off. */
+  std::chrono::milliseconds min_pause{850};
+  std::chrono::milliseconds max_pause{1050};
+  /** Several engines may pause at a time, and single streams besides. All
+   * endpoints that a stream may use can then be silent until the end of a stop;
+   * no gateway can help it. */
+  bool has_joint_pauses = false;
   std::chrono::milliseconds length = std::chrono::seconds(20);
 };
 
