A standby attempt is sent only if nothing has ruled it out; one cancelled at once is safe

Found by reading the change. A paused stream whose request was put in quarantine, or whose next endpoint had left while the connection was opened, was sent all the same: the check that an ordinary attempt makes after connecting was missing. A standby cancelled before its task had run used the endpoint of a reservation that was gone.

Change: may_send is asked once the connection is open; quarantine is asked before the start too; a cancelled task ends first.

--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -184,6 +184,9 @@
   /** Takes back that the standby attempt counts as one. */
   void UncountStandby();
 
+  /** @return True if nothing has ruled out the standby attempt meanwhile. */
+  bool MaySendStandby() const;
+
   /** Gives the present endpoint up if the standby attempt has succeeded. */
   void HandleStandbyEnd();
 
--- a/src/gateway/forward_standby.cc
+++ b/src/gateway/forward_standby.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <utility>
 
 #include "gateway/forward_session.h"
@@ -19,11 +20,12 @@
 struct FailureRow {
   Status status;
   const char* name;
-  EndpointResult endpoint_result;
+  std::optional<EndpointResult> endpoint_result;
 };
 
-constexpr std::array<FailureRow, 4> kFailures = {{
+constexpr std::array<FailureRow, 5> kFailures = {{
     {Status::kUnreachable, "unreachable", EndpointResult::kUnreachable},
+    {Status::kWithheld, "withheld", std::nullopt},
     {Status::kNotExecuted, "not_executed", EndpointResult::kFull},
     {Status::kFailed, "failed", EndpointResult::kFailed},
     {Status::kBroken, kBrokenAttempt, EndpointResult::kBroken},
@@ -57,7 +59,7 @@
   const bool is_new_allowed =
       this->attempts < this->request.route->max_attempts;
   if ((!is_new_allowed && this->paused_endpoints.empty()) ||
-      this->TimeLeft() < kMinTimeLeft ||
+      this->TimeLeft() < kMinTimeLeft || this->RuledOut() ||
       this->state.quarantine.IsSuspect(this->request.signature, Clock::now()))
     return "not_resumable";
   EndpointReservation next = this->TryReserve(this->StandbyExclusions());
@@ -77,10 +79,17 @@
       this->request.metadata.request_id);
   this->standby->Start(
       std::min(kConnectTimeout, std::max(this->TimeLeft(), kMinTimeLeft)),
+      [this] { return this->MaySendStandby(); },
       [this] { this->HandleStandbyEnd(); });
   return "";
 }
 
+bool ForwardSession::MaySendStandby() const {
+  const EndpointUse use =
+      this->standby->Endpoint()->Availability().StateAt(Clock::now()).use;
+  return use != EndpointUse::kNever && !this->RuledOut();
+}
+
 void ForwardSession::HandleStandbyEnd() {
   this->standby_signal.Set();
   if (this->HasStandbyBegun()) {
@@ -100,7 +109,8 @@
   const FailureRow& row = RowOf(status);
   this->record.RecordAttempt(*endpoint, row.name, 0, this->standby->StartedAt(),
                              now);
-  this->state.selector.RecordResult(*endpoint, row.endpoint_result, now);
+  if (row.endpoint_result)
+    this->state.selector.RecordResult(*endpoint, *row.endpoint_result, now);
   if (status == Status::kNotExecuted || status == Status::kFailed) {
     const unsigned code = this->standby->ResponseStatus();
     if (code == kMisdirected)
@@ -113,7 +123,8 @@
   this->excluded_endpoints.push_back(endpoint->Entry().id);
   std::erase(this->paused_endpoints, endpoint->Entry().id);
   // Such an endpoint has not begun.
-  if (status == Status::kUnreachable || status == Status::kNotExecuted)
+  if (status == Status::kUnreachable || status == Status::kWithheld ||
+      status == Status::kNotExecuted)
     this->UncountStandby();
 }
 
--- a/src/gateway/standby_attempt.cc
+++ b/src/gateway/standby_attempt.cc
@@ -33,7 +33,9 @@
       request_id(std::move(request_id)) {}
 
 void StandbyAttempt::Start(std::chrono::milliseconds connect_timeout,
+                           std::function<bool()> check,
                            std::function<void()> handler) {
+  this->may_send = std::move(check);
   this->on_end = std::move(handler);
   this->is_running = true;
   WorkerPool::SpawnOn(this->state.executor, this->Run(connect_timeout));
@@ -41,6 +43,7 @@
 
 void StandbyAttempt::Cancel() {
   this->is_cancelled = true;
+  this->may_send = nullptr;
   this->on_end = nullptr;
   // An operation in progress uses the connection until it has returned.
   if (this->is_running && this->connection)
@@ -87,6 +90,8 @@
 
 asio::awaitable<StandbyAttempt::Status> StandbyAttempt::Open(
     std::chrono::milliseconds connect_timeout) {
+  if (this->is_cancelled)
+    co_return Status::kWithheld;
   const EndpointHandle endpoint = this->reservation.Endpoint();
   EndpointConnectionPool& pool = this->state.connection_pool;
   this->connection =
@@ -99,8 +104,8 @@
     if (connect_error)
       co_return Status::kUnreachable;
   }
-  if (this->is_cancelled)
-    co_return Status::kUnreachable;
+  if (this->is_cancelled || !this->may_send())
+    co_return Status::kWithheld;
   this->status = Status::kSent;
   const auto send_error = co_await this->connection->Send(this->request);
   if (send_error)
--- a/src/gateway/standby_attempt.h
+++ b/src/gateway/standby_attempt.h
@@ -30,6 +30,7 @@
     kSent,         ///< The endpoint may have begun.
     kReady,        ///< The endpoint streams.
     kUnreachable,  ///< No connection could be opened.
+    kWithheld,     ///< The request must not be sent any more.
     kNotExecuted,  ///< The endpoint states that it did not run the request.
     kFailed,       ///< The endpoint sent another response than a stream.
     kBroken,       ///< There was no response head.
@@ -40,11 +41,17 @@
                  ForwardRequest request,
                  std::string request_id);
 
-  /** Begins. @param on_end Called once, when the status is final. */
+  /**
+   * Begins.
+   * @param may_send Asked once a connection is open; nothing is sent if it
+   * returns false.
+   * @param on_end Called once, when the status is final.
+   */
   void Start(std::chrono::milliseconds connect_timeout,
+             std::function<bool()> may_send,
              std::function<void()> on_end);
 
-  /** Closes the connection; on_end is not called any more. */
+  /** Closes the connection; no handler is called any more. */
   void Cancel();
 
   Status State() const { return this->status; }
@@ -76,6 +83,7 @@
   EndpointId endpoint_id;
   ForwardRequest request;
   std::string request_id;
+  std::function<bool()> may_send;
   std::function<void()> on_end;
   std::unique_ptr<EndpointConnection> connection;
   ResponseMetadata response;
