--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -16,11 +16,13 @@
 
 failed=0
 # mutant <file> <text> <replacement> <pattern that the soak test must print>
+#   [kind of soak] [gateways]
 mutant() {
   [[ $4 == *"$only"* ]] || return 0
   FROM=$2 TO=$3 perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/ or die "no such text\n"' "$1"
   ninja -C target buckthornpathd >/dev/null
-  if BUCKTHORNPATH_BIN=$PWD/target "$build/test/soak" 1 "$seeds" 3 |
+  if BUCKTHORNPATH_BIN=$PWD/target "$build/test/soak" 1 "$seeds" "${6:-3}" \
+      "${5:-faults}" |
       grep -q -e "$4"; then
     echo "reported: $4"
   else
@@ -80,7 +82,8 @@
     return;
   }' 'closed unanswered'
 mutant src/gateway/forward_stream.cc \
-  'if (this->CanResume()) {' 'if (this->CanResume()) { std::abort();' \
+  'const char* obstacle = this->StartStandby();' \
+  'const char* obstacle = this->StartStandby(); std::abort();' \
   'ended by itself with exit code'
 mutant src/gateway/forward_session.cc \
   'this->deadline_timer.Set(this->deadline + kDeadlineMargin, [this] {' \
@@ -91,4 +94,7 @@
   'const bool is_ready = !this->state.is_draining && this->state.is_loaded &&
                           this->connections.size() < 3;' \
   'not every gateway has recovered'
+mutant src/gateway/forward_standby.cc \
+  'return "";' 'this->connection->Close(); return "";' \
+  'ended without a whole answer' stops 4
 exit "$failed"
