--- a/test/soak/stop_soak.cc
+++ b/test/soak/stop_soak.cc
@@ -379,9 +379,10 @@
 
 SoakResult RunStopSoak(const StopSoakPlan& plan) {
   StopHistory history;
+  // The threads of the fleet's endpoints use the engines to the end.
+  std::vector<std::unique_ptr<PausingEngine>> engines;
   GatewayFleet fleet(FleetPlanOf(plan));
   fleet.PublishLongTimeouts();
-  std::vector<std::unique_ptr<PausingEngine>> engines;
   for (std::size_t i = 0; i < plan.engines; ++i) {
     engines.push_back(std::make_unique<PausingEngine>(
         history, "engine-" + std::to_string(i), plan, plan.seed * 100 + i));
