--- a/src/gateway/standby_attempt.cc
+++ b/src/gateway/standby_attempt.cc
@@ -38,7 +38,8 @@
   this->may_send = std::move(check);
   this->on_end = std::move(handler);
   this->is_running = true;
-  WorkerPool::SpawnOn(this->state.executor, this->Run(connect_timeout));
+  WorkerPool::SpawnOn(this->state.executor,
+                      Run(this->shared_from_this(), connect_timeout));
 }
 
 void StandbyAttempt::Cancel() {
@@ -65,26 +66,26 @@
 }
 
 asio::awaitable<void> StandbyAttempt::Run(
+    std::shared_ptr<StandbyAttempt> attempt,
     std::chrono::milliseconds connect_timeout) {
-  const auto self = this->shared_from_this();
   Status result = Status::kBroken;
   std::string fault;
   try {
-    result = co_await this->Open(connect_timeout);
+    result = co_await attempt->Open(connect_timeout);
   } catch (const std::exception& error) {
     fault = error.what();
   }
-  this->is_running = false;
+  attempt->is_running = false;
   if (!fault.empty()) {
     LogLine(LogLevel::kError, "attempt_failed",
-            {{"endpoint", this->endpoint_id}, {"reason", fault}});
+            {{"endpoint", attempt->endpoint_id}, {"reason", fault}});
   }
-  this->status = result;
-  if (this->is_cancelled) {
-    this->ReleaseConnection();
+  attempt->status = result;
+  if (attempt->is_cancelled) {
+    attempt->ReleaseConnection();
     co_return;
   }
-  if (const auto handler = std::exchange(this->on_end, nullptr))
+  if (const auto handler = std::exchange(attempt->on_end, nullptr))
     handler();
 }
 
--- a/src/gateway/standby_attempt.h
+++ b/src/gateway/standby_attempt.h
@@ -71,7 +71,10 @@
   }
 
  private:
-  asio::awaitable<void> Run(std::chrono::milliseconds connect_timeout);
+  /** Runs an attempt. The parameter keeps it alive from the start, as its owner
+   * may let go of it before the task first runs. */
+  static asio::awaitable<void> Run(std::shared_ptr<StandbyAttempt> attempt,
+                                   std::chrono::milliseconds connect_timeout);
   asio::awaitable<Status> Open(std::chrono::milliseconds connect_timeout);
   Status JudgeHead() const;
 
