--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -37,6 +37,8 @@
   plan.refused_one_in = 40;
   plan.min_pause = std::chrono::milliseconds(300);
   plan.max_pause = std::chrono::milliseconds(1800);
+  plan.min_pause_interval = std::chrono::milliseconds(200);
+  plan.max_pause_interval = std::chrono::milliseconds(1500);
   return RunStopSoak(plan);
 }
 
--- a/test/soak/stop_history.cc
+++ b/test/soak/stop_history.cc
@@ -32,12 +32,12 @@
   return body;
 }
 
+}  // namespace
+
 bool IsStream(const std::string& id) {
   return id.starts_with(kChatPrefix) || id.starts_with(kDraftPrefix);
 }
 
-}  // namespace
-
 int LastEventOf(const std::string& id) {
   return std::stoi(id.substr(id.rfind('-') + 1));
 }
@@ -50,8 +50,7 @@
   request.has_ended = false;
 }
 
-void StopHistory::RecordWork(const std::string& id,
-                             const std::string& /*endpoint*/) {
+void StopHistory::RecordWork(const std::string& id) {
   const std::lock_guard lock(this->mutex);
   this->work[id].last_at = Clock::now();
 }
--- a/test/soak/stop_history.h
+++ b/test/soak/stop_history.h
@@ -25,6 +25,9 @@
 inline constexpr const char* kChatPrefix = "chat-";    ///< Resumable stream.
 inline constexpr const char* kDraftPrefix = "draft-";  ///< Runs at most once.
 
+/** @return True if a request with this id is answered by a stream. */
+bool IsStream(const std::string& id);
+
 /** Number of the last event of a complete stream: the number at the end of the
  * request's id. */
 int LastEventOf(const std::string& id);
@@ -43,7 +46,7 @@
   void RecordArrival(const std::string& id, const std::string& endpoint);
 
   /** Records that an endpoint works on a request at this time. */
-  void RecordWork(const std::string& id, const std::string& endpoint);
+  void RecordWork(const std::string& id);
 
   /** Records that an endpoint has ended the last run of a request. */
   void RecordEnd(const std::string& id);
--- a/test/soak/stop_soak.cc
+++ b/test/soak/stop_soak.cc
@@ -141,7 +141,7 @@
     call.BeginEvents();
     for (int event = first; event <= last; ++event) {
       call.Event(event);
-      this->history.RecordWork(id, this->name);
+      this->history.RecordWork(id);
       const bool pauses_now = pauses && event == paused_event;
       if (!this->Pause(call, pauses_now ? pause : kEventInterval)) {
         call.Close(false);
@@ -164,7 +164,7 @@
   return [&history, name](ScriptedCall& call) {
     const std::string id = call.Id();
     history.RecordArrival(id, name);
-    history.RecordWork(id, name);
+    history.RecordWork(id);
     std::this_thread::sleep_for(kPlainTime);
     call.Answer(200, "answer to " + id);
     history.RecordEnd(id);
@@ -225,8 +225,7 @@
 
   void CallOnce(const std::string& name) {
     const CallKind& kind = DrawKind(this->random);
-    const bool is_stream = kind.path == std::string("/talk/x") ||
-                           kind.path == std::string("/draft/x");
+    const bool is_stream = IsStream(kind.prefix);
     // Mostly short streams, some long ones.
     const std::int64_t last_event = this->random.OneIn(4)
                                         ? this->random.Between(60, 136)
@@ -291,8 +290,8 @@
       }
       if (now >= next_pause) {
         this->PauseEngine();
-        next_pause =
-            now + this->random.Time(milliseconds(100), milliseconds(700));
+        next_pause = now + this->random.Time(this->plan.min_pause_interval,
+                                             this->plan.max_pause_interval);
       }
       this->KillAndRestart();
       std::this_thread::sleep_for(milliseconds(5));
--- a/test/soak/stop_soak.h
+++ b/test/soak/stop_soak.h
@@ -26,6 +26,9 @@
    * an endpoint must be at work, and the cut-off. */
   std::chrono::milliseconds min_pause{850};
   std::chrono::milliseconds max_pause{1050};
+  /** Limits of the time from the begin of one pause to that of the next. */
+  std::chrono::milliseconds min_pause_interval{100};
+  std::chrono::milliseconds max_pause_interval{700};
   /** Several engines may pause at a time, and single streams besides. All
    * endpoints that a stream may use can then be silent until the end of a stop;
    * no gateway can help it. */
