Results of attempts are one table, for ordinary and standby attempts

Found on the last read of the change: StandbyAttempt had statuses of its own for failures that AttemptResult names already, with a second table of their log names and of what they say of the endpoint; the idle time without a limit stood twice; RetryBudget::CanTake() had no caller left.

Change: AttemptResult and its table move from forward_session to attempt_result; a standby attempt ends with an AttemptResult. kUnlimitedIdleTime belongs to the connection pool. CanTake() is gone.

--- a/include/buckthornpath/retry_budget.h
+++ b/include/buckthornpath/retry_budget.h
@@ -27,9 +27,6 @@
    * repeated changes add no retries to a bucket that has been drained. */
   void SetCapacity(double capacity);
 
-  /** @return True if TryTake() would succeed. */
-  bool CanTake() const { return this->tokens >= 1.0; }
-
  private:
   double retries_per_attempt;
   double capacity;
--- a/src/gateway/endpoint_connection_pool.h
+++ b/src/gateway/endpoint_connection_pool.h
@@ -20,6 +20,11 @@
  public:
   using Clock = EndpointConnection::Clock;
 
+  /** Idle time limit for requests that can be sent again: any open connection
+   * is reused. */
+  static constexpr std::chrono::milliseconds kUnlimitedIdleTime{
+      std::chrono::hours(1)};
+
   explicit EndpointConnectionPool(asio::any_io_executor executor)
       : executor(std::move(executor)) {}
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -20,10 +20,6 @@
 namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
-/** Idle time limit for idempotent requests: any open connection is reused, as
- * the request can be repeated if the connection fails. */
-constexpr milliseconds kUnlimitedIdleTime{std::chrono::hours(1)};
-
 /** Failed connection attempts after which a request is refused. */
 constexpr int kMaxConnectFailures = 3;
 
@@ -83,30 +79,6 @@
   return std::string(text.data(), static_cast<std::size_t>(size));
 }
 
-/** Log name of an attempt's result, and the result for its endpoint if it says
- * anything about it. */
-struct AttemptResultRow {
-  const char* name;
-  std::optional<EndpointResult> endpoint_result;
-};
-
-constexpr std::array<AttemptResultRow, 10> kAttemptResults = {{
-    {"answered", EndpointResult::kServed},
-    {"no_room", std::nullopt},
-    {"withheld", std::nullopt},
-    {"quarantined", std::nullopt},
-    {"draining", std::nullopt},
-    {"unreachable", EndpointResult::kUnreachable},
-    {"not_executed", EndpointResult::kFull},
-    {"failed", EndpointResult::kFailed},
-    {kBrokenAttempt, EndpointResult::kBroken},
-    {kStalledAttempt, EndpointResult::kBroken},
-}};
-
-const AttemptResultRow& RowOf(AttemptResult result) {
-  return kAttemptResults.at(static_cast<std::size_t>(result));
-}
-
 }  // namespace
 
 ForwardSession::ForwardSession(GatewayState& state, CallerExchange& exchange)
@@ -320,7 +292,7 @@
   const EndpointId& id = endpoint.Entry().id;
   const milliseconds max_idle_time =
       this->request.route->IsRetryable()
-          ? kUnlimitedIdleTime
+          ? EndpointConnectionPool::kUnlimitedIdleTime
           : this->state.connection_pool.SafeIdleTime();
   this->connection =
       this->state.connection_pool.TakeIdle(id, max_idle_time, Clock::now());
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/attempt_result.h"
 #include "gateway/caller_connection.h"
 #include "gateway/cancellable_timer.h"
 #include "gateway/endpoint_reservation.h"
@@ -22,20 +23,6 @@
 
 namespace buckthornpath {
 
-/** Result of one attempt to forward a request. */
-enum class AttemptResult {
-  kAnswered,     ///< The caller has received a complete response.
-  kNoCapacity,   ///< No endpoint had capacity in time; nothing was sent.
-  kWithheld,     ///< The endpoint has become unusable; nothing was sent.
-  kQuarantined,  ///< The request is in quarantine; nothing was sent.
-  kDraining,     ///< The process ends before the deadline; nothing was sent.
-  kUnreachable,  ///< No connection could be opened; nothing was sent.
-  kNotExecuted,  ///< The endpoint states that it did not run the request.
-  kFailed,       ///< The endpoint ran the request and sent a 5xx status.
-  kBroken,       ///< The request was sent; the response is incomplete.
-  kStalled,      ///< Given up, as the standby attempt has begun.
-};
-
 /**
  * Forwards one request: finds its route and organisation, waits for an endpoint
  * with capacity, sends the request and relays the response. A request that is
--- a/src/gateway/forward_standby.cc
+++ b/src/gateway/forward_standby.cc
@@ -1,8 +1,6 @@
 /** @file forward_standby.cc Moves a stream whose endpoint pauses. */
 
 #include <algorithm>
-#include <array>
-#include <optional>
 #include <utility>
 
 #include "gateway/forward_session.h"
@@ -15,28 +13,6 @@
 using std::chrono::milliseconds;
 using Status = StandbyAttempt::Status;
 
-/** Log name of a standby attempt that has failed, and the result for its
- * endpoint. */
-struct FailureRow {
-  Status status;
-  const char* name;
-  std::optional<EndpointResult> endpoint_result;
-};
-
-constexpr std::array<FailureRow, 5> kFailures = {{
-    {Status::kUnreachable, "unreachable", EndpointResult::kUnreachable},
-    {Status::kWithheld, "withheld", std::nullopt},
-    {Status::kNotExecuted, "not_executed", EndpointResult::kFull},
-    {Status::kFailed, "failed", EndpointResult::kFailed},
-    {Status::kBroken, kBrokenAttempt, EndpointResult::kBroken},
-}};
-
-const FailureRow& RowOf(Status status) {
-  return *std::find_if(
-      kFailures.begin(), kFailures.end(),
-      [&](const FailureRow& row) { return row.status == status; });
-}
-
 }  // namespace
 
 std::vector<EndpointId> ForwardSession::StandbyExclusions() const {
@@ -105,26 +81,28 @@
 void ForwardSession::RecordStandbyFailure() {
   const auto now = Clock::now();
   const EndpointHandle endpoint = this->standby->Endpoint();
-  const Status status = this->standby->State();
-  const FailureRow& row = RowOf(status);
+  const AttemptResult result = this->standby->Failure();
+  const AttemptResultRow& row = RowOf(result);
   this->record.RecordAttempt(*endpoint, row.name, 0, this->standby->StartedAt(),
                              now);
   if (row.endpoint_result)
     this->state.selector.RecordResult(*endpoint, *row.endpoint_result, now);
-  if (status == Status::kNotExecuted || status == Status::kFailed) {
+  if (result == AttemptResult::kNotExecuted ||
+      result == AttemptResult::kFailed) {
     const unsigned code = this->standby->ResponseStatus();
     if (code == kMisdirected)
       this->state.selector.RecordMisdirected(*endpoint, now);
     this->state.RecordStatements(*endpoint, this->standby->Response(), code);
   }
-  if (status == Status::kBroken &&
+  if (result == AttemptResult::kBroken &&
       this->state.quarantine.HasUnproven(this->request.signature, now))
     this->state.crash_probe.Check(endpoint, this->request.signature);
   this->excluded_endpoints.push_back(endpoint->Entry().id);
   std::erase(this->paused_endpoints, endpoint->Entry().id);
   // Such an endpoint has not begun.
-  if (status == Status::kUnreachable || status == Status::kWithheld ||
-      status == Status::kNotExecuted)
+  if (result == AttemptResult::kUnreachable ||
+      result == AttemptResult::kWithheld ||
+      result == AttemptResult::kNotExecuted)
     this->UncountStandby();
 }
 
--- a/src/gateway/standby_attempt.cc
+++ b/src/gateway/standby_attempt.cc
@@ -16,10 +16,6 @@
 
 namespace http = boost::beast::http;
 
-/** Any idle connection will do: the present endpoint keeps the stream if this
- * one fails. */
-constexpr std::chrono::milliseconds kUnlimitedIdleTime{std::chrono::hours(1)};
-
 }  // namespace
 
 StandbyAttempt::StandbyAttempt(GatewayState& state,
@@ -68,10 +64,10 @@
 asio::awaitable<void> StandbyAttempt::Run(
     std::shared_ptr<StandbyAttempt> attempt,
     std::chrono::milliseconds connect_timeout) {
-  Status result = Status::kBroken;
+  std::optional<AttemptResult> failure = AttemptResult::kBroken;
   std::string fault;
   try {
-    result = co_await attempt->Open(connect_timeout);
+    failure = co_await attempt->Open(connect_timeout);
   } catch (const std::exception& error) {
     fault = error.what();
   }
@@ -80,7 +76,8 @@
     LogLine(LogLevel::kError, "attempt_failed",
             {{"endpoint", attempt->endpoint_id}, {"reason", fault}});
   }
-  attempt->status = result;
+  attempt->failure = failure.value_or(attempt->failure);
+  attempt->status = failure ? Status::kEnded : Status::kReady;
   if (attempt->is_cancelled) {
     attempt->ReleaseConnection();
     co_return;
@@ -89,43 +86,48 @@
     handler();
 }
 
-asio::awaitable<StandbyAttempt::Status> StandbyAttempt::Open(
+asio::awaitable<std::optional<AttemptResult>> StandbyAttempt::Open(
     std::chrono::milliseconds connect_timeout) {
   if (this->is_cancelled)
-    co_return Status::kWithheld;
+    co_return AttemptResult::kWithheld;
   const EndpointHandle endpoint = this->reservation.Endpoint();
   EndpointConnectionPool& pool = this->state.connection_pool;
   this->connection =
-      pool.TakeIdle(this->endpoint_id, kUnlimitedIdleTime, Clock::now());
+      pool.TakeIdle(this->endpoint_id,
+                    EndpointConnectionPool::kUnlimitedIdleTime, Clock::now());
   if (!this->connection) {
     this->connection = pool.CreateConnection(this->endpoint_id);
     ProcessMetrics().Add("endpoint_connections_total");
     const auto connect_error = co_await this->connection->Connect(
         ParseSocketAddress(endpoint->Entry().address), connect_timeout);
     if (connect_error)
-      co_return Status::kUnreachable;
+      co_return AttemptResult::kUnreachable;
   }
   if (this->is_cancelled || !this->may_send())
-    co_return Status::kWithheld;
+    co_return AttemptResult::kWithheld;
   this->status = Status::kSent;
   const auto send_error = co_await this->connection->Send(this->request);
   if (send_error)
-    co_return Status::kBroken;
+    co_return AttemptResult::kBroken;
   const ExpectedResponse expected{this->request_id, false};
   const bool has_head = co_await ReadMatchingHead(
       *this->connection, this->state.adapter, expected, this->response);
-  co_return has_head ? this->JudgeHead() : Status::kBroken;
+  if (!has_head)
+    co_return AttemptResult::kBroken;
+  co_return this->JudgeHead();
 }
 
-StandbyAttempt::Status StandbyAttempt::JudgeHead() const {
+std::optional<AttemptResult> StandbyAttempt::JudgeHead() const {
   const auto& head = this->connection->Head();
   if (this->response.not_executed || head.result_int() == kMisdirected)
-    return Status::kNotExecuted;
+    return AttemptResult::kNotExecuted;
   const std::string_view type = head[http::field::content_type];
   const bool is_stream = head.result_int() / 100 == 2 &&
                          this->response.is_from_endpoint &&
                          type.starts_with("text/event-stream");
-  return is_stream ? Status::kReady : Status::kFailed;
+  if (!is_stream)
+    return AttemptResult::kFailed;
+  return std::nullopt;
 }
 
 }  // namespace buckthornpath
--- a/src/gateway/standby_attempt.h
+++ b/src/gateway/standby_attempt.h
@@ -6,8 +6,10 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "gateway/attempt_result.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/endpoint_reservation.h"
 #include "gateway/gateway_state.h"
@@ -26,14 +28,10 @@
   using Clock = std::chrono::steady_clock;
 
   enum class Status {
-    kOpening,      ///< Nothing has been sent yet.
-    kSent,         ///< The endpoint may have begun.
-    kReady,        ///< The endpoint streams.
-    kUnreachable,  ///< No connection could be opened.
-    kWithheld,     ///< The request must not be sent any more.
-    kNotExecuted,  ///< The endpoint states that it did not run the request.
-    kFailed,       ///< The endpoint sent another response than a stream.
-    kBroken,       ///< There was no response head.
+    kOpening,  ///< Nothing has been sent yet.
+    kSent,     ///< The endpoint may have begun.
+    kReady,    ///< The endpoint streams.
+    kEnded,    ///< The attempt has failed.
   };
 
   StandbyAttempt(GatewayState& state,
@@ -55,6 +53,9 @@
   void Cancel();
 
   Status State() const { return this->status; }
+
+  /** @return Why the attempt has failed. @pre Its status is kEnded. */
+  AttemptResult Failure() const { return this->failure; }
   const EndpointHandle& Endpoint() const {
     return this->reservation.Endpoint();
   }
@@ -75,8 +76,11 @@
    * may let go of it before the task first runs. */
   static asio::awaitable<void> Run(std::shared_ptr<StandbyAttempt> attempt,
                                    std::chrono::milliseconds connect_timeout);
-  asio::awaitable<Status> Open(std::chrono::milliseconds connect_timeout);
-  Status JudgeHead() const;
+
+  /** @return Why the attempt has failed; empty if the endpoint streams. */
+  asio::awaitable<std::optional<AttemptResult>> Open(
+      std::chrono::milliseconds connect_timeout);
+  std::optional<AttemptResult> JudgeHead() const;
 
   /** Returns the connection to the pool, which closes it. */
   void ReleaseConnection();
@@ -91,6 +95,7 @@
   std::unique_ptr<EndpointConnection> connection;
   ResponseMetadata response;
   Status status = Status::kOpening;
+  AttemptResult failure = AttemptResult::kBroken;
   bool is_running = false;
   bool is_cancelled = false;
 };
--- a/test/stories/standby_attempt.cc
+++ b/test/stories/standby_attempt.cc
@@ -105,7 +105,8 @@
   attempt->Start(
       kTimeout, [] { return false; }, [&] { has_ended = true; });
   CPPUNIT_ASSERT(endpoint.RunUntil([&] { return has_ended; }));
-  CPPUNIT_ASSERT(attempt->State() == StandbyAttempt::Status::kWithheld);
+  CPPUNIT_ASSERT(attempt->State() == StandbyAttempt::Status::kEnded);
+  CPPUNIT_ASSERT(attempt->Failure() == AttemptResult::kWithheld);
   asio::ip::tcp::socket peer = endpoint.Accept();
   CPPUNIT_ASSERT(peer.is_open());
   attempt->Cancel();
