Endpoints that have just started get a bounded rate from the whole fleet

Cause: nothing bounded what all gateways together send to an endpoint that is cold: an endpoint that returns is idle, so each gateway would choose it. coldRemainingMs only raised a cost; the rate that services configure and Buckthornpath-Cold-Ms were not read.

Change: ColdEndpointLimit (no I/O) and ColdStartGuard. The gateways that the new setting cold_senders names may send to a cold endpoint, each at a fixed interval that depends on the settings alone; the others send nothing there. Half of the allowance is used. Settings cold_senders, cold_overage (a multiple such as "1.5x" is taken for percentages) and cold_slack; event endpoint_cold; metrics cold_starts_total, cold_endpoint_requests_total; `cold` in the status. Services without a rate are not touched.

--- a/include/buckthornpath/routing_table.h
+++ b/include/buckthornpath/routing_table.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "buckthornpath/cold_endpoint_limit.h"
 #include "buckthornpath/strong_id_type.h"
 
 namespace buckthornpath {
@@ -62,6 +63,7 @@
 struct ServiceConfig {
   ServiceName name;
   std::size_t max_connections = 0;  ///< Per endpoint, from all VMs.
+  ColdStartPolicy cold_start;
 };
 
 /** Customer that owns API keys. */
--- a/src/gateway/endpoint_crash_probe.cc
+++ b/src/gateway/endpoint_crash_probe.cc
@@ -70,6 +70,7 @@
                        "service=\"" + entry.service.str() + "\"");
   this->state.selector.RecordResult(endpoint, EndpointResult::kUnreachable,
                                     now);
+  this->state.cold_starts.RecordRefusedConnection(endpoint, now);
   this->state.connection_pool.CloseIdle(entry.id);
   for (const RequestSignature& request : requests)
     this->state.quarantine.RecordCrash(request, entry.id, now);
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -221,11 +221,12 @@
       this->request.priority, excluded, this->request.IsPlain()};
   const auto now = Clock::now();
   EndpointHandle chosen = this->state.selector.Choose(
-      query, now, [this](const EndpointState& endpoint) {
-        return this->state.HasConnectionCapacity(endpoint);
+      query, now, [this, now](const EndpointState& endpoint) {
+        return this->state.HasRoom(endpoint, now);
       });
   if (!chosen)
     return {};
+  this->state.cold_starts.RecordSend(*chosen, now);
   return {this->state.selector, std::move(chosen),
           this->request.metadata.segments, now};
 }
@@ -307,6 +308,8 @@
   const auto error = co_await this->connection->Connect(
       ParseSocketAddress(endpoint.Entry().address),
       std::min(kConnectTimeout, std::max(this->TimeLeft(), kMinTimeLeft)));
+  if (error == asio::error::connection_refused)
+    this->state.cold_starts.RecordRefusedConnection(endpoint, Clock::now());
   co_return !error;
 }
 
@@ -345,7 +348,9 @@
       result = co_await this->ReadResponse(endpoint);
     else if (is_open && ruled_out)
       result = *ruled_out;
-    else if (is_open && use == EndpointUse::kNever)
+    else if (is_open && (use == EndpointUse::kNever ||
+                         !this->state.cold_starts.IsGranted(
+                             endpoint, this->reservation.Time(), Clock::now())))
       result = AttemptResult::kWithheld;
     else if (is_open && !this->is_aborted)
       result = co_await this->SendTo(endpoint);
@@ -388,6 +393,8 @@
   const auto endpoint_result = RowOf(result).endpoint_result;
   if (endpoint_result && !this->is_aborted)
     this->state.selector.RecordResult(endpoint, *endpoint_result, now);
+  if (!this->is_aborted)
+    this->state.cold_starts.RecordResult(endpoint, result, now);
   this->RecordLoadOfService(result, now);
   this->stall_timer.Cancel();
   this->reservation.Release();
--- a/src/gateway/forward_standby.cc
+++ b/src/gateway/forward_standby.cc
@@ -63,7 +63,10 @@
 bool ForwardSession::MaySendStandby() const {
   const EndpointUse use =
       this->standby->Endpoint()->Availability().StateAt(Clock::now()).use;
-  return use != EndpointUse::kNever && !this->RuledOut();
+  return use != EndpointUse::kNever && !this->RuledOut() &&
+         this->state.cold_starts.IsGranted(*this->standby->Endpoint(),
+                                           this->standby->StartedAt(),
+                                           Clock::now());
 }
 
 void ForwardSession::HandleStandbyEnd() {
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -147,6 +147,8 @@
         {"gossip", this->peers.Status()},
         {"connections", this->connections.size()},
         {"unusable", this->UnusableEndpoints()},
+        {"cold", this->state.cold_starts.Status(this->state.selector.All(),
+                                                Clock::now())},
         {"quarantine", std::move(quarantine)},
         {"suspects", this->state.quarantine.SuspectCount()}};
   }
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -84,6 +84,7 @@
       adapter(PlatformAdapter::Linked()),
       selector(FailureDomainId(settings.failure_domain),
                SelectorLimits(settings)),
+      cold_starts(settings, this->table),
       connection_pool(std::move(executor)),
       quarantine(SpreadOf(settings.gossip_address)),
       crash_probe(*this),
@@ -156,6 +157,7 @@
     return;
   const EndpointEntry& entry = endpoint.Entry();
   const auto now = Clock::now();
+  this->cold_starts.RecordStatement(endpoint, response.cold_remaining, now);
   const EndpointStatement before = endpoint.Availability().Statement();
   if (response.leaving && before.leaving_since == Clock::time_point{}) {
     LogLine(LogLevel::kNotice, "endpoint_says_leaving",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "buckthornpath/segment_quarantine.h"
 #include "buckthornpath/waiting_queue.h"
 #include "gateway/byte_budget.h"
+#include "gateway/cold_start_guard.h"
 #include "gateway/endpoint_connection_pool.h"
 #include "gateway/endpoint_crash_probe.h"
 #include "gateway/platform_adapter.h"
@@ -62,6 +63,12 @@
    * one may be opened within this process's share of the limit. */
   bool HasConnectionCapacity(const EndpointState& endpoint) const;
 
+  /** @return True if another request may be sent to an endpoint now. */
+  bool HasRoom(const EndpointState& endpoint, Clock::time_point now) const {
+    return this->HasConnectionCapacity(endpoint) &&
+           this->cold_starts.MaySend(endpoint, now);
+  }
+
   /** Sets the number of live gateways, this one included. */
   void SetGatewayCount(std::size_t count);
 
@@ -98,6 +105,7 @@
   const PlatformAdapter& adapter;
   std::shared_ptr<const RoutingTable> table;  ///< Null until the first is read.
   EndpointSelector selector;
+  ColdStartGuard cold_starts;
   EndpointConnectionPool connection_pool;
   SegmentQuarantine quarantine;
   EndpointCrashProbe crash_probe;
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -55,6 +55,8 @@
   bool leaving = false;           ///< The endpoint is about to stop.
   /** Time for which the endpoint wants no requests, if it refuses this one. */
   std::optional<std::chrono::milliseconds> retry_after;
+  /** Time for which the endpoint says that it stays cold after its start. */
+  std::chrono::milliseconds cold_remaining{};
   std::optional<SelfReportedLoad> load;
   /** Idle timeout of the connection at the endpoint, if stated. */
   std::optional<std::chrono::milliseconds> idle_timeout;
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -313,6 +313,7 @@
     LogLine(LogLevel::kNotice, "endpoint_gone",
             {{"endpoint", *endpoint}, {"revision", item.revision}});
     this->state.selector.Withdraw(*endpoint);
+    this->state.cold_starts.RecordWithdrawn(*endpoint);
     this->state.connection_pool.CloseIdle(*endpoint);
     co_return;
   }
@@ -355,6 +356,8 @@
              {"service", entry.service},
              {"address", entry.address}});
   }
+  this->state.cold_starts.RecordPublished(entry, !this->state.is_loaded,
+                                          Clock::now());
   this->state.selector.Publish(entry);
   if (entry.leaving)
     this->state.connection_pool.CloseIdle(entry.id);
--- a/src/gateway/standby_attempt.cc
+++ b/src/gateway/standby_attempt.cc
@@ -100,6 +100,8 @@
     ProcessMetrics().Add("endpoint_connections_total");
     const auto connect_error = co_await this->connection->Connect(
         ParseSocketAddress(endpoint->Entry().address), connect_timeout);
+    if (connect_error == asio::error::connection_refused)
+      this->state.cold_starts.RecordRefusedConnection(*endpoint, Clock::now());
     if (connect_error)
       co_return AttemptResult::kUnreachable;
   }
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -61,6 +61,19 @@
                                                        {"ms", 1.0},
                                                        {"s", 1000.0}};
 
+/** Suffixes of percentages; "1.5x" is 150 %. */
+const std::map<std::string_view, double> kPercentUnits = {{"", 1.0},
+                                                          {"x", 100.0}};
+
+/** Suffixes of other numbers: none. */
+const std::map<std::string_view, double> kNoUnits = {{"", 1.0}};
+
+const std::map<std::string_view, double>& UnitsOf(const FieldRule& rule) {
+  if (rule.type == "time")
+    return kTimeUnits;
+  return rule.unit == "%" ? kPercentUnits : kNoUnits;
+}
+
 /** Largest number that a setting can hold exactly as a double. */
 constexpr double kMaxExactNumber = 9007199254740992.0;
 
@@ -89,7 +102,7 @@
  * @return The integer; null if the value states none; the value itself if it
  * cannot be converted.
  */
-nlohmann::json ToInteger(const nlohmann::json& value, bool is_time) {
+nlohmann::json ToInteger(const nlohmann::json& value, const FieldRule& rule) {
   NumberText split;
   if (value.is_number_float()) {
     split.number = value.get<double>();
@@ -98,8 +111,8 @@
   } else {
     return value;
   }
-  const auto unit = kTimeUnits.find(split.suffix);
-  if (unit == kTimeUnits.end() || (!is_time && !split.suffix.empty()))
+  const auto unit = UnitsOf(rule).find(split.suffix);
+  if (unit == UnitsOf(rule).end())
     return value;
   if (!split.number)
     return nullptr;
@@ -124,7 +137,7 @@
     const bool is_time = rule.type == "time";
     if (found == object.end() || (rule.type != "number" && !is_time))
       continue;
-    const nlohmann::json number = ToInteger(*found, is_time);
+    const nlohmann::json number = ToInteger(*found, rule);
     if (number.is_null()) {
       object.erase(found);
     } else if (number.is_number_integer()) {
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -45,6 +45,9 @@
   std::int64_t max_moves = 0;
   std::int64_t retry_budget_percent = 0;
   std::int64_t retry_slack = 0;
+  std::string cold_senders;
+  std::int64_t cold_overage = 0;
+  std::int64_t cold_slack = 0;
   std::int64_t link_capacity = 0;
   std::int64_t chat_memory_entries = 0;
   std::chrono::milliseconds vm_list_interval{};
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -34,6 +34,7 @@
     {"endpoint_gone", "endpoint revision", "An endpoint is no longer published"},
     {"endpoint_says_leaving", "endpoint service", "An endpoint says in a response that it leaves; it is a last resort for a short time, then unused"},
     {"endpoint_closed", "endpoint service for_ms", "An endpoint has refused a request and wants none for this time"},
+    {"endpoint_cold", "endpoint service reason for_ms may_send", "An endpoint has started, or may have; until it is warm, only gateways that the settings name send to it, at intervals"},
     {"retry_after_ignored", "value", "The Retry-After of an endpoint is no number of seconds"},
     {"retry_after_bounded", "value", "The Retry-After of an endpoint is longer than the limit, which is used instead"},
     {"endpoint_crashed", "endpoint service unanswered", "An endpoint refuses connections after it has dropped requests that it had not answered"},
--- a/test/stories/settings_template.cc
+++ b/test/stories/settings_template.cc
@@ -82,6 +82,17 @@
   return ParseSettings(RenderTemplate(fields));
 }
 
+void MultiplesBecomePercentages() {
+  const Settings settings =
+      RenderedSettings({{"coldOverage", 1.5}, {"coldSlack", 5}});
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{150}, settings.cold_overage);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{5}, settings.cold_slack);
+  CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.40:8229,10.2.0.29:8229"),
+                       settings.cold_senders);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{100},
+                       RenderedSettings(json::object()).cold_overage);
+}
+
 void WholeNumbersAreTaken() {
   const Settings settings = RenderedSettings(
       {{"budgetSlack", 246}, {"graceS", 8}, {"drainMs", 4000}});
@@ -143,6 +154,7 @@
   CPPUNIT_ASSERT_EQUAL(std::string(), FaultOf(R"("drain_timeout": "1500ms")"));
   CPPUNIT_ASSERT(FaultOf(R"("drain_timeout": "8h")") != "");
   CPPUNIT_ASSERT(FaultOf(R"("retry_slack": "8s")") != "");
+  CPPUNIT_ASSERT(FaultOf(R"("retry_slack": "8x")") != "");
   CPPUNIT_ASSERT(FaultOf(R"("retry_slack": [8])") != "");
   CPPUNIT_ASSERT(FaultOf(R"("retry_slack": 1e300)") != "");
   CPPUNIT_ASSERT(FaultOf(R"("retry_slack": "nan")") != "");
@@ -152,13 +164,15 @@
 const Story kStory("settings_template", [] {
   return Section(
       "given the settings template of the platform",
-      {Section("when the platform states a bound",
-               {Then("a whole number is taken as it is", WholeNumbersAreTaken),
-                Then("a fraction is rounded down", FractionsAreRoundedDown),
-                Then("a missing one is replaced by the default",
-                     MissingNumbersUseTheDefault),
-                Then("a flag is refused with name, value and expectation",
-                     AFlagIsNamedWithItsValue)}),
+      {Section(
+           "when the platform states a bound",
+           {Then("a whole number is taken as it is", WholeNumbersAreTaken),
+            Then("a fraction is rounded down", FractionsAreRoundedDown),
+            Then("a multiple becomes a percentage", MultiplesBecomePercentages),
+            Then("a missing one is replaced by the default",
+                 MissingNumbersUseTheDefault),
+            Then("a flag is refused with name, value and expectation",
+                 AFlagIsNamedWithItsValue)}),
        Section("when other fields are missing",
                {Then("the region is empty", AMissingRegionIsEmpty)}),
        Section("when settings are written by hand",
