A request is not sent once its caller's connection has ended

Cause: a gateway that is behind reads a request and hands it on before the handler has run that reads the end of the connection behind it.

Change: before an attempt begins and before each send (first attempt, retry, standby), CallerExchange::HasCallerLeft() peeks at the socket, without reading or waiting: one system call, two for a request that is sent once.

--- a/src/gateway/attempt_result.h
+++ b/src/gateway/attempt_result.h
@@ -13,7 +13,7 @@
 enum class AttemptResult {
   kAnswered,     ///< The caller has received a complete response.
   kNoCapacity,   ///< No endpoint had capacity in time; nothing was sent.
-  kWithheld,     ///< The endpoint has become unusable; nothing was sent.
+  kWithheld,     ///< Endpoint unusable or caller gone; nothing was sent.
   kQuarantined,  ///< The request is in quarantine; nothing was sent.
   kDraining,     ///< The process ends before the deadline; nothing was sent.
   kUnreachable,  ///< No connection could be opened; nothing was sent.
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -11,6 +11,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/socket_option.h"
+#include "kernel/socket_state.h"
 
 namespace buckthornpath {
 
@@ -224,6 +225,11 @@
     this->Abort();
 }
 
+bool CallerConnection::HasCallerLeft() {
+  this->is_disconnected = this->is_disconnected || HasInputEnded(this->socket);
+  return this->is_disconnected;
+}
+
 void CallerConnection::SetDisconnectHandler(std::function<void()> handler) {
   this->disconnect_handler = std::move(handler);
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -42,6 +42,11 @@
   /** @return True if the caller has closed the connection. */
   virtual bool IsDisconnected() const = 0;
 
+  /** Looks at the connection itself, as the event loop may not have handled its
+   * end yet. Takes a system call; the disconnect handler is not called.
+   * @return True if the caller has closed the connection. */
+  virtual bool HasCallerLeft() = 0;
+
   /** Sets a handler that is called once when the caller disconnects. */
   virtual void SetDisconnectHandler(std::function<void()> handler) = 0;
 
@@ -111,6 +116,7 @@
   const CallerRequest& Request() const override { return this->request; }
   Clock::time_point ReceivedAt() const override { return this->received_at; }
   bool IsDisconnected() const override { return this->is_disconnected; }
+  bool HasCallerLeft() override;
   void SetDisconnectHandler(std::function<void()> handler) override;
   void SetCutOffHandler(std::function<void()> handler) override;
   asio::awaitable<void> Send(unsigned status,
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -168,6 +168,9 @@
 asio::awaitable<void> ForwardSession::RunAttempts() {
   AttemptResult result = AttemptResult::kNoCapacity;
   do {
+    // Of a gateway that is behind, many have left before they are read.
+    if (this->exchange.HasCallerLeft())
+      break;
     result = co_await this->Attempt();
   } while (result != AttemptResult::kAnswered && this->MayRetry(result));
   co_await this->FinishExchange(result);
@@ -345,7 +348,8 @@
       result = co_await this->ReadResponse(endpoint);
     else if (is_open && ruled_out)
       result = *ruled_out;
-    else if (is_open && use == EndpointUse::kNever)
+    else if (is_open &&
+             (use == EndpointUse::kNever || this->exchange.HasCallerLeft()))
       result = AttemptResult::kWithheld;
     else if (is_open && !this->is_aborted)
       result = co_await this->SendTo(endpoint);
--- a/src/gateway/forward_standby.cc
+++ b/src/gateway/forward_standby.cc
@@ -63,7 +63,8 @@
 bool ForwardSession::MaySendStandby() const {
   const EndpointUse use =
       this->standby->Endpoint()->Availability().StateAt(Clock::now()).use;
-  return use != EndpointUse::kNever && !this->RuledOut();
+  return use != EndpointUse::kNever && !this->RuledOut() &&
+         !this->exchange.HasCallerLeft();
 }
 
 void ForwardSession::HandleStandbyEnd() {
