--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -168,6 +168,9 @@
 asio::awaitable<void> ForwardSession::RunAttempts() {
   AttemptResult result = AttemptResult::kNoCapacity;
   do {
+    // Of a gateway that is behind, many have left before they are read.
+    if (this->exchange.HasCallerLeft())
+      break;
     result = co_await this->Attempt();
   } while (result != AttemptResult::kAnswered && this->MayRetry(result));
   co_await this->FinishExchange(result);
@@ -332,6 +335,14 @@
   co_return result;
 }
 
+bool ForwardSession::MaySendTo(const EndpointState& endpoint,
+                               Clock::time_point reserved_at) {
+  const auto now = Clock::now();
+  return endpoint.Availability().StateAt(now).use != EndpointUse::kNever &&
+         this->state.cold_starts.IsGranted(endpoint, reserved_at, now) &&
+         !this->exchange.HasCallerLeft();
+}
+
 asio::awaitable<AttemptResult> ForwardSession::TryEndpoint(
     EndpointState& endpoint,
     bool has_head) {
@@ -342,15 +353,12 @@
     if (!has_head && !this->is_aborted)
       is_open = co_await this->OpenConnection(endpoint);
     // The endpoint or the prompt may have been ruled out meanwhile.
-    const EndpointUse use = endpoint.Availability().StateAt(Clock::now()).use;
     const std::optional<AttemptResult> ruled_out = this->RuledOut();
     if (has_head)
       result = co_await this->ReadResponse(endpoint);
     else if (is_open && ruled_out)
       result = *ruled_out;
-    else if (is_open && (use == EndpointUse::kNever ||
-                         !this->state.cold_starts.IsGranted(
-                             endpoint, this->reservation.Time(), Clock::now())))
+    else if (is_open && !this->MaySendTo(endpoint, this->reservation.Time()))
       result = AttemptResult::kWithheld;
     else if (is_open && !this->is_aborted)
       result = co_await this->SendTo(endpoint);
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -78,6 +78,10 @@
   asio::awaitable<AttemptResult> TryEndpoint(EndpointState& endpoint,
                                              bool has_head);
 
+  /** @return True if nothing has kept a request from an endpoint since it was
+   * reserved: the last look before it is sent. */
+  bool MaySendTo(const EndpointState& endpoint, Clock::time_point reserved_at);
+
   /** @return When the next endpoint of the service may be used again, spread
    * over the callers that wait for it; empty if one may be used now. */
   std::optional<std::chrono::milliseconds> TimeUntilReturn() const;
@@ -172,7 +176,7 @@
   void UncountStandby();
 
   /** @return True if nothing has ruled out the standby attempt meanwhile. */
-  bool MaySendStandby() const;
+  bool MaySendStandby();
 
   /** Gives the present endpoint up if the standby attempt has succeeded. */
   void HandleStandbyEnd();
--- a/src/gateway/forward_standby.cc
+++ b/src/gateway/forward_standby.cc
@@ -60,13 +60,9 @@
   return "";
 }
 
-bool ForwardSession::MaySendStandby() const {
-  const EndpointUse use =
-      this->standby->Endpoint()->Availability().StateAt(Clock::now()).use;
-  return use != EndpointUse::kNever && !this->RuledOut() &&
-         this->state.cold_starts.IsGranted(*this->standby->Endpoint(),
-                                           this->standby->StartedAt(),
-                                           Clock::now());
+bool ForwardSession::MaySendStandby() {
+  return !this->RuledOut() && this->MaySendTo(*this->standby->Endpoint(),
+                                              this->standby->StartedAt());
 }
 
 void ForwardSession::HandleStandbyEnd() {
