Evacuated failure domains get no new requests

Change: the adapter decodes the key into a DomainEvacuation, whatever its value; the selector keeps the set of evacuated domains (DomainEvacuations) and a state "evacuated" (never used) for their endpoints, also for those published later. Requests that run there finish; a connection that was just opened is not used; what waits is looked at again, and refused at once (503, not run) if its service has no other endpoint. Requests that still run there do not raise the mean of the load bound. A gateway's restart, lost history, an outage and a cut from the store are those of all published items.

Removal: items that nobody renews are no longer kept for a grace period near an outage; a gateway that was cut off from the store kept an evacuation for as long as it was cut off. A removal that was overtaken by a new item while others were decoded is not applied.

GatewayState::EndEvacuation() is the one place where an evacuation ends. Log events domain_evacuated and domain_restored (who told, revision, age), metrics evacuated_domains and domain_evacuations_total, `evacuated` in /status.

The check of platform names knows one more key.

--- a/include/buckthornpath/endpoint_availability.h
+++ b/include/buckthornpath/endpoint_availability.h
@@ -52,7 +52,7 @@
   const State& StateAt(TimePoint now) const;
 
   /** @return All states. */
-  static const std::array<State, 8>& AllStates();
+  static const std::array<State, 9>& AllStates();
 
   /** @return Outstanding requests of this process. */
   std::int64_t OpenRequests() const { return this->open_requests; }
@@ -64,6 +64,10 @@
   /** Sets whether the endpoint is published as draining. */
   void SetDraining(bool draining) { this->is_draining = draining; }
 
+  /** Sets whether the failure domain of the endpoint is evacuated. */
+  void SetEvacuated(bool evacuated) { this->is_evacuated = evacuated; }
+  bool IsEvacuated() const { return this->is_evacuated; }
+
   /** Sets what an endpoint with the same id has said before. */
   void SetStatement(const EndpointStatement& said) { this->statement = said; }
 
@@ -90,6 +94,7 @@
   bool IsWithdrawn(TimePoint /*now*/) const { return this->is_withdrawn; }
   bool IsDraining(TimePoint /*now*/) const { return this->is_draining; }
   bool HasLeft(TimePoint now) const;
+  bool IsEvacuatedAt(TimePoint /*now*/) const { return this->is_evacuated; }
   bool IsClosed(TimePoint now) const;
   bool IsBackingOff(TimePoint now) const;
   bool IsSilent(TimePoint now) const;
@@ -106,6 +111,7 @@
   std::chrono::milliseconds backoff{};
   bool is_withdrawn = false;  ///< Requests may still be running.
   bool is_draining = false;
+  bool is_evacuated = false;
 };
 
 }  // namespace buckthornpath
--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "buckthornpath/domain_evacuation.h"
 #include "buckthornpath/endpoint_availability.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/strong_id_type.h"
@@ -162,6 +163,21 @@
   /** Removes an endpoint; requests already running there may continue. */
   void Withdraw(const EndpointId& id);
 
+  /** Stops new requests to all endpoints of a failure domain, also to those
+   * that are published later. @return False if they had been stopped. */
+  bool BeginEvacuation(const FailureDomainId& domain, TimePoint now);
+
+  /** Allows them again. @return How long they were stopped; empty if not. */
+  std::optional<std::chrono::milliseconds> EndEvacuation(
+      const FailureDomainId& domain,
+      TimePoint now);
+
+  const DomainEvacuations& Evacuations() const { return this->evacuations; }
+
+  /** @return True if no endpoint of the service may be used, and one might be
+   * if its failure domain were not evacuated. */
+  bool IsEvacuated(const ServiceName& service, TimePoint now) const;
+
   /** @return The endpoint with this id, or null. */
   EndpointHandle Find(const EndpointId& id) const;
 
@@ -313,6 +329,10 @@
 
   const std::vector<EndpointHandle>& EndpointsOf(const ServiceName& name) const;
   void RemoveFromService(const EndpointHandle& endpoint);
+  /** Sets what the published record and the evacuations say of an endpoint. */
+  void UpdateAvailability(EndpointState& endpoint);
+  /** Updates the endpoints of a failure domain. */
+  void UpdateDomain(const FailureDomainId& domain);
   /** Restores what an endpoint has said before it says more. @return False if
    * a later process with its id has spoken. */
   bool CanSpeak(EndpointState& endpoint);
@@ -320,6 +340,12 @@
   void RestoreStatement(EndpointState& endpoint);
   static const ServiceTimes kDefaultTimes;
 
+  /** @return True if the endpoint shares the load of its service. Requests that
+   * still run at others must not raise the mean that limits each. */
+  static bool SharesLoad(const EndpointState& endpoint) {
+    return !endpoint.entry.leaving && !endpoint.availability.IsEvacuated();
+  }
+
   PeerBasis BasisOf(const ServiceName& service, TimePoint now) const;
   ServiceTimes& TimesOf(const ServiceName& service);
   static double RequestsAt(const EndpointState& endpoint,
@@ -350,6 +376,7 @@
   std::unordered_map<ServiceName, ServiceTimes> times;
   /** What endpoints have said, published or not. */
   std::unordered_map<EndpointId, EndpointStatement> statements;
+  DomainEvacuations evacuations;
   std::map<EndpointId, EndpointHandle> endpoints;
   std::unordered_map<ServiceName, std::vector<EndpointHandle>>
       endpoints_by_service;
--- a/src/decision/endpoint_availability.cc
+++ b/src/decision/endpoint_availability.cc
@@ -20,10 +20,10 @@
 
 }  // namespace
 
-const std::array<EndpointAvailability::State, 8>&
+const std::array<EndpointAvailability::State, 9>&
 EndpointAvailability::AllStates() {
   using Self = EndpointAvailability;
-  static constexpr std::array<State, 8> kStates = {{
+  static constexpr std::array<State, 9> kStates = {{
       // From its removal from the store until it is published again.
       {"withdrawn", EndpointUse::kNever, &Self::IsWithdrawn},
       // While it is published as draining.
@@ -31,6 +31,8 @@
       // After it has said for some time that it leaves, until a new process
       // with its id is published.
       {"left", EndpointUse::kNever, &Self::HasLeft},
+      // While its failure domain is evacuated; its requests go on.
+      {"evacuated", EndpointUse::kNever, &Self::IsEvacuatedAt},
       // For the time that it has asked for.
       {"closed", EndpointUse::kNever, &Self::IsClosed},
       // After a failed connection, or an answer of another process, until the
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -135,18 +135,57 @@
   if (endpoint && endpoint->entry.service == entry.service &&
       endpoint->entry.address == entry.address) {
     endpoint->entry = entry;
-    endpoint->availability.SetDraining(entry.leaving);
-    this->RestoreStatement(*endpoint);
+    this->UpdateAvailability(*endpoint);
     return;
   }
   if (endpoint)
     this->RemoveFromService(endpoint);
   endpoint = std::make_shared<EndpointState>(entry, this->limits.leaving_time);
-  endpoint->availability.SetDraining(entry.leaving);
-  this->RestoreStatement(*endpoint);
+  this->UpdateAvailability(*endpoint);
   this->endpoints_by_service[entry.service].push_back(endpoint);
 }
 
+void EndpointSelector::UpdateAvailability(EndpointState& endpoint) {
+  const EndpointEntry& entry = endpoint.entry;
+  endpoint.availability.SetDraining(entry.leaving);
+  endpoint.availability.SetEvacuated(
+      this->evacuations.Contains(entry.failure_domain));
+  this->RestoreStatement(endpoint);
+}
+
+void EndpointSelector::UpdateDomain(const FailureDomainId& domain) {
+  for (const auto& [id, endpoint] : this->endpoints) {
+    if (endpoint->entry.failure_domain == domain)
+      this->UpdateAvailability(*endpoint);
+  }
+}
+
+bool EndpointSelector::BeginEvacuation(const FailureDomainId& domain,
+                                       TimePoint now) {
+  if (!this->evacuations.Begin(domain, now))
+    return false;
+  this->UpdateDomain(domain);
+  return true;
+}
+
+std::optional<milliseconds> EndpointSelector::EndEvacuation(
+    const FailureDomainId& domain,
+    TimePoint now) {
+  const auto lasted = this->evacuations.End(domain, now);
+  if (lasted)
+    this->UpdateDomain(domain);
+  return lasted;
+}
+
+bool EndpointSelector::IsEvacuated(const ServiceName& service,
+                                   TimePoint now) const {
+  const auto& all = this->EndpointsOf(service);
+  return !this->HasAvailableEndpoint(service, now, now) &&
+         std::any_of(all.begin(), all.end(), [](const auto& endpoint) {
+           return endpoint->availability.IsEvacuated();
+         });
+}
+
 void EndpointSelector::Withdraw(const EndpointId& id) {
   const auto found = this->endpoints.find(id);
   if (found == this->endpoints.end())
@@ -244,7 +283,7 @@
     return basis;
   double count = 0;
   for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
-    if (endpoint->entry.leaving)
+    if (!SharesLoad(*endpoint))
       continue;
     basis.mean_requests += static_cast<double>(endpoint->peer_requests);
     basis.mean_prefill_tokens +=
@@ -308,7 +347,7 @@
   double total = 0;
   double count = 0;
   for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
-    if (endpoint->entry.leaving)
+    if (!SharesLoad(*endpoint))
       continue;
     total += RequestsAt(*endpoint, basis);
     ++count;
@@ -320,7 +359,7 @@
   double running = 0;
   double slots = 0;
   for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
-    if (endpoint->entry.leaving)
+    if (!SharesLoad(*endpoint))
       continue;
     running += static_cast<double>(endpoint->EstimatedRequests());
     slots += static_cast<double>(SlotsOf(*endpoint));
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -245,6 +245,11 @@
   return std::nullopt;
 }
 
+bool ForwardSession::HasEndpointBy(Clock::time_point time) const {
+  return this->state.selector.HasAvailableEndpoint(this->request.service,
+                                                   Clock::now(), time);
+}
+
 asio::awaitable<void> ForwardSession::WaitForEndpoint() {
   if (this->RuledOut()) {
     this->reservation.Release();
@@ -256,8 +261,8 @@
   ServiceQueue& queue = this->state.QueueOf(this->request.service);
   const milliseconds max_wait = this->TimeLeft() / kMaxWaitDivisor;
   const auto now = Clock::now();
-  if (!this->state.selector.HasAvailableEndpoint(this->request.service, now,
-                                                 now + max_wait) ||
+  const auto wait_end = now + max_wait;
+  if (!this->HasEndpointBy(wait_end) ||
       queue.waiting.EstimateWait(this->request.priority, Clock::now()) >
           max_wait) {
     co_return;
@@ -268,22 +273,22 @@
     queue.waiters.erase(ticket);
   };
   // The callers of these handlers hold copies, so that they can be erased.
-  queue.waiters[ticket] = {[this, leave_queue] {
-                             this->reservation =
-                                 this->TryReserve(this->excluded_endpoints);
-                             if (!this->reservation)
-                               return false;
-                             leave_queue();
-                             this->capacity_signal.Set();
-                             return true;
-                           },
-                           [this, leave_queue] {
-                             if (!this->RuledOut())
-                               return;
-                             leave_queue();
-                             this->capacity_signal.Set();
-                           }};
-  co_await this->capacity_signal.WaitUntil(Clock::now() + max_wait);
+  queue.waiters[ticket] = {
+      [this, leave_queue] {
+        this->reservation = this->TryReserve(this->excluded_endpoints);
+        if (!this->reservation)
+          return false;
+        leave_queue();
+        this->capacity_signal.Set();
+        return true;
+      },
+      [this, leave_queue, wait_end] {
+        if (!this->RuledOut() && this->HasEndpointBy(wait_end))
+          return;
+        leave_queue();
+        this->capacity_signal.Set();
+      }};
+  co_await this->capacity_signal.WaitUntil(wait_end);
   leave_queue();
 }
 
@@ -627,6 +632,9 @@
     return kMinRetryAfter;
   const milliseconds max_time =
       std::max(kMinRetryAfter, this->TimeLeft() / kRetryAfterDivisor);
+  // Nobody knows when the operator ends the evacuation.
+  if (this->state.selector.IsEvacuated(this->request.service, Clock::now()))
+    return max_time;
   const double refused_share = 1.0 - queue->second.admission.Ratio();
   const auto recovery =
       std::chrono::duration_cast<milliseconds>(max_time * refused_share);
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -97,6 +97,10 @@
   bool IsProven() const { return this->AttemptEvents() >= kProofEvents; }
   bool MayRetry(AttemptResult result);
 
+  /** @return True if an endpoint of the service may be used now, or is expected
+   * to be at a later time. */
+  bool HasEndpointBy(Clock::time_point time) const;
+
   /** Waits for an endpoint with capacity and reserves it; there is no
    * reservation if the time for it is over. */
   asio::awaitable<void> WaitForEndpoint();
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -147,6 +147,7 @@
         {"gossip", this->peers.Status()},
         {"connections", this->connections.size()},
         {"unusable", this->UnusableEndpoints()},
+        {"evacuated", this->EvacuatedDomains()},
         {"quarantine", std::move(quarantine)},
         {"suspects", this->state.quarantine.SuspectCount()}};
   }
@@ -189,6 +190,18 @@
     return states;
   }
 
+  /** @return For each evacuated failure domain, how long ago this process
+   * learnt of it. */
+  nlohmann::json EvacuatedDomains() const {
+    nlohmann::json domains = nlohmann::json::object();
+    for (const auto& [domain, since] : this->state.selector.Evacuations().All())
+      domains[domain.str()] = {
+          {"known_for_ms",
+           std::chrono::duration_cast<milliseconds>(Clock::now() - since)
+               .count()}};
+    return domains;
+  }
+
   bool IsOutOfRotation() const {
     return Clock::now() - this->drain_begun >= kRotationExitTime;
   }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -3,6 +3,8 @@
 #ifndef SRC_GATEWAY_GATEWAY_STATE_H_
 #define SRC_GATEWAY_GATEWAY_STATE_H_
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -49,6 +51,15 @@
 /** @return A number from 0 to 1 that differs between addresses. */
 double SpreadOf(const std::string& address);
 
+/** Where a change of a published item was learnt. */
+struct PublicationOrigin {
+  std::string source;  ///< "store", or the address of another gateway.
+  std::uint64_t revision = 0;
+  /** Time since the items were last confirmed without the change; 0 if there
+   * were none. */
+  std::chrono::milliseconds age{};
+};
+
 /** State that all requests of a process use. Not thread-safe. */
 struct GatewayState {
   using Clock = std::chrono::steady_clock;
@@ -89,6 +100,16 @@
                         const ResponseMetadata& response,
                         unsigned status);
 
+  /** Stops new requests to the endpoints of a failure domain. Those that run
+   * there finish; those that wait go elsewhere, or are refused if the service
+   * has no other endpoint. */
+  void BeginEvacuation(const FailureDomainId& domain,
+                       const PublicationOrigin& origin);
+
+  /** Allows requests to the endpoints of a failure domain again. */
+  void EndEvacuation(const FailureDomainId& domain,
+                     const PublicationOrigin& origin);
+
   /** Logs and counts changes of the quarantine, and wakes waiting requests,
    * some of which may have to be refused now. */
   void ApplyQuarantineChanges();
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -577,7 +577,7 @@
       const HttpResponse response = co_await HttpFetch(
           ParseSocketAddress(newest_peer), std::move(request), kSyncTimeout);
       PublishedItems all = DecodeItems(ParseCbor(response.body));
-      co_await this->follower.ApplyFromPeer(std::move(all));
+      co_await this->follower.ApplyFromPeer(std::move(all), newest_peer);
     } catch (const std::exception& error) {
       fault = error.what();
     }
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -118,9 +118,17 @@
   std::string reason;  ///< Empty if the item is not for the gateway.
 };
 
+/** No new requests go to the endpoints of a failure domain, until the item is
+ * removed. */
+struct DomainEvacuation {
+  FailureDomainId domain;
+};
+
 /** A decoded item. */
-using DecodedItem = std::
-    variant<IgnoredItem, std::shared_ptr<const RoutingTable>, EndpointEntry>;
+using DecodedItem = std::variant<IgnoredItem,
+                                 std::shared_ptr<const RoutingTable>,
+                                 EndpointEntry,
+                                 DomainEvacuation>;
 
 /** Translates between the gateway and the formats of one platform. Stateless.
  */
@@ -151,6 +159,11 @@
   virtual std::optional<EndpointId> EndpointIdFromKey(
       const std::string& key) const = 0;
 
+  /** @return The failure domain whose evacuation a key names; empty for other
+   * keys. */
+  virtual std::optional<FailureDomainId> EvacuatedDomainFromKey(
+      const std::string& key) const = 0;
+
   virtual std::unique_ptr<PublicationSource> MakeSource(
       const Settings& settings) const = 0;
 
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -54,6 +54,10 @@
 /** Limit of the time to connect to a hub, and to send a request. */
 constexpr milliseconds kHubConnectTimeout{400};
 
+/** Where items come from that no other gateway has sent, in the log. */
+constexpr char kStoreSource[] = "store";
+constexpr char kDeferredSource[] = "deferred removal";
+
 /** Time without a record after which a hub counts as failed. */
 constexpr milliseconds kHubSilence{700};
 
@@ -62,7 +66,10 @@
 PublicationFollower::PublicationFollower(GatewayState& state)
     : state(state),
       source(state.adapter.MakeSource(state.settings)),
-      published(kRemovalGrace),
+      published(kRemovalGrace,
+                [this](const std::string& key) {
+                  return this->state.adapter.EndpointIdFromKey(key).has_value();
+                }),
       feed(this->published, state.executor),
       upstream(SpreadOf(state.settings.gossip_address)),
       read_timeout(kMinReadTimeout) {}
@@ -211,10 +218,11 @@
       co_return;
   }
   if (record.is_snapshot) {
-    co_await this->ApplyAll(record.items);
+    co_await this->ApplyAll(record.items, address);
   } else if (!record.items.items.empty()) {
     auto changed = this->published.MergeChanges(record.items, Clock::now());
-    co_await this->ApplyItems(std::move(changed));
+    PublicationOrigin origin = this->OriginOf(address);
+    co_await this->ApplyItems(std::move(changed), std::move(origin));
   }
   this->feed_position = record.position;
   if (record.is_fresh) {
@@ -230,7 +238,7 @@
   if (this->read_revision == 0) {
     const PublishedItems all =
         co_await this->source->ReadAll(this->read_timeout);
-    co_await this->ApplyAll(all);
+    co_await this->ApplyAll(all, kStoreSource);
     this->read_revision = all.revision;
     co_return;
   }
@@ -238,10 +246,11 @@
       this->read_revision,
       std::min(this->state.settings.configuration_wait, kMaxWatchWait),
       kWatchTimeout);
+  PublicationOrigin origin = this->OriginOf(kStoreSource);
   this->state.confirmed_at = Clock::now();
   auto changed =
       this->published.MergeChanges(changes, this->state.confirmed_at);
-  co_await this->ApplyItems(std::move(changed));
+  co_await this->ApplyItems(std::move(changed), std::move(origin));
   this->read_revision = std::max(this->read_revision, changes.revision);
   if (!changes.items.empty())
     co_await SleepFor(kBatchDelay);
@@ -276,28 +285,41 @@
   while (true) {
     co_await SleepFor(kRemovalCheckInterval);
     auto removed = this->published.ApplyDeferredRemovals(Clock::now());
-    if (!removed.empty())
-      co_await this->ApplyItems(std::move(removed));
+    if (removed.empty())
+      continue;
+    PublicationOrigin origin = this->OriginOf(kDeferredSource);
+    co_await this->ApplyItems(std::move(removed), std::move(origin));
   }
 }
 
-asio::awaitable<void> PublicationFollower::ApplyFromPeer(PublishedItems all) {
+asio::awaitable<void> PublicationFollower::ApplyFromPeer(PublishedItems all,
+                                                         std::string address) {
   if (all.revision <= this->published.Revision() || !this->MayUseStaleItems())
     co_return;
   LogLine(LogLevel::kNotice, "published_by_peer", {{"revision", all.revision}});
-  co_await this->ApplyAll(all);
+  co_await this->ApplyAll(all, std::move(address));
+}
+
+PublicationOrigin PublicationFollower::OriginOf(std::string source) const {
+  const bool has_items = this->state.confirmed_at != Clock::time_point{};
+  return {std::move(source), 0, has_items ? this->Age() : milliseconds(0)};
 }
 
-asio::awaitable<void> PublicationFollower::ApplyAll(const PublishedItems& all) {
+asio::awaitable<void> PublicationFollower::ApplyAll(const PublishedItems& all,
+                                                    std::string source) {
+  PublicationOrigin origin = this->OriginOf(std::move(source));
   this->state.confirmed_at = Clock::now();
   auto changed = this->published.MergeSnapshot(all, this->state.confirmed_at);
-  co_await this->ApplyItems(std::move(changed));
+  co_await this->ApplyItems(std::move(changed), std::move(origin));
 }
 
 asio::awaitable<void> PublicationFollower::ApplyItems(
-    std::vector<PublishedItem> changed) {
-  for (const PublishedItem& item : changed)
-    co_await this->ApplyItem(item);
+    std::vector<PublishedItem> changed,
+    PublicationOrigin origin) {
+  for (const PublishedItem& item : changed) {
+    origin.revision = item.revision;
+    co_await this->ApplyItem(item, origin);
+  }
   this->state.is_loaded = this->state.table != nullptr;
   if (!changed.empty()) {
     this->PublishToFeed();
@@ -305,17 +327,29 @@
   }
 }
 
-asio::awaitable<void> PublicationFollower::ApplyItem(PublishedItem item) {
-  const auto endpoint = this->state.adapter.EndpointIdFromKey(item.key);
-  if (item.removed) {
-    if (!endpoint)
-      co_return;
+void PublicationFollower::ApplyRemoval(const PublishedItem& item,
+                                       const PublicationOrigin& origin) {
+  const PlatformAdapter& adapter = this->state.adapter;
+  // The item may have been published again while others were decoded.
+  if (this->published.RevisionOf(item.key) > 0)
+    return;
+  if (const auto endpoint = adapter.EndpointIdFromKey(item.key)) {
     LogLine(LogLevel::kNotice, "endpoint_gone",
             {{"endpoint", *endpoint}, {"revision", item.revision}});
     this->state.selector.Withdraw(*endpoint);
     this->state.connection_pool.CloseIdle(*endpoint);
+  } else if (const auto domain = adapter.EvacuatedDomainFromKey(item.key)) {
+    this->state.EndEvacuation(*domain, origin);
+  }
+}
+
+asio::awaitable<void> PublicationFollower::ApplyItem(PublishedItem item,
+                                                     PublicationOrigin origin) {
+  if (item.removed) {
+    this->ApplyRemoval(item, origin);
     co_return;
   }
+  const auto endpoint = this->state.adapter.EndpointIdFromKey(item.key);
   const DecodedItem decoded = co_await this->state.adapter.Decode(item);
   // The item may have changed again while it was decoded.
   if (this->published.RevisionOf(item.key) != item.revision)
@@ -331,6 +365,8 @@
   } else if (const auto* table =
                  std::get_if<std::shared_ptr<const RoutingTable>>(&decoded)) {
     this->ApplyTable(*table);
+  } else if (const auto* evacuation = std::get_if<DomainEvacuation>(&decoded)) {
+    this->state.BeginEvacuation(evacuation->domain, origin);
   } else {
     this->ApplyEndpoint(std::get<EndpointEntry>(decoded));
   }
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -40,7 +40,7 @@
   bool IsReadingStore() const { return this->is_reading_store; }
 
   /** Applies all items of a peer; ignored if their revision is not newer. */
-  asio::awaitable<void> ApplyFromPeer(PublishedItems all);
+  asio::awaitable<void> ApplyFromPeer(PublishedItems all, std::string address);
 
   const PublicationState& Published() const { return this->published; }
 
@@ -72,9 +72,15 @@
   asio::awaitable<void> RunDeferredRemovals();
   void RecordStoreResult(Clock::time_point started_at,
                          const std::string& fault);
-  asio::awaitable<void> ApplyAll(const PublishedItems& all);
-  asio::awaitable<void> ApplyItems(std::vector<PublishedItem> changed);
-  asio::awaitable<void> ApplyItem(PublishedItem item);
+  /** @param source Where the items were read, for the log. */
+  asio::awaitable<void> ApplyAll(const PublishedItems& all, std::string source);
+  asio::awaitable<void> ApplyItems(std::vector<PublishedItem> changed,
+                                   PublicationOrigin origin);
+  asio::awaitable<void> ApplyItem(PublishedItem item, PublicationOrigin origin);
+  void ApplyRemoval(const PublishedItem& item, const PublicationOrigin& origin);
+
+  /** @return The origin of items that are read now. */
+  PublicationOrigin OriginOf(std::string source) const;
   void ApplyTable(std::shared_ptr<const RoutingTable> table);
   void ApplyEndpoint(const EndpointEntry& entry);
 
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -54,7 +54,7 @@
     return;
   const bool is_near_outage = this->last_outage != TimePoint{} &&
                               now - this->last_outage < this->removal_grace;
-  if (is_near_outage) {
+  if (is_near_outage && this->is_renewed(key)) {
     this->deferred_removals.try_emplace(
         key, this->last_outage + this->removal_grace);
     return;
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -5,9 +5,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/platform_adapter.h"
@@ -17,18 +19,25 @@
 /**
  * Replica of the published items. Merges snapshots and changes from the store
  * and from peers, which may arrive late, twice or out of order. An item never
- * returns to an older revision. Items that are removed around an outage of the
- * store are kept for a grace period, as their owners may only have been unable
- * to renew them. Does no I/O.
+ * returns to an older revision. Items that expire unless they are renewed, and
+ * are removed around an outage of the store, are kept for a grace period, as
+ * their owners may only have been unable to renew them. Does no I/O.
  */
 class PublicationState {
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  /** @param removal_grace Time after an outage of the store during which
-   * removed items are kept. */
-  explicit PublicationState(std::chrono::milliseconds removal_grace)
-      : removal_grace(removal_grace) {}
+  using KeyPredicate = std::function<bool(const std::string& key)>;
+
+  /**
+   * @param removal_grace Time after an outage of the store during which removed
+   *     items are kept.
+   * @param is_renewed True for the keys of items that expire unless their
+   *     owners renew them. Others are removed on purpose only, and at once.
+   */
+  PublicationState(std::chrono::milliseconds removal_grace,
+                   KeyPredicate is_renewed)
+      : removal_grace(removal_grace), is_renewed(std::move(is_renewed)) {}
 
   /**
    * Merges a snapshot of all items. Items that it lacks count as removed.
@@ -77,6 +86,7 @@
               std::vector<PublishedItem>& changed);
 
   std::chrono::milliseconds removal_grace;
+  KeyPredicate is_renewed;
   std::uint64_t revision = 0;
   std::map<std::string, PublishedItem> items;
   /** Revision of the latest removal of each removed key. */
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -34,6 +34,8 @@
     {"endpoint_gone", "endpoint revision", "An endpoint is no longer published"},
     {"endpoint_says_leaving", "endpoint service", "An endpoint says in a response that it leaves; it is a last resort for a short time, then unused"},
     {"endpoint_closed", "endpoint service for_ms", "An endpoint has refused a request and wants none for this time"},
+    {"domain_evacuated", "domain endpoints source revision published_age_ms", "A failure domain is evacuated: its endpoints get no new requests. published_age_ms is the time since the source or another had confirmed that it was not"},
+    {"domain_restored", "domain evacuated_ms source revision published_age_ms", "The evacuation of a failure domain is over"},
     {"retry_after_ignored", "value", "The Retry-After of an endpoint is no number of seconds"},
     {"retry_after_bounded", "value", "The Retry-After of an endpoint is longer than the limit, which is used instead"},
     {"endpoint_crashed", "endpoint service unanswered", "An endpoint refuses connections after it has dropped requests that it had not answered"},
--- a/test/stories/gateway_decisions.cc
+++ b/test/stories/gateway_decisions.cc
@@ -161,9 +161,14 @@
   return {key, "", revision, true};
 }
 
+/** Keys that begin with "op" are not renewed by an owner. */
+bool IsRenewed(const std::string& key) {
+  return !key.starts_with("op");
+}
+
 /** Changes come from the store and peers, duplicated and out of order. */
 void NoItemReturnsToOldRevision() {
-  PublicationState state(kRemovalGrace);
+  PublicationState state(kRemovalGrace, IsRenewed);
   std::uint64_t newest = 0;
   bool is_held = false;
   const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
@@ -186,7 +191,7 @@
 }
 
 void ItemRemovedInOutageMayReturn() {
-  PublicationState state(kRemovalGrace);
+  PublicationState state(kRemovalGrace, IsRenewed);
   state.MergeSnapshot({5, {Item("a", 1), Item("b", 2)}}, kStart);
   state.RecordOutage(kStart);
   // Both expired during the outage; "a" is published again, "b" is not.
@@ -201,8 +206,27 @@
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, state.RevisionOf("a"));
 }
 
+/** A gateway that is cut off from the store hears of the removal from another:
+ * its own outage lasts, and must not keep the item. */
+void ItemWithoutOwnerIsRemovedInOutage() {
+  PublicationState state(kRemovalGrace, IsRenewed);
+  state.MergeSnapshot({5, {Item("op/a", 1), Item("b", 2)}}, kStart);
+  state.RecordOutage(kStart);
+  const auto removed = state.MergeSnapshot({9, {}}, kStart + milliseconds(500));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removed.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("op/a"), removed.front().key);
+  // A lagging peer does not bring it back; a new one does.
+  state.MergeSnapshot({7, {Item("op/a", 1)}}, kStart + milliseconds(600));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("op/a"));
+  state.MergeChanges({12, {Item("op/a", 12)}}, kStart + milliseconds(700));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, state.RevisionOf("op/a"));
+  // Nor does a lagging one that has not heard of it remove it.
+  state.MergeSnapshot({11, {}}, kStart + milliseconds(800));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, state.RevisionOf("op/a"));
+}
+
 void RemovalWithoutOutageIsImmediate() {
-  PublicationState state(kRemovalGrace);
+  PublicationState state(kRemovalGrace, IsRenewed);
   state.MergeSnapshot({5, {Item("a", 1)}}, kStart);
   CPPUNIT_ASSERT_EQUAL(
       std::size_t{1},
@@ -235,6 +259,8 @@
                        NoItemReturnsToOldRevision),
                 Then("an item removed around an outage may return",
                      ItemRemovedInOutageMayReturn),
+                Then("an item that nobody renews is removed in an outage",
+                     ItemWithoutOwnerIsRemovedInOutage),
                 Then("a removal without an outage takes effect at once",
                      RemovalWithoutOutageIsImmediate)})});
 });
