Waiting requests: turns between organisations, latest start, no blocking head

Cause: WaitingQueue ordered by priority and arrival; one organisation that sends ten times its usual took the capacity of all others. WakeWaiting() stopped at the first request that could not start, so one that excluded endpoints or waited for a reserved slot held all behind it. A request without hope stayed until its time was over, and refused callers of a full service returned together.

Change: WaitingQueue orders by priority, whether the target latency can still be met, turns of organisations (start-time fair queueing, equal weights, at most 256 remembered), and latest start. A new request doesn't overtake those that wait.

EndpointSelector has a new accessor, ExpectedFirstResponse().

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -243,6 +243,10 @@
   void RecordPrefillTime(const ServiceName& service,
                          std::chrono::milliseconds time);
 
+  /** @return Mean time from the choice of an endpoint until it responds. */
+  std::chrono::milliseconds ExpectedFirstResponse(
+      const ServiceName& service) const;
+
   void RecordResult(EndpointState& endpoint,
                     EndpointResult result,
                     TimePoint now);
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -236,6 +236,15 @@
   this->TimesOf(service).prefill.Add(time);
 }
 
+milliseconds EndpointSelector::ExpectedFirstResponse(
+    const ServiceName& service) const {
+  const auto found = this->times.find(service);
+  const ServiceTimes& mean =
+      found == this->times.end() ? kDefaultTimes : found->second;
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(mean.prefill.seconds));
+}
+
 EndpointSelector::PeerBasis EndpointSelector::BasisOf(
     const ServiceName& service,
     TimePoint now) const {
--- a/src/decision/waiting_queue.cc
+++ b/src/decision/waiting_queue.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace buckthornpath {
 
@@ -23,49 +24,123 @@
 /** Minimum departures per second; limits the estimated wait. */
 constexpr double kMinRatePerSecond = 0.2;
 
+/** Organisations that are remembered; beyond, the half that is least ahead is
+ * forgotten. */
+constexpr std::size_t kMaxOrganisations = 256;
+
 constexpr double kMillisecondsPerSecond = 1000.0;
 
 double ToSeconds(std::chrono::steady_clock::duration time) {
   return std::chrono::duration<double>(time).count();
 }
 
+/** @return Time until the request behind `ahead` others starts. */
+milliseconds WaitAt(std::ptrdiff_t ahead, double rate_per_second) {
+  return milliseconds(static_cast<std::int64_t>(
+      std::ceil(kMillisecondsPerSecond * static_cast<double>(ahead + 1) /
+                rate_per_second)));
+}
+
 }  // namespace
 
-milliseconds WaitingQueue::EstimateWait(int priority, TimePoint now) const {
-  std::size_t ahead = 0;
-  for (const auto& [position, ticket] : this->waiting) {
-    if (position.priority > priority)
-      break;
-    ++ahead;
-  }
-  double departure_rate =
+double WaitingQueue::DepartureRate(TimePoint now) const {
+  double rate =
       this->rate_per_second > 0 ? this->rate_per_second : kDefaultRatePerSecond;
   // An old rate is unreliable: the time without samples sets an upper limit.
   const double seconds_without_sample = ToSeconds(now - this->interval_start);
   if (this->rate_per_second > 0 && seconds_without_sample > 1.0)
-    departure_rate = std::min(
-        departure_rate, (this->departures + 1.0) / seconds_without_sample);
-  departure_rate = std::max(departure_rate, kMinRatePerSecond);
-  return milliseconds(static_cast<std::int64_t>(
-      std::ceil(kMillisecondsPerSecond * static_cast<double>(ahead + 1) /
-                departure_rate)));
+    rate = std::min(rate, (this->departures + 1.0) / seconds_without_sample);
+  return std::max(rate, kMinRatePerSecond);
+}
+
+milliseconds WaitingQueue::EstimateWait(const WaitingRequest& request,
+                                        TimePoint now) const {
+  WaitingRequests requests = this->waiting;
+  const WaitTicket ticket{this->next_number};
+  requests.emplace(ticket, request);
+  const std::vector<Place> places = this->PlacesOf(requests, now);
+  const auto own =
+      std::find_if(places.begin(), places.end(),
+                   [&](const Place& place) { return place.ticket == ticket; });
+  return WaitAt(own - places.begin(), this->DepartureRate(now));
+}
+
+std::vector<WaitTicket> WaitingQueue::FindHopeless(TimePoint now) const {
+  std::vector<WaitTicket> hopeless;
+  const double rate = this->DepartureRate(now);
+  std::ptrdiff_t ahead = 0;
+  for (const Place& place : this->PlacesOf(this->waiting, now)) {
+    if (now + WaitAt(ahead, rate) > this->waiting.at(place.ticket).last_start)
+      hopeless.push_back(place.ticket);
+    else
+      ++ahead;
+  }
+  return hopeless;
 }
 
-WaitTicket WaitingQueue::Add(int priority) {
+WaitTicket WaitingQueue::Add(WaitingRequest request) {
   const WaitTicket ticket{this->next_number};
-  const Position position{priority, this->next_number};
   ++this->next_number;
-  this->waiting.emplace(position, ticket);
-  this->positions.emplace(ticket, position);
+  this->waiting.emplace(ticket, std::move(request));
   return ticket;
 }
 
 void WaitingQueue::Remove(WaitTicket ticket) {
-  const auto found = this->positions.find(ticket);
-  if (found == this->positions.end())
-    return;
-  this->waiting.erase(found->second);
-  this->positions.erase(found);
+  this->waiting.erase(ticket);
+}
+
+double WaitingQueue::StartTag(const OrganisationId& organisation) const {
+  const auto found = this->start_tags.find(organisation);
+  return found == this->start_tags.end()
+             ? this->virtual_time
+             : std::max(this->virtual_time, found->second);
+}
+
+void WaitingQueue::RecordStart(const OrganisationId& organisation) {
+  this->virtual_time = this->StartTag(organisation);
+  this->start_tags[organisation] = this->virtual_time + 1.0;
+  if (this->start_tags.size() > kMaxOrganisations)
+    this->ForgetHalf();
+}
+
+void WaitingQueue::ForgetHalf() {
+  std::vector<double> tags;
+  tags.reserve(this->start_tags.size());
+  for (const auto& [organisation, tag] : this->start_tags)
+    tags.push_back(tag);
+  const auto median =
+      tags.begin() + static_cast<std::ptrdiff_t>(tags.size() / 2);
+  std::nth_element(tags.begin(), median, tags.end());
+  this->virtual_time = std::max(this->virtual_time, *median);
+  std::erase_if(this->start_tags, [this](const auto& entry) {
+    return entry.second <= this->virtual_time;
+  });
+}
+
+std::vector<WaitingQueue::Place> WaitingQueue::PlacesOf(
+    const WaitingRequests& requests,
+    TimePoint now) const {
+  std::vector<Place> places;
+  places.reserve(requests.size());
+  for (const auto& [ticket, request] : requests) {
+    const bool misses_target = now > request.target_start;
+    places.push_back({request.priority, misses_target, 0,
+                      misses_target ? request.last_start : request.target_start,
+                      ticket});
+  }
+  // First without tags: the order in which an organisation's own requests
+  // start. Each is due one turn after the one before.
+  std::sort(places.begin(), places.end());
+  std::unordered_map<OrganisationId, double> next_tags;
+  for (Place& place : places) {
+    const OrganisationId& organisation = requests.at(place.ticket).organisation;
+    const auto [tag, is_first] =
+        next_tags.try_emplace(organisation, this->StartTag(organisation));
+    place.start_tag = tag->second;
+    tag->second += 1.0;
+  }
+  std::sort(places.begin(), places.end());
+  return places;
 }
 
 void WaitingQueue::RecordDeparture(TimePoint now) {
@@ -88,11 +163,14 @@
   this->departures = 0;
 }
 
-std::vector<WaitTicket> WaitingQueue::Order() const {
+std::vector<WaitTicket> WaitingQueue::Order(TimePoint now,
+                                            std::size_t limit) const {
   std::vector<WaitTicket> order;
-  order.reserve(this->waiting.size());
-  for (const auto& [position, ticket] : this->waiting)
-    order.push_back(ticket);
+  for (const Place& place : this->PlacesOf(this->waiting, now)) {
+    if (order.size() >= limit)
+      break;
+    order.push_back(place.ticket);
+  }
   return order;
 }
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -23,9 +23,6 @@
 /** Failed connection attempts after which a request is refused. */
 constexpr int kMaxConnectFailures = 3;
 
-/** A request waits for capacity for at most its time left divided by this. */
-constexpr int kMaxWaitDivisor = 2;
-
 /** Time after the deadline at which a request is aborted. The endpoint itself
  * stops at the deadline and reports it, which needs time to arrive. */
 constexpr milliseconds kDeadlineMargin{100};
@@ -37,25 +34,6 @@
 /** Limit of one response that is buffered until it is complete. */
 constexpr std::size_t kMaxResponseBytes = std::size_t{4} * 1024 * 1024;
 
-/** Limits of the Retry-After value: the minimum, and the divisor of the time
- * left that gives the maximum. */
-constexpr milliseconds kMinRetryAfter{50};
-constexpr int kRetryAfterDivisor = 3;
-
-/** Callers that wait for the same endpoint return over this part of the time
- * until then, and over at least this time. */
-constexpr int kReturnSpreadDivisor = 4;
-constexpr milliseconds kMinReturnSpread{300};
-
-/** Retry-After of a process that has no configuration yet: a caller that
- * returns at once would use up its retries before the first read can succeed.
- */
-constexpr milliseconds kStartRetryAfter{500};
-
-/** The latency objective of a route that states none is its timeout divided by
- * this. */
-constexpr int kDefaultTargetDivisor = 4;
-
 /** Steps of urgency per priority; the platform has ten urgencies, 0 to 9. */
 constexpr int kUrgencyStep = 3;
 constexpr int kLowestUrgency = 9;
@@ -173,13 +151,6 @@
   co_await this->FinishExchange(result);
 }
 
-bool ForwardSession::IsAdmitted() {
-  // The endpoints of a service with prompts state their load and are chosen
-  // within their slots.
-  return !this->request.IsPlain() || this->state.QueueOf(this->request.service)
-                                         .admission.TryAdmit(Clock::now());
-}
-
 bool ForwardSession::MayRetry(AttemptResult result) {
   if (this->is_aborted || this->exchange.IsDisconnected() ||
       this->TimeLeft() < kMinTimeLeft) {
@@ -245,48 +216,6 @@
   return std::nullopt;
 }
 
-asio::awaitable<void> ForwardSession::WaitForEndpoint() {
-  if (this->RuledOut()) {
-    this->reservation.Release();
-    co_return;
-  }
-  this->reservation = this->TryReserve(this->excluded_endpoints);
-  if (this->reservation)
-    co_return;
-  ServiceQueue& queue = this->state.QueueOf(this->request.service);
-  const milliseconds max_wait = this->TimeLeft() / kMaxWaitDivisor;
-  const auto now = Clock::now();
-  if (!this->state.selector.HasAvailableEndpoint(this->request.service, now,
-                                                 now + max_wait) ||
-      queue.waiting.EstimateWait(this->request.priority, Clock::now()) >
-          max_wait) {
-    co_return;
-  }
-  const WaitTicket ticket = queue.waiting.Add(this->request.priority);
-  const auto leave_queue = [&queue, ticket] {
-    queue.waiting.Remove(ticket);
-    queue.waiters.erase(ticket);
-  };
-  // The callers of these handlers hold copies, so that they can be erased.
-  queue.waiters[ticket] = {[this, leave_queue] {
-                             this->reservation =
-                                 this->TryReserve(this->excluded_endpoints);
-                             if (!this->reservation)
-                               return false;
-                             leave_queue();
-                             this->capacity_signal.Set();
-                             return true;
-                           },
-                           [this, leave_queue] {
-                             if (!this->RuledOut())
-                               return;
-                             leave_queue();
-                             this->capacity_signal.Set();
-                           }};
-  co_await this->capacity_signal.WaitUntil(Clock::now() + max_wait);
-  leave_queue();
-}
-
 asio::awaitable<bool> ForwardSession::OpenConnection(
     const EndpointState& endpoint) {
   const EndpointId& id = endpoint.Entry().id;
@@ -406,24 +335,6 @@
   this->state.WakeWaiting(this->request.service);
 }
 
-void ForwardSession::RecordLoadOfService(AttemptResult result,
-                                         Clock::time_point now) {
-  if (!this->request.IsPlain() || this->is_aborted)
-    return;
-  AdmissionRatio& admission =
-      this->state.QueueOf(this->request.service).admission;
-  const Route& route = *this->request.route;
-  const milliseconds target = route.target_latency > milliseconds(0)
-                                  ? route.target_latency
-                                  : route.timeout / kDefaultTargetDivisor;
-  if (result == AttemptResult::kNotExecuted) {
-    admission.RecordFull(now);
-  } else if (result == AttemptResult::kAnswered) {
-    admission.RecordResponse(Elapsed(this->reservation.Time(), now), target,
-                             now);
-  }
-}
-
 ForwardRequest ForwardSession::MakeRequest(
     const EndpointState& endpoint) const {
   const CallerRequest& caller_request = this->exchange.Request();
@@ -599,43 +510,6 @@
   co_await this->Refuse(not_run);
 }
 
-std::optional<milliseconds> ForwardSession::TimeUntilReturn() const {
-  const auto now = Clock::now();
-  const auto returns_at =
-      this->state.selector.EarliestReturn(this->request.service, now);
-  if (!returns_at)
-    return std::nullopt;
-  const milliseconds time = Elapsed(now, *returns_at);
-  const auto spread = std::chrono::duration_cast<milliseconds>(
-      std::max<milliseconds>(kMinReturnSpread, time / kReturnSpreadDivisor) *
-      SpreadOf(this->request.metadata.request_id));
-  return time + spread;
-}
-
-milliseconds ForwardSession::RetryAfter() const {
-  if (!this->table)
-    return kStartRetryAfter;
-  const auto quarantined =
-      this->state.quarantine.Find(this->request.signature, Clock::now());
-  if (quarantined)
-    return std::max(quarantined->remaining, kMinRetryAfter);
-  // Earlier, the caller would be refused again.
-  if (const auto until_return = this->TimeUntilReturn())
-    return std::max(*until_return, kMinRetryAfter);
-  const auto queue = this->state.queues.find(this->request.service);
-  if (queue == this->state.queues.end())
-    return kMinRetryAfter;
-  const milliseconds max_time =
-      std::max(kMinRetryAfter, this->TimeLeft() / kRetryAfterDivisor);
-  const double refused_share = 1.0 - queue->second.admission.Ratio();
-  const auto recovery =
-      std::chrono::duration_cast<milliseconds>(max_time * refused_share);
-  const milliseconds forecast = std::max(
-      recovery,
-      queue->second.waiting.EstimateWait(this->request.priority, Clock::now()));
-  return std::clamp(forecast, kMinRetryAfter, max_time);
-}
-
 asio::awaitable<void> ForwardSession::Refuse(Refusal refusal) {
   this->record.RecordReason(refusal.reason);
   this->record.RecordStatus(refusal.status);
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -69,8 +69,6 @@
 
   asio::awaitable<void> RunAttempts();
 
-  /** @return False if the service is overloaded and the request is refused. */
-  bool IsAdmitted();
   asio::awaitable<AttemptResult> Attempt();
 
   /** Opens a connection to an endpoint and sends the request, or goes on with
@@ -78,10 +76,6 @@
   asio::awaitable<AttemptResult> TryEndpoint(EndpointState& endpoint,
                                              bool has_head);
 
-  /** @return When the next endpoint of the service may be used again, spread
-   * over the callers that wait for it; empty if one may be used now. */
-  std::optional<std::chrono::milliseconds> TimeUntilReturn() const;
-
   /** @return True if endpoints crash under the request. */
   bool IsQuarantined() const;
 
@@ -97,10 +91,6 @@
   bool IsProven() const { return this->AttemptEvents() >= kProofEvents; }
   bool MayRetry(AttemptResult result);
 
-  /** Waits for an endpoint with capacity and reserves it; there is no
-   * reservation if the time for it is over. */
-  asio::awaitable<void> WaitForEndpoint();
-
   /** Chooses an endpoint and counts the request there.
    * @return Nothing if no endpoint has capacity. */
   EndpointReservation TryReserve(const std::vector<EndpointId>& excluded);
@@ -123,13 +113,27 @@
     return this->relay.EventCount() - this->events_before_attempt;
   }
 
+  asio::awaitable<void> FinishExchange(AttemptResult result);
+  asio::awaitable<void> Refuse(Refusal refusal);
+  std::chrono::milliseconds TimeLeft() const;
+
+  // Admission and the wait for an endpoint: forward_wait.cc.
+
+  /** @return False if the service is overloaded and the request is refused. */
+  bool IsAdmitted();
+
+  /** Waits for an endpoint with capacity and reserves it; there is no
+   * reservation if the request could not start in time. */
+  asio::awaitable<void> WaitForEndpoint();
+
+  /** @return What decides the request's place in the queue of its service. */
+  WaitingRequest MakeWaitingRequest() const;
+
   /** Lets the admission of a service without prompts follow its responses. */
   void RecordLoadOfService(AttemptResult result, Clock::time_point now);
 
-  asio::awaitable<void> FinishExchange(AttemptResult result);
-  asio::awaitable<void> Refuse(Refusal refusal);
+  /** @return Time after which the refused caller should return. */
   std::chrono::milliseconds RetryAfter() const;
-  std::chrono::milliseconds TimeLeft() const;
 
   // Relaying a stream: forward_stream.cc.
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -123,21 +123,6 @@
   return this->connection_pool.OpenCount(id) < std::max<std::size_t>(share, 1);
 }
 
-void GatewayState::WakeWaiting(const ServiceName& service) {
-  const auto found = this->queues.find(service);
-  if (found == this->queues.end())
-    return;
-  for (const WaitTicket ticket : found->second.waiting.Order()) {
-    const auto waiter = found->second.waiters.find(ticket);
-    if (waiter == found->second.waiters.end())
-      continue;
-    // A copy, as a handler that starts its request erases itself from the map.
-    const std::function<bool()> try_start = waiter->second.try_start;
-    if (!try_start())
-      return;
-  }
-}
-
 void GatewayState::SetGatewayCount(std::size_t count) {
   if (count == this->gateway_count)
     return;
@@ -193,27 +178,4 @@
   this->RecheckAllWaiting();
 }
 
-void GatewayState::RecheckAllWaiting() {
-  // A request that cannot be started ends a round of WakeWaiting(), so each is
-  // looked at here. Copies, as a handler may erase itself from the map.
-  std::vector<std::function<void()>> rechecks;
-  for (const auto& [service, queue] : this->queues) {
-    for (const auto& [ticket, waiter] : queue.waiters)
-      rechecks.push_back(waiter.recheck);
-  }
-  for (const std::function<void()>& recheck : rechecks)
-    recheck();
-  this->WakeAllWaiting();
-}
-
-void GatewayState::WakeAllWaiting() {
-  std::vector<ServiceName> services;
-  for (const auto& [service, queue] : this->queues) {
-    if (queue.waiting.Size() > 0)
-      services.push_back(service);
-  }
-  for (const ServiceName& service : services)
-    this->WakeWaiting(service);
-}
-
 }  // namespace buckthornpath
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -33,6 +33,8 @@
   std::function<bool()> try_start;
   /** Ends the wait if the request must not be started any more. */
   std::function<void()> recheck;
+  /** Ends the wait, as the request can't start in time any more. */
+  std::function<void()> give_up;
 };
 
 /** Requests of one service that wait for an endpoint with capacity. */
@@ -69,7 +71,9 @@
   double RetryBurst() const;
 
   /** Starts waiting requests of a service, in order, while endpoints have
-   * capacity. */
+   * capacity, and gives up those that can't start in time any more. One that
+   * can't start, as it excludes endpoints or needs an unreserved slot, does not
+   * hold those behind it. */
   void WakeWaiting(const ServiceName& service);
 
   /** Starts waiting requests of all services. */
