--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -69,8 +69,6 @@
 
   asio::awaitable<void> RunAttempts();
 
-  /** @return False if the service is overloaded and the request is refused. */
-  bool IsAdmitted();
   asio::awaitable<AttemptResult> Attempt();
 
   /** Opens a connection to an endpoint and sends the request, or goes on with
@@ -82,10 +80,6 @@
    * reserved: the last look before it is sent. */
   bool MaySendTo(const EndpointState& endpoint, Clock::time_point reserved_at);
 
-  /** @return When the next endpoint of the service may be used again, spread
-   * over the callers that wait for it; empty if one may be used now. */
-  std::optional<std::chrono::milliseconds> TimeUntilReturn() const;
-
   /** @return True if endpoints crash under the request. */
   bool IsQuarantined() const;
 
@@ -101,14 +95,6 @@
   bool IsProven() const { return this->AttemptEvents() >= kProofEvents; }
   bool MayRetry(AttemptResult result);
 
-  /** @return True if an endpoint of the service may be used now, or is expected
-   * to be at a later time. */
-  bool HasEndpointBy(Clock::time_point time) const;
-
-  /** Waits for an endpoint with capacity and reserves it; there is no
-   * reservation if the time for it is over. */
-  asio::awaitable<void> WaitForEndpoint();
-
   /** Chooses an endpoint and counts the request there.
    * @return Nothing if no endpoint has capacity. */
   EndpointReservation TryReserve(const std::vector<EndpointId>& excluded);
@@ -131,13 +117,31 @@
     return this->relay.EventCount() - this->events_before_attempt;
   }
 
+  asio::awaitable<void> FinishExchange(AttemptResult result);
+  asio::awaitable<void> Refuse(Refusal refusal);
+  std::chrono::milliseconds TimeLeft() const;
+
+  // Admission and the wait for an endpoint: forward_wait.cc.
+
+  /** @return False if the service is overloaded and the request is refused. */
+  bool IsAdmitted();
+
+  /** Waits for an endpoint with capacity and reserves it; there is no
+   * reservation if the request could not start in time. */
+  asio::awaitable<void> WaitForEndpoint();
+
+  /** @return True if an endpoint of the service may be used now, or is expected
+   * to be at a later time. */
+  bool HasEndpointBy(Clock::time_point time) const;
+
+  /** @return What decides the request's place in the queue of its service. */
+  WaitingRequest MakeWaitingRequest() const;
+
   /** Lets the admission of a service without prompts follow its responses. */
   void RecordLoadOfService(AttemptResult result, Clock::time_point now);
 
-  asio::awaitable<void> FinishExchange(AttemptResult result);
-  asio::awaitable<void> Refuse(Refusal refusal);
+  /** @return Time after which the refused caller should return. */
   std::chrono::milliseconds RetryAfter() const;
-  std::chrono::milliseconds TimeLeft() const;
 
   // Relaying a stream: forward_stream.cc.
 
