A published start ends the wait that a refused connection began

Cause: after a refused connection an endpoint counted as cold for 4 s and its cold time, also when its new process was published meanwhile: some seconds longer than it is cold.

Change: the start of the published process replaces the one that was foretold.

Result: story cold_endpoint_limit passes; its case "a refused connection foretells a start" asks for it.

--- a/src/decision/cold_endpoint_limit.cc
+++ b/src/decision/cold_endpoint_limit.cc
@@ -90,8 +90,11 @@
   endpoint.born_ms = published.born_ms;
   const WallTime born{milliseconds(published.born_ms)};
   const bool is_old = published.born_ms != 0 && wall_time - born > kSurelyOld;
-  if (!published.is_first_read && !is_old)
-    AssumeStart(endpoint, now, now);
+  if (published.is_first_read || is_old)
+    return;
+  // The start that a refused connection foretold, if there was one.
+  endpoint.start.reset();
+  AssumeStart(endpoint, now, now);
 }
 
 void ColdEndpointLimit::RecordWithdrawn(const EndpointId& id) {
--- a/test/stories/cold_endpoint_limit.cc
+++ b/test/stories/cold_endpoint_limit.cc
@@ -153,6 +153,11 @@
   limit.RecordRefusedConnection(kEndpoint, kStart);
   CPPUNIT_ASSERT(!limit.MaySend(kEndpoint, kPolicy, 0, kStart + seconds(6)));
   CPPUNIT_ASSERT(limit.MaySend(kEndpoint, kPolicy, 0, kStart + seconds(7)));
+  // The process that was foretold is published: its own start counts.
+  limit.RecordPublished(kEndpoint, {BornAt(seconds(0)), {}, false},
+                        kStart + seconds(1), kWall);
+  CPPUNIT_ASSERT(limit.IsCold(kEndpoint, kPolicy, kStart + milliseconds(3999)));
+  CPPUNIT_ASSERT(!limit.IsCold(kEndpoint, kPolicy, kStart + seconds(4)));
 }
 
 void RequestOnItsWayIsHeldBack() {
