--- a/test/fakes/scripted_endpoint.cc
+++ b/test/fakes/scripted_endpoint.cc
@@ -15,6 +15,9 @@
 
 namespace http = boost::beast::http;
 
+/** Limit of a request header, above that of any caller. */
+constexpr std::uint32_t kHeaderBytes = std::uint32_t{64} * 1024;
+
 std::string FormatChunk(const std::string& bytes) {
   std::ostringstream text;
   text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
@@ -159,11 +162,14 @@
 void ScriptedEndpoint::ServeConnection(boost::asio::ip::tcp::socket& socket) {
   boost::beast::flat_buffer buffer;
   while (!this->is_stopping) {
-    ScriptedCall::Message message;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(kHeaderBytes);
+    parser.body_limit(boost::none);
     boost::system::error_code error;
-    http::read(socket, buffer, message, error);
+    http::read(socket, buffer, parser, error);
     if (error)
       return;
+    ScriptedCall::Message message = parser.release();
     EndpointScript current;
     {
       const std::lock_guard lock(this->mutex);
--- a/test/harness/child_process.cc
+++ b/test/harness/child_process.cc
@@ -11,8 +11,10 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <string_view>
+#include <system_error>
 #include <thread>
 
 namespace buckthornpath {
@@ -121,6 +123,15 @@
   return 0;
 }
 
+std::size_t ChildProcess::OpenDescriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator entries(
+      "/proc/" + std::to_string(this->pid) + "/fd", error);
+  return error ? 0
+               : static_cast<std::size_t>(
+                     std::distance(begin(entries), end(entries)));
+}
+
 int ChildProcess::WaitForExit(std::chrono::milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (this->IsRunning()) {
--- a/test/harness/child_process.h
+++ b/test/harness/child_process.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -51,6 +52,9 @@
    */
   std::uint64_t PeakResidentBytes() const;
 
+  /** @return Number of open file descriptors; 0 once the process has ended. */
+  std::size_t OpenDescriptors() const;
+
  private:
   pid_t pid = -1;
   int exit_code = -1;
