Callers' requests and buffered responses draw on one budget of bytes

Change: ByteBudget holds two fifths of the new setting memory_limit (from the platform's limits, default 160 MB), an eighth of it reserved for holders of up to 64 KiB. Bodies count by capacity of what has arrived, headers with their fields' overhead, input, buffered responses. A body is shared between request, attempts and standby attempts. Without room, stalled requests that hold most are refused first, then the one that began last (crowd_eviction, no I/O): 503 with Retry-After, not run. Connections are limited by max_connections and the new descriptor_limit; the longest silent one without a request in progress is closed. A trailer that fills the input buffer is refused at once (431) instead of waiting for its timeout. The bound of responses alone (32 MiB) went into the budget.

The 503 of a sender that is still sending may be lost to a TCP reset, as its connection is closed with unread input.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -2,11 +2,13 @@
 
 #include "gateway/caller_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <iterator>
 
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -30,6 +32,14 @@
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
+
+/** Seconds after which a caller may return that was refused for lack of room:
+ * the time in which stalled requests are refused. */
+constexpr const char* kNoRoomRetryAfter = "1.000";
+
+/** Memory of one parsed header field beside its text. */
+constexpr std::size_t kFieldOverhead = 96;
 
 /** @return HTTP status for a request that cannot be parsed. */
 unsigned StatusForError(const boost::system::error_code& error) {
@@ -63,7 +73,10 @@
     : socket(std::move(socket)),
       context(context),
       input_signal(this->socket.get_executor()),
-      idle_since(Clock::now()) {
+      input_share(context.BufferedBytes()),
+      header_share(context.BufferedBytes()),
+      idle_since(Clock::now()),
+      advanced_at(this->idle_since) {
   SetConnectionOptions(this->socket);
 }
 
@@ -79,7 +92,9 @@
     this->cut_off_handler = nullptr;
     this->is_busy = false;
     this->idle_since = Clock::now();
+    this->advanced_at = this->idle_since;
     this->request = {};
+    this->header_share.ReleaseAll();
   }
   this->Close();
 }
@@ -96,48 +111,138 @@
   this->is_disconnected = true;
 }
 
-asio::awaitable<bool> CallerConnection::ReadRequest() {
-  const CallerLimits limits = this->context.Limits();
-  Parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-  parser.body_limit(limits.body_bytes);
-  parser.eager(true);
+void CallerConnection::BeginRequest(const CallerLimits& limits) {
+  this->parser.emplace();
+  this->parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+  this->parser->body_limit(limits.body_bytes);
+  this->parser->eager(true);
+  this->parser->get().body() = SharedBytes(this->context.BufferedBytes());
+  this->header_bytes = 0;
   this->received_at = {};
   this->is_continue_sent = false;
-  while (!parser.is_done()) {
+}
+
+bool CallerConnection::ReserveWith(const std::function<bool()>& reserve) {
+  while (!reserve()) {
+    if (!this->context.MakeRoom(*this))
+      return false;
+  }
+  return true;
+}
+
+bool CallerConnection::ReserveHeader(std::size_t consumed) {
+  if (consumed == 0)
+    return true;
+  this->header_bytes += consumed;
+  const auto& fields = this->parser->get().base();
+  const auto count =
+      static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+  const std::size_t size = this->header_bytes + count * kFieldOverhead;
+  return this->ReserveWith([this, size] {
+    return this->header_share.TryTake(size - this->header_share.Taken());
+  });
+}
+
+bool CallerConnection::ReserveInput() {
+  const std::size_t wanted = this->input.size() + kReadBytes;
+  if (wanted <= std::max(this->input.capacity(), kReadBytes))
+    return true;
+  const std::size_t grown = std::max(wanted, 2 * this->input.size());
+  if (grown <= this->input_share.Taken())
+    return true;
+  return this->input_share.TryTake(grown - this->input_share.Taken());
+}
+
+unsigned CallerConnection::ParseInput(std::size_t max_body_bytes,
+                                      std::size_t& consumed) {
+  if (this->input.size() == 0)
+    return 0;
+  if (this->received_at == Clock::time_point{})
+    this->received_at = Clock::now();
+  SharedBytes& body = this->parser->get().body();
+  const bool is_in_header = !this->parser->is_header_done();
+  std::size_t most = max_body_bytes;
+  if (!is_in_header && this->parser->content_length())
+    most = std::min<std::size_t>(*this->parser->content_length(), most);
+  if (!this->ReserveWith(
+          [&] { return body.TryReserve(this->input.size(), most); }))
+    return kUnavailable;
+  boost::system::error_code error;
+  consumed = this->parser->put(this->input.data(), error);
+  this->input.consume(consumed);
+  if (error && error != http::error::need_more)
+    return StatusForError(error);
+  if (consumed > 0)
+    this->advanced_at = Clock::now();
+  if (this->parser->is_header_done() &&
+      IsFramingAmbiguous(this->parser->get().base()))
+    return kBadRequest;
+  if (is_in_header && !this->ReserveHeader(consumed - body.Size()))
+    return kUnavailable;
+  // No line of a header or trailer is that long.
+  if (consumed == 0 && this->input.size() >= kMaxPipelinedBytes)
+    return kHeaderTooLarge;
+  return 0;
+}
+
+asio::awaitable<bool> CallerConnection::ReadRequest() {
+  const CallerLimits limits = this->context.Limits();
+  this->BeginRequest(limits);
+  unsigned refusal = 0;
+  while (refusal == 0 && !this->parser->is_done()) {
     std::size_t consumed = 0;
-    boost::system::error_code error;
-    if (this->input.size() > 0) {
-      if (this->received_at == Clock::time_point{})
-        this->received_at = Clock::now();
-      consumed = parser.put(this->input.data(), error);
-      this->input.consume(consumed);
-    }
-    if (error && error != http::error::need_more) {
-      co_await this->RejectRequest(StatusForError(error));
-      co_return false;
-    }
-    if (parser.is_header_done() && IsFramingAmbiguous(parser.get().base())) {
-      co_await this->RejectRequest(kBadRequest);
-      co_return false;
-    }
-    if (parser.is_done() || consumed > 0)
+    refusal = this->ParseInput(limits.body_bytes, consumed);
+    if (refusal != 0 || this->parser->is_done() || consumed > 0)
       continue;
     if (this->is_disconnected)
       co_return false;
-    co_await this->SendContinue(parser);
-    this->StartRead();
-    co_await this->input_signal.Wait();
+    co_await this->SendContinue();
+    if (this->parser &&
+        !this->ReserveWith([this] { return this->ReserveInput(); }))
+      refusal = kUnavailable;
+    if (refusal == 0 && this->parser) {
+      this->StartRead();
+      co_await this->input_signal.Wait();
+    }
+    // Another request may have needed the room meanwhile.
+    if (!this->parser)
+      refusal = kUnavailable;
+  }
+  if (refusal != 0) {
+    this->parser.reset();
+    this->header_share.ReleaseAll();
+    co_await this->RejectRequest(refusal);
+    co_return false;
   }
-  this->request = parser.release();
+  this->request = this->parser->release();
+  this->parser.reset();
   this->is_persistent = this->request.keep_alive();
   this->StartRead();
   co_return true;
 }
 
-asio::awaitable<void> CallerConnection::SendContinue(const Parser& parser) {
-  if (!parser.is_header_done() || this->is_continue_sent ||
-      !beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+void CallerConnection::RefuseUnread() {
+  this->parser.reset();
+  this->header_share.ReleaseAll();
+  this->input_signal.Set();
+}
+
+UnreadRequest CallerConnection::Unread() const {
+  UnreadRequest unread;
+  if (this->parser)
+    unread.held_bytes =
+        this->parser->get().body().Reserved() + this->header_share.Taken();
+  unread.begun_at = this->received_at == Clock::time_point{}
+                        ? this->idle_since
+                        : this->received_at;
+  unread.advanced_at = this->advanced_at;
+  return unread;
+}
+
+asio::awaitable<void> CallerConnection::SendContinue() {
+  if (!this->parser->is_header_done() || this->is_continue_sent ||
+      !beast::iequals(this->parser->get()[http::field::expect],
+                      "100-continue")) {
     co_return;
   }
   this->is_continue_sent = true;
@@ -148,13 +253,15 @@
   ProcessMetrics().Add("requests_unread_total",
                        "status=\"" + std::to_string(status) + "\"");
   this->is_persistent = false;
-  const HeaderFieldList fields;
+  HeaderFieldList fields;
+  if (status == kUnavailable)
+    fields.emplace_back("Retry-After", kNoRoomRetryAfter);
   co_await this->Send(status, fields, std::string());
 }
 
 void CallerConnection::StartRead() {
   if (this->is_reading || this->is_disconnected ||
-      this->input.size() >= kMaxPipelinedBytes) {
+      this->input.size() >= kMaxPipelinedBytes || !this->ReserveInput()) {
     return;
   }
   this->is_reading = true;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -7,16 +7,19 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "buckthornpath/crowd_eviction.h"
 #include "buckthornpath/routing_table.h"
+#include "gateway/byte_budget.h"
+#include "gateway/shared_body.h"
 #include "gateway/wake_signal.h"
 
 namespace buckthornpath {
@@ -24,8 +27,9 @@
 /** Header fields of a response, in order. */
 using HeaderFieldList = std::vector<std::pair<std::string, std::string>>;
 
-using CallerRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
+using CallerRequest = boost::beast::http::request<SharedBody>;
+
+class CallerConnection;
 
 /** A request that has been read in full, and the methods to respond to it. */
 class CallerExchange {
@@ -81,6 +85,17 @@
   /** @return True if connections are closed after the current response. */
   virtual bool IsDraining() const = 0;
 
+  /** @return Budget of the bytes that requests hold. */
+  virtual ByteBudget& BufferedBytes() = 0;
+
+  /**
+   * Refuses the part of a request that has arrived on another connection, so
+   * that its bytes return to the budget.
+   * @param asking Connection that needs room.
+   * @return False if the asking connection's request is to be refused instead.
+   */
+  virtual bool MakeRoom(const CallerConnection& asking) = 0;
+
   /** Handles a request; each exchange gets a response or is closed. */
   virtual asio::awaitable<void> Serve(CallerExchange& exchange) = 0;
 };
@@ -105,6 +120,13 @@
   /** Asks for an end of the request in progress, if there is one. */
   void CutOff();
 
+  /** Refuses the part of a request that has arrived, and frees it at once. The
+   * request has not run. @pre !IsBusy() */
+  void RefuseUnread();
+
+  /** @return The part of a request that has arrived. @pre !IsBusy() */
+  UnreadRequest Unread() const;
+
   /** @return True while a request is in progress. */
   bool IsBusy() const { return this->is_busy; }
 
@@ -124,19 +146,36 @@
   void Abort() override;
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<SharedBody>;
 
   /** @return False if the connection must be closed. */
   asio::awaitable<bool> ReadRequest();
 
+  /** Prepares to read a request. */
+  void BeginRequest(const CallerLimits& limits);
+
+  /** Parses what has arrived. @return Status to refuse it with; 0 if none. */
+  unsigned ParseInput(std::size_t max_body_bytes, std::size_t& consumed);
+
+  /** Takes the memory of the parsed header from the budget.
+   * @return False if there is no room. */
+  bool ReserveHeader(std::size_t consumed);
+
+  /** Takes memory for the next read from the budget.
+   * @return False if there is no room. */
+  bool ReserveInput();
+
+  /** Calls a function that takes bytes until it succeeds or nothing can make
+   * room for it. */
+  bool ReserveWith(const std::function<bool()>& reserve);
+
   /** Closes the connection after its read was cancelled, unless bytes have
    * arrived since. */
   void FinishClosingIdle();
 
   /** @return True if part of another request has arrived, parsed or not. */
   bool HasPendingInput() const;
-  asio::awaitable<void> SendContinue(const Parser& parser);
+  asio::awaitable<void> SendContinue();
   asio::awaitable<void> RejectRequest(unsigned status);
   void StartRead();
   asio::awaitable<void> Write(std::string bytes);
@@ -147,9 +186,14 @@
   CallerServerContext& context;
   boost::beast::flat_buffer input;
   WakeSignal input_signal;
+  ByteShare input_share;         ///< Of `input`, beyond its first read.
+  ByteShare header_share;        ///< Of the header of the request.
+  std::optional<Parser> parser;  ///< None while no request is being read.
+  std::size_t header_bytes = 0;  ///< Size of the header read so far.
   CallerRequest request;
   Clock::time_point received_at{};
   Clock::time_point idle_since;
+  Clock::time_point advanced_at;  ///< Time at which bytes were parsed last.
   std::function<void()> disconnect_handler;
   std::function<void()> cut_off_handler;
   bool is_reading = false;
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -7,19 +7,18 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <optional>
 #include <string>
 
 #include "gateway/chunk_body.h"
+#include "gateway/shared_body.h"
 #include "kernel/socket_address.h"
 #include "kernel/worker_pool.h"
 
 namespace buckthornpath {
 
-using ForwardRequest =
-    boost::beast::http::request<boost::beast::http::string_body>;
+using ForwardRequest = boost::beast::http::request<SharedBody>;
 using ResponseParser = boost::beast::http::response_parser<ChunkBody>;
 
 /**
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -91,7 +91,7 @@
       stall_timer(state.executor),
       capacity_signal(state.executor),
       standby_signal(state.executor),
-      response_bytes(state.response_bytes, kMaxResponseBytes) {}
+      response_bytes(state.buffered_bytes, kMaxResponseBytes) {}
 
 ForwardSession::~ForwardSession() {
   this->state.sessions.erase(this->position);
@@ -443,7 +443,7 @@
                                          forwarded.base());
   if (caller_request.has_content_length() || caller_request.chunked()) {
     forwarded.body() = caller_request.body();
-    forwarded.content_length(caller_request.body().size());
+    forwarded.content_length(caller_request.body().Size());
   }
   return forwarded;
 }
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -5,7 +5,10 @@
 #include <list>
 #include <memory>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
+#include "buckthornpath/crowd_eviction.h"
 #include "gateway/caller_connection.h"
 #include "gateway/forward_session.h"
 #include "gateway/gateway_state.h"
@@ -39,6 +42,20 @@
 constexpr milliseconds kInitialReadTimeout{500};
 constexpr milliseconds kInitialReadPollInterval{5};
 
+/** Descriptors for files, listeners, the store and other gateways; and the part
+ * of the remainder that callers may use, as endpoints need some as well. */
+constexpr std::int64_t kOwnDescriptors = 200;
+constexpr std::int64_t kCallerDescriptorParts = 3;
+constexpr std::int64_t kDescriptorDivisor = 4;
+
+std::size_t MaxCallerConnections(const Settings& settings) {
+  const std::int64_t descriptors =
+      (settings.descriptor_limit - kOwnDescriptors) * kCallerDescriptorParts /
+      kDescriptorDivisor;
+  return static_cast<std::size_t>(
+      std::min(settings.max_connections, descriptors));
+}
+
 /** Length of the queue of connections not yet accepted. */
 constexpr int kBacklog = 1024;
 
@@ -54,7 +71,8 @@
                      {},
                      [this](HttpExchange& exchange) {
                        return this->ServeReadiness(exchange);
-                     }) {
+                     }),
+        max_connections(MaxCallerConnections(context.settings)) {
     if (context.settings.worker_count != 1)
       throw std::invalid_argument("worker_count must be 1 for a gateway");
     const SocketAddress address =
@@ -170,12 +188,73 @@
 
   bool IsDraining() const override { return this->state.is_draining; }
 
+  ByteBudget& BufferedBytes() override { return this->state.buffered_bytes; }
+
+  bool MakeRoom(const CallerConnection& asking) override {
+    const UnreadConnections unread = this->FindUnread();
+    const auto selected = SelectForRoom(unread.requests, Clock::now());
+    if (!selected)
+      return false;
+    CallerConnection& connection = *unread.connections[*selected];
+    ProcessMetrics().Add("requests_refused_for_room_total");
+    ++this->refused_for_room;
+    if (&connection == &asking)
+      return false;
+    connection.RefuseUnread();
+    return true;
+  }
+
   asio::awaitable<void> Serve(CallerExchange& exchange) override {
     ForwardSession session(this->state, exchange);
     co_await session.Run();
   }
 
  private:
+  /** Connections without a request in progress, and their requests. */
+  struct UnreadConnections {
+    std::vector<CallerConnection*> connections;
+    std::vector<UnreadRequest> requests;
+  };
+
+  UnreadConnections FindUnread() const {
+    UnreadConnections unread;
+    for (const auto& connection : this->connections) {
+      if (connection->IsBusy() || connection->IsDisconnected())
+        continue;
+      unread.connections.push_back(connection.get());
+      unread.requests.push_back(connection->Unread());
+    }
+    return unread;
+  }
+
+  /** Closes a connection if the limit is reached.
+   * @return False if none can be closed. */
+  bool MakeConnectionRoom() {
+    if (this->connections.size() < this->max_connections)
+      return true;
+    const UnreadConnections unread = this->FindUnread();
+    const auto selected = SelectForConnection(unread.requests);
+    if (selected)
+      unread.connections[*selected]->Abort();
+    ProcessMetrics().Add("connections_closed_for_room_total");
+    ++this->closed_for_room;
+    return selected.has_value();
+  }
+
+  /** Logs what has been refused for lack of room since the last call. */
+  void ReportCrowd() {
+    const std::size_t refused = std::exchange(this->refused_for_room, 0);
+    const std::size_t closed = std::exchange(this->closed_for_room, 0);
+    if (refused + closed == 0)
+      return;
+    LogLine(LogLevel::kWarning, "no_room_for_callers",
+            {{"refused", refused},
+             {"closed", closed},
+             {"available_bytes", this->state.buffered_bytes.Available()},
+             {"connections", this->connections.size()},
+             {"max_connections", this->max_connections}});
+  }
+
   /** @return State of each endpoint that is not in normal use, by its id. */
   nlohmann::json UnusableEndpoints() const {
     const auto now = Clock::now();
@@ -246,6 +325,8 @@
   }
 
   asio::awaitable<void> ServeConnection(asio::ip::tcp::socket socket) {
+    if (!this->MakeConnectionRoom())
+      co_return;
     const auto connection =
         std::make_shared<CallerConnection>(std::move(socket), *this);
     const auto position =
@@ -267,9 +348,13 @@
     while (true) {
       co_await SleepFor(kSweepInterval);
       const auto now = Clock::now();
+      this->ReportCrowd();
       this->state.connection_pool.CloseExpired(now);
       for (const auto& connection : this->connections)
         connection->CloseIfTimedOut(now);
+      ProcessMetrics().Set(
+          "buffered_bytes_available", "",
+          static_cast<double>(this->state.buffered_bytes.Available()));
       ProcessMetrics().Set("caller_connections", "",
                            static_cast<double>(this->connections.size()));
       ProcessMetrics().Set(
@@ -284,6 +369,9 @@
   asio::ip::tcp::acceptor acceptor;
   HttpServer ready_server;
   std::list<std::shared_ptr<CallerConnection>> connections;
+  std::size_t max_connections;
+  std::size_t refused_for_room = 0;  ///< Since the last ReportCrowd().
+  std::size_t closed_for_room = 0;   ///< Likewise, connections.
   Clock::time_point drain_begun{};
 };
 
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -30,9 +30,21 @@
 
 constexpr double kPercent = 100.0;
 
-/** Limit of the buffered responses of all requests: a fifth of the memory of
- * the smallest VMs. */
-constexpr std::size_t kMaxResponseBytes = std::size_t{32} * 1024 * 1024;
+/** Part of the VM's memory that buffered requests and responses may use. The
+ * rest is for the process itself, copies made while a buffer grows, buffers of
+ * sockets, and the allocator. */
+constexpr std::size_t kBufferedDivisor = 5;
+constexpr std::size_t kBufferedParts = 2;
+
+/** Part of the buffered bytes that is reserved for small requests. */
+constexpr std::size_t kReservedDivisor = 8;
+
+constexpr std::size_t kBytesPerMegabyte = 1000000;
+
+std::size_t BufferedLimit(const Settings& settings) {
+  return static_cast<std::size_t>(settings.memory_limit) * kBytesPerMegabyte /
+         kBufferedDivisor * kBufferedParts;
+}
 
 /** Part of the retry burst allowance that all gateways together may spend. */
 constexpr double kRetrySlackUsed = 0.5;
@@ -89,7 +101,8 @@
       crash_probe(*this),
       roster({settings.gossip_address, FailureDomainId(settings.failure_domain),
               settings.link_capacity, false, NewRunId()}),
-      response_bytes(kMaxResponseBytes) {}
+      buffered_bytes(BufferedLimit(settings),
+                     BufferedLimit(settings) / kReservedDivisor) {}
 
 ServiceQueue& GatewayState::QueueOf(const ServiceName& service) {
   const double share =
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -108,8 +108,9 @@
   std::list<const ForwardSession*> sessions;  ///< Requests in progress.
   GatewayRoster roster;
   std::size_t gateway_count = 1;  ///< Live gateways, this one included.
-  /** Bytes of responses that are buffered until they are complete. */
-  ByteBudget response_bytes;
+  /** Bytes of requests, and of responses that are buffered until they are
+   * complete. */
+  ByteBudget buffered_bytes;
   bool is_draining = false;
   /** Set once the process is out of rotation: requests whose deadline is later
    * are refused, as they may outlast the drain. */
--- a/src/gateway/request_class.cc
+++ b/src/gateway/request_class.cc
@@ -56,7 +56,7 @@
   const auto target = request.target();
   std::uint64_t hash = Hash({method.data(), method.size()}, own_segment);
   hash = Hash({target.data(), target.size()}, hash);
-  return Hash(request.body(), hash);
+  return Hash(request.body().Text(), hash);
 }
 
 RequestSignature SignatureOf(const CallerRequest& request,
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -37,6 +37,8 @@
   std::int64_t max_body_bytes = 0;
   std::int64_t max_header_bytes = 0;
   std::int64_t max_connections = 0;
+  std::int64_t memory_limit = 0;
+  std::int64_t descriptor_limit = 0;
   std::int64_t max_running = 0;
   std::int64_t max_queued = 0;
   std::int64_t outcome_entries = 0;
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -27,6 +27,7 @@
     {"stream_silent", "request endpoint silent_ms events choice reason", "An endpoint has paused a stream; it stays there, or another endpoint is asked to take it over (standby)"},
     {"attempt_failed", "endpoint reason", "An attempt to forward a request ended with an exception"},
     {"request_malformed", "reason", "The header of a request is invalid"},
+    {"no_room_for_callers", "refused closed available_bytes connections max_connections", "Requests that were still arriving were refused, or connections closed, since the last such line, as the process has used up its bytes or connections; at most two lines a second"},
     // Fleet state known to a gateway
     {"configuration_in_force", "version routes revision digest source", "A version of the configuration is active"},
     {"endpoint_up", "endpoint service address", "An endpoint accepts requests"},
--- a/test/stories/caller_connection.cc
+++ b/test/stories/caller_connection.cc
@@ -32,6 +32,8 @@
  public:
   CallerLimits Limits() const override { return CallerLimits{}; }
   bool IsDraining() const override { return false; }
+  ByteBudget& BufferedBytes() override { return this->buffered_bytes; }
+  bool MakeRoom(const CallerConnection& /*asking*/) override { return false; }
 
   asio::awaitable<void> Serve(CallerExchange& exchange) override {
     ++this->served;
@@ -42,6 +44,7 @@
     co_await exchange.Send(200, fields, "done");
   }
 
+  ByteBudget buffered_bytes{std::size_t{64} * 1024 * 1024};
   int served = 0;
 };
 
--- a/test/stories/settings_template.cc
+++ b/test/stories/settings_template.cc
@@ -108,6 +108,17 @@
                  milliseconds(600000));
 }
 
+void LimitsOfTheVmAreTaken() {
+  json fields = PlatformFields();
+  const Settings missing = ParseSettings(RenderTemplate(fields));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{160}, missing.memory_limit);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{65536}, missing.descriptor_limit);
+  fields["limits"] = {{"memoryMb", 260}, {"maxFds", 4100}};
+  const Settings stated = ParseSettings(RenderTemplate(fields));
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{260}, stated.memory_limit);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{4100}, stated.descriptor_limit);
+}
+
 void AMissingRegionIsEmpty() {
   json fields = PlatformFields();
   fields.erase("region");
@@ -157,6 +168,8 @@
                 Then("a fraction is rounded down", FractionsAreRoundedDown),
                 Then("a missing one is replaced by the default",
                      MissingNumbersUseTheDefault),
+                Then("memory and descriptors of the VM are taken",
+                     LimitsOfTheVmAreTaken),
                 Then("a flag is refused with name, value and expectation",
                      AFlagIsNamedWithItsValue)}),
        Section("when other fields are missing",
