A request that arrives while another is in progress is served once

Cause: a read was in progress into memory prepared before the input was consumed; the buffer then starts again at its front, and the bytes that arrive are taken for the ones before. The third of three requests in sequence on one connection was lost and the second served twice.

Change: the connection waits until bytes have arrived and prepares memory for them then. A connection without input holds no read buffer any more.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -259,18 +259,31 @@
   co_await this->Send(status, fields, std::string());
 }
 
+boost::system::error_code CallerConnection::ReadArrived() {
+  boost::system::error_code error;
+  this->socket.non_blocking(true, error);
+  const std::size_t size =
+      this->socket.read_some(this->input.prepare(kReadBytes), error);
+  this->input.commit(size);
+  return error == asio::error::would_block ? boost::system::error_code()
+                                           : error;
+}
+
 void CallerConnection::StartRead() {
   if (this->is_reading || this->is_disconnected ||
       this->input.size() >= kMaxPipelinedBytes || !this->ReserveInput()) {
     return;
   }
   this->is_reading = true;
-  this->socket.async_read_some(
-      this->input.prepare(kReadBytes),
-      [self = this->shared_from_this()](const boost::system::error_code& error,
-                                        std::size_t size) {
+  // Memory for the bytes is prepared once they have arrived: memory prepared
+  // before is invalid if input is consumed meanwhile.
+  this->socket.async_wait(
+      asio::socket_base::wait_read,
+      [self =
+           this->shared_from_this()](const boost::system::error_code& waited) {
         self->is_reading = false;
-        self->input.commit(size);
+        const boost::system::error_code error =
+            waited ? waited : self->ReadArrived();
         const bool was_closing_idle =
             std::exchange(self->is_closing_idle, false);
         if (was_closing_idle && error == asio::error::operation_aborted) {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -178,6 +178,9 @@
   asio::awaitable<void> SendContinue();
   asio::awaitable<void> RejectRequest(unsigned status);
   void StartRead();
+
+  /** Reads what has arrived, without waiting. */
+  boost::system::error_code ReadArrived();
   asio::awaitable<void> Write(std::string bytes);
   std::string FormatHead(unsigned status, const HeaderFieldList& fields) const;
   void Close();
--- a/test/stories/caller_connection.cc
+++ b/test/stories/caller_connection.cc
@@ -37,6 +37,7 @@
 
   asio::awaitable<void> Serve(CallerExchange& exchange) override {
     ++this->served;
+    this->targets += exchange.Request().target();
     constexpr int kRounds = 3;
     for (int round = 0; round < kRounds; ++round)
       co_await asio::post(asio::use_awaitable);
@@ -46,6 +47,7 @@
 
   ByteBudget buffered_bytes{std::size_t{64} * 1024 * 1024};
   int served = 0;
+  std::string targets;  ///< Of all requests, in order.
 };
 
 /** An accepted connection and the client socket connected to it. */
@@ -62,7 +64,11 @@
     this->RunSteps(kMaxSteps);
   }
 
-  void SendRequest() { asio::write(this->caller, asio::buffer(kRequest)); }
+  void SendRequest(const std::string& target = "/a") {
+    std::string request(kRequest);
+    request.replace(request.find("/a"), 2, target);
+    asio::write(this->caller, asio::buffer(request));
+  }
 
   /** Runs at most this many ready handlers, one at a time. */
   void RunSteps(int count) {
@@ -93,6 +99,7 @@
 
   CallerConnection& Connection() { return *this->connection; }
   int Served() const { return this->server.served; }
+  const std::string& Targets() const { return this->server.targets; }
 
  private:
   static asio::awaitable<void> RunConnection(
@@ -134,6 +141,22 @@
   CPPUNIT_FAIL("the connection never became busy with the request");
 }
 
+/** The second request arrives while the first is in progress, and the third
+ * once the second has been read. */
+void RequestsInSequenceAreServedOnce() {
+  for (int steps = 0; steps < kMaxSteps; ++steps) {
+    ConnectedPair pair;
+    pair.SendRequest("/1");
+    pair.RunSteps(steps);
+    pair.SendRequest("/2");
+    pair.RunSteps(2 * kMaxSteps);
+    pair.SendRequest("/3");
+    pair.RunSteps(2 * kMaxSteps);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("after step " + std::to_string(steps),
+                                 std::string("/1/2/3"), pair.Targets());
+  }
+}
+
 void IdleConnectionIsClosed() {
   ConnectedPair pair;
   pair.Connection().CloseIfTimedOut(Clock::now() + std::chrono::hours(1));
@@ -161,6 +184,9 @@
             RequestSentBeforeTimeoutIsAwaited),
        Section("when a request arrives during the idle sweep, at any step",
                {Then("it is answered", IdleSweepKeepsArrivedRequest)}),
+       Section("when requests arrive while others are in progress",
+               {Then("each is served once, in order",
+                     RequestsInSequenceAreServedOnce)}),
        Section(
            "when the connection is aborted before it is busy",
            {Then("the request is not served", AbortedRequestIsNotServed)})});
