Placing by target latency, a model of engine memory, a lower load bound for short prompts

Cause: a short prompt waited at its cache behind long ones past its target latency, as the cost of an endpoint knew no time; prompts counted as cached by age alone, also after a new process at the same address, and the segments before one that a peer had announced counted as uncached. Shared prompts under 3,000 tokens leave an endpoint at 1.35 times the mean load, long ones at 1.6 (1.5 for both before). Existing test changed: standby_attempt passes the new argument of EndpointReservation; engine_replay's harness counts the time to the first event as the gateway does.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -16,6 +16,8 @@
 #include <vector>
 
 #include "buckthornpath/endpoint_availability.h"
+#include "buckthornpath/engine_memory.h"
+#include "buckthornpath/prefill_speed.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/strong_id_type.h"
 
@@ -37,12 +39,6 @@
   bool operator==(const EndpointEntry&) const = default;
 };
 
-/** Segment of a prompt that several requests may have in common. */
-struct PromptSegment {
-  std::uint64_t id = 0;
-  std::uint32_t tokens = 0;
-};
-
 /** Prompt segment and an endpoint that has processed it. */
 struct SegmentLocation {
   EndpointId endpoint;
@@ -74,6 +70,8 @@
   /** The service takes no prompts: its requests are short, and its few
    * endpoints queue those beyond their slots. */
   bool is_plain = false;
+  /** Time within which the first token is wanted; 0 if none is stated. */
+  std::chrono::milliseconds target_latency{};
 };
 
 /** Endpoint with its estimated load and health. */
@@ -100,6 +98,12 @@
   /** @return Estimated prompt tokens of this process that wait for prefill. */
   std::int64_t OwnPrefillTokens() const { return this->own_prefill_tokens; }
 
+  /** @return Estimated prompt tokens that wait for prefill, from all gateways.
+   */
+  std::int64_t PrefillBacklog() const {
+    return this->own_prefill_tokens + this->peer_prefill_tokens;
+  }
+
  private:
   friend class EndpointSelector;
 
@@ -113,7 +117,7 @@
   std::int64_t own_at_report = 0;
   TimePoint reported_at{};
   double failure_rate = 0;  ///< Exponential moving average, 0 to 1.
-  std::unordered_map<std::uint64_t, TimePoint> segment_prefilled_at;
+  EngineMemory memory;
 };
 
 using EndpointHandle = std::shared_ptr<EndpointState>;
@@ -121,9 +125,12 @@
 /** Limits for the choice of an endpoint. */
 struct EndpointSelectorLimits {
   /** Maximum load relative to the service's mean; the platform allows 2. */
-  double max_mean_multiple = 1.5;
+  double max_mean_multiple = 1.6;
   /** Requests allowed above that multiple, whatever the mean. */
   double mean_slack = 2.5;
+  /** The multiple for requests whose shared prompt is short: they leave the
+   * room up to the maximum to those that cost more at another endpoint. */
+  double short_mean_multiple = 1.35;
   /** Fraction of an endpoint's slots reserved for priority 0. */
   double urgent_reserve = 0.15;
   /** Requests that may wait in the queue of an endpoint that has their prompt
@@ -202,11 +209,22 @@
 
   /**
    * Records that a request is sent to an endpoint.
+   * @param output_tokens Expected length of the response; 0 if unknown.
    * @return Prompt tokens that the endpoint is expected to prefill for it.
    */
   std::int64_t RecordStart(EndpointState& endpoint,
                            std::span<const PromptSegment> segments,
-                           TimePoint now);
+                           TimePoint now,
+                           std::int64_t output_tokens = 0);
+
+  /** Sets the memory of each engine of a service; 0 if unknown. */
+  void SetEngineMemory(const ServiceName& service,
+                       std::int64_t capacity_tokens) {
+    this->memory_uses[service].SetCapacity(capacity_tokens);
+  }
+
+  /** Sets over how many gateways, this one included, requests are spread. */
+  void SetGatewayCount(std::size_t count) { this->gateway_count = count; }
 
   /** Records that a peer has sent a prompt segment to an endpoint. */
   void RecordSegment(const SegmentLocation& place, TimePoint now);
@@ -239,9 +257,14 @@
   void RecordHoldingTime(const ServiceName& service,
                          std::chrono::milliseconds time);
 
-  /** Records how long the prompt of a request has waited for its prefill. */
+  /**
+   * Records how long the prompt of a request has waited for its prefill.
+   * @param backlog Prompt tokens that waited at its endpoint once it had
+   *     started, its own included.
+   */
   void RecordPrefillTime(const ServiceName& service,
-                         std::chrono::milliseconds time);
+                         std::chrono::milliseconds time,
+                         std::int64_t backlog);
 
   void RecordResult(EndpointState& endpoint,
                     EndpointResult result,
@@ -278,6 +301,7 @@
   struct ServiceTimes {
     MeanTime holding;
     MeanTime prefill;
+    PrefillSpeed prefill_speed;
   };
 
   /**
@@ -300,7 +324,7 @@
     std::vector<EndpointHandle> usable;
     std::vector<EndpointHandle> suspect;
     for (const EndpointHandle& endpoint : this->EndpointsOf(query.service)) {
-      if (!this->IsEligible(*endpoint, query, basis) || !room(*endpoint))
+      if (!this->IsEligible(*endpoint, query, basis, now) || !room(*endpoint))
         continue;
       const EndpointUse use = endpoint->availability.StateAt(now).use;
       if (use != EndpointUse::kNever)
@@ -328,11 +352,15 @@
                                 const PeerBasis& basis);
   /** @return True if it is better to wait for a slot of this endpoint than to
    * prefill the prompt at another one. */
-  static bool MayQueueAt(const EndpointState& endpoint,
-                         const EndpointQuery& query);
+  bool MayQueueAt(const EndpointState& endpoint,
+                  const EndpointQuery& query,
+                  TimePoint now) const;
   bool IsEligible(const EndpointState& endpoint,
                   const EndpointQuery& query,
-                  const PeerBasis& basis) const;
+                  const PeerBasis& basis,
+                  TimePoint now) const;
+  EngineMemory::Moment MemoryMoment(const EndpointState& endpoint,
+                                    TimePoint now) const;
   EndpointHandle ChooseFrom(const std::vector<EndpointHandle>& usable,
                             const EndpointQuery& query,
                             const PeerBasis& basis,
@@ -346,6 +374,7 @@
 
   FailureDomainId own_domain;
   EndpointSelectorLimits limits;
+  std::size_t gateway_count = 1;
   TimePoint peer_loads_at{};  ///< Zero: the loads are always current.
   std::unordered_map<ServiceName, ServiceTimes> times;
   /** What endpoints have said, published or not. */
@@ -353,6 +382,7 @@
   std::map<EndpointId, EndpointHandle> endpoints;
   std::unordered_map<ServiceName, std::vector<EndpointHandle>>
       endpoints_by_service;
+  std::unordered_map<ServiceName, EngineMemoryUse> memory_uses;
   std::vector<SegmentLocation>
       unannounced_segments;  ///< Not yet announced to peers.
 };
--- a/include/buckthornpath/routing_table.h
+++ b/include/buckthornpath/routing_table.h
@@ -62,6 +62,9 @@
 struct ServiceConfig {
   ServiceName name;
   std::size_t max_connections = 0;  ///< Per endpoint, from all VMs.
+  /** Memory of each model engine, for running requests and cached prompts; 0
+   * if unknown. */
+  std::size_t engine_memory_tokens = 0;
 };
 
 /** Customer that owns API keys. */
@@ -107,6 +110,10 @@
   /** @return The configuration of a service, or null. */
   const ServiceConfig* FindService(const ServiceName& name) const;
 
+  const std::vector<ServiceConfig>& Services() const {
+    return this->parts.services;
+  }
+
   std::uint64_t Version() const { return this->parts.version; }
   bool RequiresApiKeys() const { return !this->parts.organisations.empty(); }
   const CallerLimits& Limits() const { return this->parts.limits; }
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -12,6 +12,8 @@
 #include <tuple>
 #include <utility>
 
+#include "buckthornpath/placement_estimate.h"
+
 namespace buckthornpath {
 
 namespace {
@@ -21,13 +23,6 @@
 /** Slots of an endpoint that publishes no number. */
 constexpr std::size_t kDefaultSlots = 16;
 
-/** Time for which an engine is assumed to cache a prompt segment. */
-constexpr std::chrono::seconds kPrefixCacheLifetime{60};
-
-/** Maximum segments tracked per endpoint. Limits the memory of this process;
- * the cache of the engine may hold fewer or more. */
-constexpr std::size_t kMaxTrackedSegments = 4096;
-
 /** Limit of remembered statements of endpoints. */
 constexpr std::size_t kMaxStatements = 4096;
 
@@ -44,49 +39,14 @@
 /** Smoothing factor of the failure rate, per request. */
 constexpr double kFailureRateSmoothing = 0.15;
 
-/** Cost of one running request, in prompt tokens: it lengthens each decode
- * step, for every stream, by about a hundredth of the prefill time of 100
- * tokens. */
-constexpr double kRunningRequestCost = 150.0;
-
-/** Cost of one running request of a plain service, in the same unit:
- * a difference of a few requests outweighs the distance. */
-constexpr double kPlainRequestCost = 1000.0;
-
-/** Cost of a different failure domain, in prompt tokens: about half a
- * millisecond of latency each way. */
-constexpr double kCrossDomainCost = 100.0;
-
-/** Cost of a failure rate of 1, in prompt tokens. */
-constexpr double kFailureCost = 60000.0;
-
-/** Cost of an endpoint that is warming up, in prompt tokens: the delay of a
- * long prompt at half the prefill speed. */
-constexpr double kWarmUpCost = 10000.0;
-
-/** Cost of each token of a shared prefix that is not cached, in prompt tokens:
- * prefilling it again delays every stream of the endpoint and evicts other
- * segments. With this weight a chat's prompt of 700 tokens waits at its home
- * endpoint behind one prompt of 12,000 tokens, about 0.1 s, but not behind
- * two. */
-constexpr double kUncachedTokenCost = 25.0;
+/** Share of a target latency that may pass before the first token by estimate:
+ * what other gateways have sent is known late. */
+constexpr double kTargetShare = 0.5;
 
 /** Minimum size of a cached segment for which a request waits at its endpoint:
  * prefilling it elsewhere delays all streams there for longer. */
 constexpr std::uint32_t kMinQueuedSegmentTokens = 1000;
 
-/** Fraction of that cost that is waived at a segment's home endpoint while the
- * segment is not known to be cached there. */
-constexpr double kHomeDiscount = 0.8;
-
-/** @return The last segment that requests of one chat or document share, or
- * null. */
-const PromptSegment* LastSharedSegment(
-    std::span<const PromptSegment> segments) {
-  // The last segment is unique to the request.
-  return segments.size() < 2 ? nullptr : &segments[segments.size() - 2];
-}
-
 double ToSeconds(std::chrono::steady_clock::duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -134,6 +94,10 @@
   EndpointHandle& endpoint = this->endpoints[entry.id];
   if (endpoint && endpoint->entry.service == entry.service &&
       endpoint->entry.address == entry.address) {
+    // A new process has an empty cache.
+    if (endpoint->entry.born_ms != 0 &&
+        endpoint->entry.born_ms != entry.born_ms)
+      endpoint->memory = {};
     endpoint->entry = entry;
     endpoint->availability.SetDraining(entry.leaving);
     this->RestoreStatement(*endpoint);
@@ -214,7 +178,8 @@
 
 const EndpointSelector::ServiceTimes EndpointSelector::kDefaultTimes = {
     {kDefaultHoldingSeconds},
-    {kDefaultPrefillSeconds}};
+    {kDefaultPrefillSeconds},
+    {}};
 
 void EndpointSelector::MeanTime::Add(milliseconds time) {
   this->samples = std::min(this->samples + 1, kMeanTimeSamples);
@@ -232,8 +197,11 @@
 }
 
 void EndpointSelector::RecordPrefillTime(const ServiceName& service,
-                                         milliseconds time) {
-  this->TimesOf(service).prefill.Add(time);
+                                         milliseconds time,
+                                         std::int64_t backlog) {
+  ServiceTimes& mean = this->TimesOf(service);
+  mean.prefill.Add(time);
+  mean.prefill_speed.Record(static_cast<double>(backlog), time);
 }
 
 EndpointSelector::PeerBasis EndpointSelector::BasisOf(
@@ -278,16 +246,18 @@
 }
 
 bool EndpointSelector::MayQueueAt(const EndpointState& endpoint,
-                                  const EndpointQuery& query) {
+                                  const EndpointQuery& query,
+                                  TimePoint now) const {
   const PromptSegment* shared = LastSharedSegment(query.segments);
   return query.priority != 0 && shared != nullptr &&
          shared->tokens >= kMinQueuedSegmentTokens &&
-         endpoint.segment_prefilled_at.contains(shared->id);
+         endpoint.memory.Holds(shared->id, this->MemoryMoment(endpoint, now));
 }
 
 bool EndpointSelector::IsEligible(const EndpointState& endpoint,
                                   const EndpointQuery& query,
-                                  const PeerBasis& basis) const {
+                                  const PeerBasis& basis,
+                                  TimePoint now) const {
   if (std::find(query.excluded.begin(), query.excluded.end(),
                 endpoint.entry.id) != query.excluded.end()) {
     return false;
@@ -298,7 +268,7 @@
     limit *= this->limits.plain_slots_multiple;
   if (query.priority != 0)
     limit *= 1 - this->limits.urgent_reserve;
-  if (MayQueueAt(endpoint, query))
+  if (MayQueueAt(endpoint, query, now))
     limit += this->limits.cached_queue_multiple * slots;
   return RequestsAt(endpoint, basis) + 1 <= std::max(limit, 1.0);
 }
@@ -333,34 +303,36 @@
                                       const PeerBasis& basis,
                                       bool is_home,
                                       TimePoint now) const {
-  double cost = PrefillTokensAt(endpoint, basis);
-  double running = RequestsAt(endpoint, basis);
+  PlacementInputs inputs{
+      .prefill_backlog = PrefillTokensAt(endpoint, basis),
+      .running_requests = RequestsAt(endpoint, basis),
+      .failure_rate = endpoint.failure_rate,
+      .is_plain = query.is_plain,
+      .is_home = is_home,
+      .is_other_domain = endpoint.entry.failure_domain != this->own_domain,
+      .is_warming_up = endpoint.entry.warm_up_remaining > milliseconds(0)};
   if (now - endpoint.reported_at < kMaxLoadReportAge) {
-    running = std::max(running, static_cast<double>(endpoint.reported_load +
-                                                    endpoint.OwnRequests() -
-                                                    endpoint.own_at_report));
+    inputs.running_requests = std::max(
+        inputs.running_requests,
+        static_cast<double>(endpoint.reported_load + endpoint.OwnRequests() -
+                            endpoint.own_at_report));
   }
-  cost += (query.is_plain ? kPlainRequestCost : kRunningRequestCost) * running;
-  // Endpoints of a plain service are few, and a failure domain may have more of
-  // its callers than of its endpoints.
-  if (!query.is_plain && endpoint.entry.failure_domain != this->own_domain)
-    cost += kCrossDomainCost;
-  cost += kFailureCost * endpoint.failure_rate;
-  if (endpoint.entry.warm_up_remaining > milliseconds(0))
-    cost += kWarmUpCost;
   const PromptSegment* shared = LastSharedSegment(query.segments);
   if (shared == nullptr)
-    return cost;
-  double shared_tokens = 0;
-  for (const PromptSegment& segment :
-       query.segments.first(query.segments.size() - 1))
-    shared_tokens += segment.tokens;
-  const auto prefilled = endpoint.segment_prefilled_at.find(shared->id);
-  if (prefilled != endpoint.segment_prefilled_at.end() &&
-      now - prefilled->second < kPrefixCacheLifetime)
-    return cost;
-  const double discount = is_home ? kHomeDiscount : 0.0;
-  return cost + (1 - discount) * kUncachedTokenCost * shared_tokens;
+    return PlacementCost(inputs);
+  inputs.own_tokens = query.segments.back().tokens;
+  if (!endpoint.memory.Holds(shared->id, this->MemoryMoment(endpoint, now))) {
+    for (const PromptSegment& segment :
+         query.segments.first(query.segments.size() - 1))
+      inputs.uncached_tokens += segment.tokens;
+  }
+  const auto mean = this->times.find(query.service);
+  if (query.target_latency > milliseconds(0) && mean != this->times.end()) {
+    inputs.tokens_in_time = mean->second.prefill_speed.TokensWithin(
+        std::chrono::duration_cast<milliseconds>(kTargetShare *
+                                                 query.target_latency));
+  }
+  return PlacementCost(inputs);
 }
 
 EndpointHandle EndpointSelector::ChooseFrom(
@@ -368,9 +340,12 @@
     const EndpointQuery& query,
     const PeerBasis& basis,
     TimePoint now) const {
-  const double load_bound =
-      this->limits.max_mean_multiple * this->MeanRunning(query.service, basis) +
-      this->limits.mean_slack;
+  const PromptSegment* shared = LastSharedSegment(query.segments);
+  const double multiple = IsShortPrompt(query.segments)
+                              ? this->limits.short_mean_multiple
+                              : this->limits.max_mean_multiple;
+  const double load_bound = multiple * this->MeanRunning(query.service, basis) +
+                            this->limits.mean_slack;
   const auto is_over_bound = [&](const EndpointHandle& endpoint) {
     return RequestsAt(*endpoint, basis) + 1 > load_bound;
   };
@@ -381,7 +356,6 @@
     candidates = usable;
   // Rendezvous hashing: all gateways compute the same home endpoint without
   // communication, and the same next one while the home is over the bound.
-  const PromptSegment* shared = LastSharedSegment(query.segments);
   const EndpointHandle* home = nullptr;
   std::uint64_t best_score = 0;
   for (const EndpointHandle& endpoint : candidates) {
@@ -411,30 +385,36 @@
   return best == nullptr ? nullptr : *best;
 }
 
+EngineMemory::Moment EndpointSelector::MemoryMoment(
+    const EndpointState& endpoint,
+    TimePoint now) const {
+  static const EngineMemoryUse kUnknown;
+  const auto found = this->memory_uses.find(endpoint.entry.service);
+  return {found == this->memory_uses.end() ? kUnknown : found->second,
+          static_cast<double>(endpoint.EstimatedRequests()), now};
+}
+
 std::int64_t EndpointSelector::RecordStart(
     EndpointState& endpoint,
     std::span<const PromptSegment> segments,
-    TimePoint now) {
+    TimePoint now,
+    std::int64_t output_tokens) {
   endpoint.availability.RecordRequest(now);
-  std::int64_t uncached_tokens = 0;
-  const PromptSegment* shared = LastSharedSegment(segments);
-  if (endpoint.segment_prefilled_at.size() > kMaxTrackedSegments)
-    endpoint.segment_prefilled_at.clear();
-  bool is_cached = true;
-  for (std::size_t i = 0; i < segments.size(); ++i) {
-    auto [prefilled, added] =
-        endpoint.segment_prefilled_at.try_emplace(segments[i].id, now);
-    const bool is_new =
-        added || now - prefilled->second >= kPrefixCacheLifetime;
-    is_cached = is_cached && !is_new;
-    if (is_new && &segments[i] == shared)
-      this->unannounced_segments.push_back({endpoint.entry.id, shared->id});
-    if (!is_cached)
-      uncached_tokens += segments[i].tokens;
-    prefilled->second = now;
+  const EngineMemory::Change change =
+      endpoint.memory.Use(segments, this->MemoryMoment(endpoint, now));
+  if (change.is_shared_new) {
+    this->unannounced_segments.push_back(
+        {endpoint.entry.id, LastSharedSegment(segments)->id});
+  }
+  const auto use = this->memory_uses.find(endpoint.entry.service);
+  if (use != this->memory_uses.end() && !segments.empty()) {
+    use->second.SetSpread(this->gateway_count,
+                          this->EndpointsOf(endpoint.entry.service).size());
+    use->second.RecordRequest(change.uncached_tokens + output_tokens,
+                              segments.back().tokens + output_tokens);
   }
-  endpoint.own_prefill_tokens += uncached_tokens;
-  return uncached_tokens;
+  endpoint.own_prefill_tokens += change.uncached_tokens;
+  return change.uncached_tokens;
 }
 
 void EndpointSelector::RecordSegment(const SegmentLocation& place,
@@ -442,10 +422,8 @@
   const auto found = this->endpoints.find(place.endpoint);
   if (found == this->endpoints.end())
     return;
-  auto& segments = found->second->segment_prefilled_at;
-  if (segments.size() > kMaxTrackedSegments)
-    segments.clear();
-  segments[place.segment] = now;
+  found->second->memory.RecordPeerUse(place.segment,
+                                      this->MemoryMoment(*found->second, now));
 }
 
 std::vector<SegmentLocation> EndpointSelector::TakeNewSegments() {
--- a/src/gateway/endpoint_reservation.h
+++ b/src/gateway/endpoint_reservation.h
@@ -21,21 +21,26 @@
   EndpointReservation() = default;
 
   /** @param prompt The tokens that the endpoint has to read count until
-   * ReleasePrefill(). */
+   * ReleasePrefill().
+   * @param output_tokens Expected length of the response; 0 if unknown. */
   EndpointReservation(EndpointSelector& selector,
                       EndpointHandle endpoint,
                       const std::vector<PromptSegment>& prompt,
+                      std::int64_t output_tokens,
                       TimePoint now)
       : selector(&selector),
         endpoint(std::move(endpoint)),
         time(now),
-        prefill_tokens(selector.RecordStart(*this->endpoint, prompt, now)) {}
+        prefill_tokens(
+            selector.RecordStart(*this->endpoint, prompt, now, output_tokens)),
+        prefill_backlog(this->endpoint->PrefillBacklog()) {}
 
   EndpointReservation(EndpointReservation&& other) noexcept
       : selector(other.selector),
         endpoint(std::exchange(other.endpoint, nullptr)),
         time(other.time),
-        prefill_tokens(std::exchange(other.prefill_tokens, 0)) {}
+        prefill_tokens(std::exchange(other.prefill_tokens, 0)),
+        prefill_backlog(other.prefill_backlog) {}
 
   EndpointReservation& operator=(EndpointReservation&& other) noexcept {
     if (this == &other)
@@ -45,6 +50,7 @@
     this->endpoint = std::exchange(other.endpoint, nullptr);
     this->time = other.time;
     this->prefill_tokens = std::exchange(other.prefill_tokens, 0);
+    this->prefill_backlog = other.prefill_backlog;
     return *this;
   }
 
@@ -54,6 +60,10 @@
   const EndpointHandle& Endpoint() const { return this->endpoint; }
   TimePoint Time() const { return this->time; }
 
+  /** @return Prompt tokens that waited at the endpoint when the request was
+   * sent, its own included. */
+  std::int64_t PrefillBacklog() const { return this->prefill_backlog; }
+
   /** Takes the prompt's tokens off the endpoint's prefill backlog. */
   void ReleasePrefill() {
     if (this->endpoint) {
@@ -75,6 +85,7 @@
   EndpointHandle endpoint;
   TimePoint time{};
   std::int64_t prefill_tokens = 0;
+  std::int64_t prefill_backlog = 0;
 };
 
 }  // namespace buckthornpath
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -217,8 +217,9 @@
 EndpointReservation ForwardSession::TryReserve(
     const std::vector<EndpointId>& excluded) {
   const EndpointQuery query{
-      this->request.service, this->request.metadata.segments,
-      this->request.priority, excluded, this->request.IsPlain()};
+      this->request.service,   this->request.metadata.segments,
+      this->request.priority,  excluded,
+      this->request.IsPlain(), this->request.route->target_latency};
   const auto now = Clock::now();
   EndpointHandle chosen = this->state.selector.Choose(
       query, now, [this](const EndpointState& endpoint) {
@@ -227,7 +228,8 @@
   if (!chosen)
     return {};
   return {this->state.selector, std::move(chosen),
-          this->request.metadata.segments, now};
+          this->request.metadata.segments, this->request.metadata.output_tokens,
+          now};
 }
 
 bool ForwardSession::IsQuarantined() const {
@@ -477,8 +479,9 @@
 
 void ForwardSession::RecordResponseHead(EndpointState& endpoint) {
   const auto now = Clock::now();
-  this->state.selector.RecordPrefillTime(
-      this->request.service, Elapsed(this->reservation.Time(), now));
+  this->state.selector.RecordPrefillTime(this->request.service,
+                                         Elapsed(this->reservation.Time(), now),
+                                         this->reservation.PrefillBacklog());
   this->reservation.ReleasePrefill();
   this->state.selector.RecordResponseData(endpoint, now);
   if (this->response.load)
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -142,6 +142,7 @@
   if (count == this->gateway_count)
     return;
   this->gateway_count = count;
+  this->selector.SetGatewayCount(count);
   for (auto& [service, queue] : this->queues)
     queue.retry_budget.SetCapacity(this->RetryBurst());
 }
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -35,6 +35,7 @@
   std::string api_key;  ///< Empty if there is none.
   std::optional<std::chrono::milliseconds> deadline;  ///< Set by the caller.
   std::vector<PromptSegment> segments;                ///< In prompt order.
+  std::uint32_t output_tokens = 0;  ///< Most that it may generate; 0: unknown.
 };
 
 /** Values that the gateway sets in the header of a forwarded request. */
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -342,6 +342,10 @@
     return;
   LogLine(LogLevel::kNotice, "configuration_in_force",
           {{"version", table->Version()}, {"routes", table->RouteCount()}});
+  for (const ServiceConfig& service : table->Services()) {
+    this->state.selector.SetEngineMemory(
+        service.name, static_cast<std::int64_t>(service.engine_memory_tokens));
+  }
   this->state.table = std::move(table);
 }
 
--- a/test/harness/engine_replay.cc
+++ b/test/harness/engine_replay.cc
@@ -3,6 +3,7 @@
 #include "harness/engine_replay.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <list>
 #include <map>
@@ -46,6 +47,7 @@
   EndpointHandle endpoint;  ///< As the gateway knows it; null while it waits.
   TimePoint started_at{};
   std::int64_t expected_prefill = 0;
+  std::int64_t backlog = 0;  ///< Prompt tokens ahead, as the gateway knew.
   double prefill_left = 0;
   double decode_left = 0;
   bool is_decoding = false;
@@ -102,9 +104,18 @@
   explicit EngineReplay(const EngineReplayPlan& plan)
       : plan(plan), random(plan.seed), waiting(plan.gateways) {
     this->result.classes.resize(plan.classes.size());
+    for (const ReplayClass& kind : plan.classes) {
+      std::vector<double> weights;
+      for (std::size_t n = 1; n <= kind.prompts; ++n)
+        weights.push_back(std::pow(static_cast<double>(n), -kind.skew));
+      this->popularities.emplace_back(weights.begin(), weights.end());
+    }
     this->engines.assign(plan.engines, ModelEngine(plan.cache_tokens));
     for (std::size_t i = 0; i < plan.gateways; ++i) {
       this->selectors.emplace_back(ReplayDomain(i), plan.limits);
+      this->selectors.back().SetGatewayCount(plan.gateways);
+      this->selectors.back().SetEngineMemory(
+          kService, static_cast<std::int64_t>(plan.known_memory_tokens));
       for (std::size_t e = 0; e < plan.engines; ++e)
         this->selectors.back().Publish(
             ReplayEntry(kService, e, this->plan.slots));
@@ -169,7 +180,8 @@
       this->selectors[request->gateway].RecordPrefillEnd(
           *request->endpoint, std::exchange(request->expected_prefill, 0));
       this->selectors[request->gateway].RecordPrefillTime(
-          kService, this->Elapsed(request->started_at));
+          kService, this->Elapsed(request->started_at) + kFirstEvent,
+          request->backlog);
       this->selectors[request->gateway].RecordResponseData(*request->endpoint,
                                                            this->now);
     }
@@ -195,6 +207,8 @@
     const ReplayClass& kind = this->plan.classes[request.kind];
     ReplayClassResult& counts = this->result.classes[request.kind];
     const auto first_event = request.first_event_at - request.arrived_at;
+    counts.first_events.push_back(
+        std::chrono::duration_cast<milliseconds>(first_event));
     if (this->Elapsed(request.arrived_at) > kind.deadline) {
       return;
     }
@@ -223,7 +237,7 @@
     request->gateway = this->random() % this->plan.gateways;
     const bool is_hot =
         std::uniform_real_distribution<double>()(this->random) < kind.hot_share;
-    const std::uint64_t prompt = is_hot ? 0 : this->random() % kind.prompts;
+    const std::uint64_t prompt = is_hot ? 0 : this->SamplePrompt(kind_number);
     request->segments = {{kind_number * 1000000 + prompt, kind.shared_tokens},
                          {this->random() | (1ULL << 63), kind.own_tokens}};
     request->arrived_at = this->now;
@@ -237,13 +251,21 @@
       queue.emplace(kind.priority, request);
   }
 
+  std::uint64_t SamplePrompt(std::size_t kind_number) {
+    const ReplayClass& kind = this->plan.classes[kind_number];
+    if (kind.skew == 0)
+      return this->random() % kind.prompts;
+    return this->popularities[kind_number](this->random);
+  }
+
   bool TryStart(const RequestPtr& request) {
     EndpointSelector& selector = this->selectors[request->gateway];
     const EndpointQuery query{kService,
                               request->segments,
                               this->plan.classes[request->kind].priority,
                               {},
-                              false};
+                              false,
+                              this->plan.classes[request->kind].target};
     const EndpointHandle chosen = selector.Choose(
         query, this->now, [](const EndpointState&) { return true; });
     if (!chosen)
@@ -259,6 +281,7 @@
     request->started_at = this->now;
     request->expected_prefill =
         selector.RecordStart(*chosen, request->segments, this->now);
+    request->backlog = chosen->PrefillBacklog();
     engine.queued.emplace(query.priority, request);
     return true;
   }
@@ -355,6 +378,7 @@
     for (std::size_t k = 0; k < this->plan.classes.size(); ++k) {
       const ReplayClass& kind = this->plan.classes[k];
       ReplayClassResult& counts = this->result.classes[k];
+      std::sort(counts.first_events.begin(), counts.first_events.end());
       const double class_earned =
           kind.worth * static_cast<double>(counts.on_time) +
           kind.late_worth * static_cast<double>(counts.late);
@@ -390,6 +414,7 @@
   EngineReplayPlan plan;
   std::mt19937_64 random;
   std::deque<EndpointSelector> selectors;
+  std::vector<std::discrete_distribution<std::uint64_t>> popularities;
   std::vector<ModelEngine> engines;
   std::vector<std::multimap<int, RequestPtr>> waiting;  ///< By gateway.
   std::deque<Report> reports;
@@ -402,6 +427,13 @@
 
 }  // namespace
 
+milliseconds ReplayClassResult::FirstEventAt(double quantile) const {
+  if (this->first_events.empty())
+    return milliseconds(0);
+  const auto last = static_cast<double>(this->first_events.size() - 1);
+  return this->first_events[static_cast<std::size_t>(quantile * last)];
+}
+
 EngineReplayResult ReplayEngines(const EngineReplayPlan& plan) {
   return EngineReplay(plan).Run();
 }
--- a/test/harness/engine_replay.h
+++ b/test/harness/engine_replay.h
@@ -19,6 +19,8 @@
   double requests_per_second = 0;
   std::size_t prompts = 1;  ///< Different shared prompts.
   double hot_share = 0;     ///< Share of requests with the first prompt.
+  /** The n-th prompt is used in proportion to n to the power of -skew. */
+  double skew = 0;
   std::uint32_t shared_tokens = 0;
   std::uint32_t own_tokens = 0;
   std::chrono::milliseconds decode{};    ///< Mean; without prefill beside it.
@@ -39,6 +41,8 @@
   std::size_t queue_length = 48;
   double prefill_tokens_per_ms = 112;
   std::uint64_t cache_tokens = 388999;
+  /** Capacity that the configuration states; 0 if it states none. */
+  std::uint64_t known_memory_tokens = 0;
   std::chrono::milliseconds load_interval{100};
   std::chrono::milliseconds load_delay{100};
   std::chrono::milliseconds duration{15000};
@@ -53,6 +57,10 @@
   std::size_t on_time = 0;
   std::size_t late = 0;
   double worth_share = 0;  ///< Worth earned, relative to that owed.
+  std::vector<std::chrono::milliseconds> first_events;  ///< Sorted.
+
+  /** @return Time to the first event at a quantile. */
+  std::chrono::milliseconds FirstEventAt(double quantile) const;
 };
 
 struct EngineReplayResult {
--- a/test/stories/standby_attempt.cc
+++ b/test/stories/standby_attempt.cc
@@ -42,7 +42,7 @@
 
   std::shared_ptr<StandbyAttempt> MakeAttempt() {
     EndpointReservation reservation(this->state.selector, this->Endpoint(), {},
-                                    Clock::now());
+                                    0, Clock::now());
     ForwardRequest request;
     request.method(boost::beast::http::verb::post);
     request.target("/");
