Plain services: no refusals beside free slots after a wave

Cause: the admission ratio of a gateway follows its own few responses and grows by 0.15 a second, so it stays low for seconds after a wave of requests has passed.

Change: AdmissionRatio::TryAdmit() gets the estimated requests per slot of the endpoint with the fewest and refuses nothing under 1.5. EndpointSelector::LeastRequestsPerSlot() takes it from the loads that gateways exchange already, unless these are older than the route's target latency: then the ratio alone decides, as before. load_replay learns waves, slow phases, and counts refusals beside slots.

--- a/include/buckthornpath/admission_ratio.h
+++ b/include/buckthornpath/admission_ratio.h
@@ -5,6 +5,7 @@
 #define BUCKTHORNPATH_ADMISSION_RATIO_H_
 
 #include <chrono>
+#include <optional>
 
 namespace buckthornpath {
 
@@ -16,7 +17,10 @@
  * its share when its own responses are slow or its requests are refused, and
  * raises it otherwise (additive increase, multiplicative decrease). The
  * decrease follows the share of slow responses, as a single one is no sign of
- * overload: work differs in length. Does no I/O. Not thread-safe.
+ * overload: work differs in length. A wave of requests that has passed leaves
+ * the share low for seconds; so nothing is refused while the requests at some
+ * endpoint, by the loads that gateways exchange, hardly exceed its slots. Does
+ * no I/O. Not thread-safe.
  */
 class AdmissionRatio {
  public:
@@ -24,9 +28,11 @@
 
   /**
    * Decides on a new request. Admitted requests are evenly spread.
+   * @param requests_per_slot Estimate for the endpoint with the fewest; empty
+   *     if unknown.
    * @return False if the request is to be refused at once.
    */
-  bool TryAdmit(TimePoint now);
+  bool TryAdmit(std::optional<double> requests_per_slot, TimePoint now);
 
   /** Records a response. @param target Time that it should have taken. */
   void RecordResponse(std::chrono::milliseconds took,
--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -265,6 +265,13 @@
   void SetPeerLoadsTime(TimePoint time) { this->peer_loads_at = time; }
   TimePoint PeerLoadsTime() const { return this->peer_loads_at; }
 
+  /** @return Estimated requests per slot at the endpoint with the fewest that
+   * may be used now; empty if there is none, or if the loads of other gateways
+   * are older than `max_age`. */
+  std::optional<double> LeastRequestsPerSlot(const ServiceName& service,
+                                             std::chrono::milliseconds max_age,
+                                             TimePoint now) const;
+
   /** @return Estimated occupied share of a service's slots: 0 when idle, above
    * 1 when overloaded, 1 for a service without slots. */
   double Utilisation(const ServiceName& service) const;
--- a/src/decision/admission_ratio.cc
+++ b/src/decision/admission_ratio.cc
@@ -30,16 +30,21 @@
 /** Responses that the moving mean of this share spans. */
 constexpr double kResponsesInMean = 10.0;
 
+/** Requests per slot up to which an endpoint has capacity: those beyond its
+ * slots wait for half the time of one request, on average. */
+constexpr double kQueueingPerSlot = 1.5;
+
 /** Minimum ratio, so that responses keep arriving. */
 constexpr double kMinRatio = 0.1;
 
 }  // namespace
 
-bool AdmissionRatio::TryAdmit(TimePoint now) {
+bool AdmissionRatio::TryAdmit(std::optional<double> requests_per_slot,
+                              TimePoint now) {
   this->Raise(now);
   this->credit = std::min(this->credit + this->ratio, 1.0 + this->ratio);
   if (this->credit < 1.0)
-    return false;
+    return requests_per_slot && *requests_per_slot < kQueueingPerSlot;
   this->credit -= 1.0;
   return true;
 }
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -325,6 +325,24 @@
   return count > 0 ? total / count : 0;
 }
 
+std::optional<double> EndpointSelector::LeastRequestsPerSlot(
+    const ServiceName& service,
+    milliseconds max_age,
+    TimePoint now) const {
+  if (this->peer_loads_at != TimePoint{} && now - this->peer_loads_at > max_age)
+    return std::nullopt;
+  const PeerBasis basis = this->BasisOf(service, now);
+  std::optional<double> least;
+  for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
+    if (endpoint->availability.StateAt(now).use != EndpointUse::kNormal)
+      continue;
+    const double requests =
+        RequestsAt(*endpoint, basis) / static_cast<double>(SlotsOf(*endpoint));
+    least = std::min(least.value_or(requests), requests);
+  }
+  return least;
+}
+
 double EndpointSelector::Utilisation(const ServiceName& service) const {
   double running = 0;
   double slots = 0;
--- a/src/gateway/forward_wait.cc
+++ b/src/gateway/forward_wait.cc
@@ -35,8 +35,16 @@
 bool ForwardSession::IsAdmitted() {
   // The endpoints of a service with prompts state their load and are chosen
   // within their slots.
-  return !this->request.IsPlain() || this->state.QueueOf(this->request.service)
-                                         .admission.TryAdmit(Clock::now());
+  if (!this->request.IsPlain())
+    return true;
+  const auto now = Clock::now();
+  const ServiceName& service = this->request.service;
+  // By older loads all gateways would admit for longer than the target latency
+  // and then refuse as long.
+  return this->state.QueueOf(service).admission.TryAdmit(
+      this->state.selector.LeastRequestsPerSlot(
+          service, TargetOf(*this->request.route), now),
+      now);
 }
 
 WaitingRequest ForwardSession::MakeWaitingRequest() const {
--- a/test/harness/load_replay.cc
+++ b/test/harness/load_replay.cc
@@ -3,6 +3,8 @@
 #include "harness/load_replay.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 #include <set>
 #include <string>
 
@@ -18,6 +20,7 @@
 
 const ServiceName kService("service");
 constexpr milliseconds kStep{1};
+constexpr double kWaveSeconds = 15.0;
 constexpr double kMillisecondsPerSecond = 1000.0;
 
 struct RunningRequest {
@@ -70,7 +73,11 @@
 
  private:
   void StartRequests() {
-    const double clumps_per_step = this->plan.requests_per_second /
+    const double seconds =
+        std::chrono::duration<double>(this->now.time_since_epoch()).count();
+    const double wave = 1 + this->plan.wave * std::sin(2 * std::numbers::pi *
+                                                       seconds / kWaveSeconds);
+    const double clumps_per_step = wave * this->plan.requests_per_second /
                                    static_cast<double>(this->plan.clump) /
                                    kMillisecondsPerSecond;
     std::poisson_distribution<int> clumps(clumps_per_step);
@@ -85,7 +92,12 @@
   void StartRequest(std::size_t gateway) {
     ++this->result.requests;
     AdmissionRatio& ratio = this->ratios[gateway];
-    if (this->plan.target.count() > 0 && !ratio.TryAdmit(this->now)) {
+    if (this->plan.target.count() > 0 &&
+        !ratio.TryAdmit(this->selectors[gateway].LeastRequestsPerSlot(
+                            kService, this->plan.target, this->now),
+                        this->now)) {
+      const double taken = this->TakenShare();
+      this->result.refused_beside_slots += taken < 0.8 ? 1 : 0;
       ++this->result.refused;
       return;
     }
@@ -131,6 +143,28 @@
     return milliseconds(1 + static_cast<std::int64_t>(work(this->random)));
   }
 
+  /** @return Share of all slots that are taken. */
+  double TakenShare() const {
+    std::size_t running = 0;
+    for (const ModelEndpoint& endpoint : this->endpoints)
+      running += endpoint.running.size();
+    return static_cast<double>(running) /
+           static_cast<double>(this->plan.slots * this->plan.endpoints);
+  }
+
+  /** @return How much longer work takes at an endpoint now: each is slow in
+   * turn, for a part of the time. */
+  double SlowdownOf(const ModelEndpoint& endpoint) const {
+    constexpr std::int64_t kSlowPeriodMs = 600;
+    constexpr std::int64_t kSlowMs = 90;
+    const auto tick =
+        std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch())
+            .count();
+    const auto number = &endpoint - this->endpoints.data();
+    const auto phase = (tick + number * 200) % kSlowPeriodMs;
+    return phase < kSlowMs ? this->plan.slowdown : 1.0;
+  }
+
   void CheckBound(const ModelEndpoint& endpoint) {
     double total = 0;
     for (const ModelEndpoint& other : this->endpoints)
@@ -147,7 +181,9 @@
       endpoint.queued.pop_front();
       this->result.waits.push_back(std::chrono::duration_cast<milliseconds>(
           this->now - request.started_at));
-      request.ends_at = this->now + request.work;
+      request.ends_at =
+          this->now + std::chrono::duration_cast<milliseconds>(
+                          request.work * this->SlowdownOf(endpoint));
       endpoint.running.push_back(std::move(request));
     }
   }
@@ -165,6 +201,7 @@
         this->ratios[request.gateway].RecordResponse(took, this->plan.target,
                                                      this->now);
         ++this->result.served;
+        this->result.in_target += took <= this->plan.target ? 1 : 0;
         return true;
       });
       this->FillSlots(endpoint);
--- a/test/harness/load_replay.h
+++ b/test/harness/load_replay.h
@@ -23,6 +23,11 @@
   /** Requests of a chat that arrive at the same moment. */
   std::size_t clump = 3;
   std::chrono::milliseconds mean_work{30};
+  /** Part by which the load rises and falls, in waves of 15 s. */
+  double wave = 0;
+  /** How much longer work takes that starts in a slow phase; each endpoint has
+   * one of 90 ms every 600 ms. */
+  double slowdown = 1;
   /** Interval at which gateways learn the loads of all, and how old these are
    * then. */
   std::chrono::milliseconds load_interval{200};
@@ -40,7 +45,10 @@
 struct ReplayResult {
   std::size_t requests = 0;
   std::size_t refused = 0;  ///< By a gateway.
+  /** Refused by a gateway while under 80% of the slots were taken. */
+  std::size_t refused_beside_slots = 0;
   std::size_t served = 0;
+  std::size_t in_target = 0;   ///< Served within the target.
   std::size_t shed = 0;        ///< Refused by an endpoint as full.
   std::size_t over_bound = 0;  ///< Above twice the mean load plus three.
   std::vector<std::chrono::milliseconds> waits;  ///< For a slot; sorted.
--- a/test/stories/load_replay.cc
+++ b/test/stories/load_replay.cc
@@ -16,12 +16,13 @@
 
 void Print(const char* name, const ReplayResult& result) {
   std::cout << name << ": " << result.requests << " requests, "
-            << result.refused << " refused, " << result.shed << " shed, "
-            << result.served << " served, " << result.over_bound
-            << " over the bound, wait p50 " << result.WaitAt(0.5).count()
-            << " ms, p99 " << result.WaitAt(0.99).count()
-            << " ms, prompts read again " << result.prefilled_again
-            << std::endl;
+            << result.refused << " refused (" << result.refused_beside_slots
+            << " beside slots), " << result.shed << " shed, " << result.served
+            << " served, " << result.in_target << " in target, "
+            << result.over_bound << " over the bound, wait p50 "
+            << result.WaitAt(0.5).count() << " ms, p99 "
+            << result.WaitAt(0.99).count() << " ms, prompts read again "
+            << result.prefilled_again << std::endl;
 }
 
 /** Requests of 30 ms, loads that are several times as old: 42% of 36 slots. */
@@ -68,6 +69,35 @@
   CPPUNIT_ASSERT(result.refused * 1000 <= result.requests);
 }
 
+/** Requests of 60 ms in waves and clumps; three endpoints that are slow at
+ * times can serve some 240 a second. */
+ReplayPlan WavesAtFewEndpoints(std::size_t gateways) {
+  ReplayPlan plan;
+  plan.gateways = gateways;
+  plan.endpoints = 3;
+  plan.mean_work = milliseconds(60);
+  plan.requests_per_second = 147;
+  plan.wave = 0.5;
+  plan.slowdown = 2.5;
+  plan.load_interval = milliseconds(100);
+  plan.load_delay = milliseconds(60);
+  plan.duration = milliseconds(60000);
+  plan.target = milliseconds(300);
+  return plan;
+}
+
+/** The crest of a wave is more than the endpoints can serve; what follows is
+ * not. */
+void AWaveIsOverWhenItHasPassed() {
+  for (const std::size_t gateways : {13, 26}) {
+    const ReplayResult result = ReplayLoad(WavesAtFewEndpoints(gateways));
+    Print("waves at few endpoints", result);
+    CPPUNIT_ASSERT(result.refused_beside_slots * 1000 <= result.requests);
+    CPPUNIT_ASSERT(result.served * 100 >= result.requests * 98);
+    CPPUNIT_ASSERT(result.shed * 50 <= result.requests);
+  }
+}
+
 /** Streams of a second with shared prompts, at a third of the slots. */
 ReplayPlan ChatRequests() {
   ReplayPlan plan;
@@ -103,6 +133,10 @@
                  SingleSlowResponsesCauseNoRefusal),
             Then("a burst is refused by the gateways",
                  OverloadIsRefusedBeforeItIsShed)}),
+       Section(
+           "when few endpoints get waves of requests",
+           {Then("none are refused beside free slots once a wave has passed",
+                 AWaveIsOverWhenItHasPassed)}),
        Section("when chats share prompts",
                {Then("no endpoint exceeds the bound of the mean load",
                      ChatsKeepTheBoundOfTheMeanLoad)})});
