Cold endpoints: shorter wait after a refused connection, slow start with four

Change: a process that appears is published within 1.2 s and handed on, so 2 s suffice; a gateway begins with 4 requests at a time, for 4 s at most. The bound while cold is unchanged.

--- a/include/buckthornpath/cold_endpoint_limit.h
+++ b/include/buckthornpath/cold_endpoint_limit.h
@@ -44,7 +44,7 @@
  * in their lists, as after a change that has not reached all.
  *
  * After that, an endpoint gets as many requests at a time from this process as
- * it has answered since, beginning with one. Does no I/O. Not thread-safe.
+ * it has answered since, beginning with a few. Does no I/O. Not thread-safe.
  */
 class ColdEndpointLimit {
  public:
--- a/src/decision/cold_endpoint_limit.cc
+++ b/src/decision/cold_endpoint_limit.cc
@@ -20,8 +20,9 @@
 constexpr std::chrono::duration<double> kGrantWindow{1.5};
 
 /** Time after a refused connection in which a new process may appear without
- * this gateway's trying again. */
-constexpr milliseconds kReturnTime{4000};
+ * this gateway's hearing of it: a publication interval, and the way of the item
+ * through a hub. */
+constexpr milliseconds kReturnTime{2000};
 
 /** A process that is older by the wall clock has not just started, whatever
  * this gateway has missed; clocks of VMs may differ by less. */
@@ -29,9 +30,9 @@
 
 /** Requests at a time with which the load of a warm endpoint begins, at which
  * it needs no limit any more, and the time after which it needs none. */
-constexpr std::int64_t kFirstWindow = 1;
+constexpr std::int64_t kFirstWindow = 4;
 constexpr std::int64_t kLastWindow = 16;
-constexpr std::chrono::seconds kMaxSlowStart{10};
+constexpr std::chrono::seconds kMaxSlowStart{4};
 
 /** Limit of remembered endpoints; those without news for a time go first. */
 constexpr std::size_t kMaxEndpoints = 8192;
