The soak evacuates and restores failure domains

Cause: evacuations were covered by stories of single steps; the soak, which plays random faults against whole processes, did not know them.

Change: a new kind of run, `evacuations`: the random faults, and beside them a failure domain that is evacuated and restored, at random during a short outage of the store. EvacuationWatch, fed by the endpoints alone, checks that no request arrives in an evacuated domain later than 5 s after the store holds the item, without excuses for gateways that were paused or restarted, and that a restored domain gets a request again, at the latest 5 s after all faults have ended. The evacuations draw from a generator of their own and only in this kind, so the old seeds play what they played. A case with a fixed seed is in the story gateway_soak; tools/mutants.sh has a mutant for each of both checks.

The new mutants have not been run yet.

--- /dev/null
+++ b/test/soak/evacuation_watch.h
@@ -0,0 +1,51 @@
+/** @file evacuation_watch.h Judges where requests arrive while failure domains
+ * are evacuated and restored. */
+
+#ifndef TEST_SOAK_EVACUATION_WATCH_H_
+#define TEST_SOAK_EVACUATION_WATCH_H_
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace buckthornpath {
+
+/** Time limit until no gateway that has been in touch with the store sends a
+ * request to an evacuated domain, and until a restored one gets requests. */
+inline constexpr std::chrono::milliseconds kMaxEvacuationTime{5000};
+
+/** Thread-safe record of evacuations and of requests that reach endpoints. It
+ * uses nothing that a gateway says of itself. */
+class EvacuationWatch {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  /** Records that the store holds the evacuation of a domain. */
+  void RecordBegin(const std::string& domain);
+
+  /** Records that the evacuation is about to be removed. */
+  void RecordEnd(const std::string& domain);
+
+  /** Records that a request has reached an endpoint of a domain. */
+  void RecordArrival(const std::string& id, const std::string& domain);
+
+  /** @return True if every restored domain has got a request since. */
+  bool HaveAllReturned();
+
+  /** @return One text for each request that arrived too late, and for each
+   * restored domain that has got none since. */
+  std::vector<std::string> Violations();
+
+ private:
+  std::mutex mutex;
+  std::map<std::string, Clock::time_point> evacuated_since;
+  /** Arrivals since the last restoration of a domain. */
+  std::map<std::string, std::size_t> arrivals_since_end;
+  std::vector<std::string> late_arrivals;
+};
+
+}  // namespace buckthornpath
+
+#endif  // TEST_SOAK_EVACUATION_WATCH_H_
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -20,6 +20,14 @@
   return RunSoak(plan);
 }
 
+SoakResult RunEvacuations(std::uint64_t seed, std::size_t gateways) {
+  SoakPlan plan;
+  plan.seed = seed;
+  plan.gateways = gateways;
+  plan.has_evacuations = true;
+  return RunSoak(plan);
+}
+
 StopSoakPlan StopPlan(std::uint64_t seed, std::size_t gateways) {
   StopSoakPlan plan;
   plan.seed = seed;
@@ -48,7 +56,8 @@
   SoakResult (*run)(std::uint64_t seed, std::size_t gateways);
 };
 
-constexpr std::array<SoakKind, 3> kKinds = {{{"faults", RunFaults},
+constexpr std::array<SoakKind, 4> kKinds = {{{"faults", RunFaults},
+                                             {"evacuations", RunEvacuations},
                                              {"stops", RunStops},
                                              {"joint-stops", RunJointStops}}};
 
@@ -57,6 +66,7 @@
   if (argc < kMinArguments) {
     std::cerr << "usage: soak <first seed> <runs> <gateways> [kind]\n"
                  "faults: random faults; the default\n"
+                 "evacuations: the same, and evacuated failure domains\n"
                  "stops: planned stops in series, engines that pause\n"
                  "joint-stops: the same, several engines pause at a time\n";
     return 2;
--- a/test/soak/soak_evidence.cc
+++ b/test/soak/soak_evidence.cc
@@ -10,10 +10,11 @@
 std::string FindEvidence(const GatewayFleet& fleet,
                          std::size_t gateways,
                          const std::vector<std::string>& violations) {
-  std::vector<std::string> needles = {
-      "\"started\"", "\"stopped\"",      "\"drain_begun\"",
-      "\"cut_off\"", "_failed\"",        "out_of_rotation",
-      "segment_",    "endpoint_crashed", "endpoint_closed"};
+  std::vector<std::string> needles = {"\"started\"",     "\"stopped\"",
+                                      "\"drain_begun\"", "\"cut_off\"",
+                                      "_failed\"",       "out_of_rotation",
+                                      "segment_",        "endpoint_crashed",
+                                      "endpoint_closed", "domain_"};
   for (const std::string& violation : violations)
     needles.push_back("\"" + violation.substr(0, violation.find(' ')) + "\"");
   std::string evidence;
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -7,11 +7,13 @@
 #include <atomic>
 #include <csignal>
 #include <filesystem>
+#include <optional>
 #include <random>
 #include <thread>
 
 #include "harness/caller.h"
 #include "harness/gateway_fleet.h"
+#include "soak/evacuation_watch.h"
 #include "soak/soak_callers.h"
 #include "soak/soak_evidence.h"
 #include "soak/soak_history.h"
@@ -43,6 +45,16 @@
 /** Time until a crashed endpoint accepts connections again. */
 constexpr milliseconds kRestartTime{300};
 
+/** Failure domains of a run with evacuations, and those of them that may be
+ * evacuated. The last holds the endpoint that leaves, so its return can't be
+ * judged. */
+constexpr std::array<const char*, 3> kDomains = {"a", "b", "c"};
+constexpr std::size_t kEvacuable = 2;
+
+/** Time for which a domain is evacuated: the limit until no request reaches it,
+ * and the time in which that is checked. */
+constexpr milliseconds kEvacuatedTime = kMaxEvacuationTime + milliseconds(1500);
+
 std::size_t RandomBelow(Random& random, std::size_t limit) {
   return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
 }
@@ -58,15 +70,21 @@
   FaultInjector(GatewayFleet& fleet,
                 SoakHistory& history,
                 EndpointBehaviour& behaviour,
+                EvacuationWatch& evacuations,
                 const SoakPlan& plan)
       : fleet(fleet),
         history(history),
         behaviour(behaviour),
+        evacuations(evacuations),
         plan(plan),
-        random(plan.seed) {}
+        random(plan.seed),
+        evacuation_random(plan.seed) {}
 
   void RunUntil(Clock::time_point end) {
-    // These two come first: the time limit for the configuration to become
+    // So early that an evacuation lasts long enough to be checked.
+    if (this->plan.has_evacuations)
+      this->BeginEvacuation();
+    // These two come next: the time limit for the configuration to become
     // active then ends within the run, and no retries have accumulated when
     // every request needs one.
     this->PublishConfiguration();
@@ -76,6 +94,8 @@
       this->behaviour.is_leaving = Clock::now() >= leaving_at;
       this->RestartEnded();
       this->CheckMemory();
+      if (this->plan.has_evacuations)
+        this->ChangeEvacuation();
       this->Inject();
       this->history.RecordFault();
       std::this_thread::sleep_for(RandomPause(this->random));
@@ -95,6 +115,8 @@
 
   /** Removes all faults, so that every gateway can recover. */
   void RemoveFaults() {
+    if (this->evacuated)
+      this->EndEvacuation();
     this->behaviour.is_failing = false;
     this->fleet.Store().SetMode(StoreMode::kServing);
     for (std::size_t i = 0; i < kLedgers; ++i)
@@ -198,6 +220,43 @@
     this->SetDraining(ledger, RandomBelow(this->random, 3) > 0);
     std::this_thread::sleep_for(kPropagationTime);
   }
+  /** Evacuates a domain, or restores it if that has lasted long enough. */
+  void ChangeEvacuation() {
+    if (!this->evacuated)
+      this->BeginEvacuation();
+    else if (Clock::now() - this->evacuated_at > kEvacuatedTime)
+      this->EndEvacuation();
+  }
+  void BeginEvacuation() {
+    this->evacuated =
+        kDomains.at(RandomBelow(this->evacuation_random, kEvacuable));
+    this->BeginOutage();
+    this->fleet.Store().Put("op/evacuate/" + *this->evacuated,
+                            nlohmann::json::object());
+    this->evacuated_at = Clock::now();
+    this->evacuations.RecordBegin(*this->evacuated);
+    this->EndOutage();
+  }
+  void EndEvacuation() {
+    this->BeginOutage();
+    this->evacuations.RecordEnd(*this->evacuated);
+    this->fleet.Store().Remove("op/evacuate/" + *this->evacuated);
+    this->evacuated.reset();
+    this->EndOutage();
+  }
+
+  /** Every other evacuation begins or ends during an outage of the store, which
+   * serves for some time afterwards: without it no time limit applies. */
+  void BeginOutage() {
+    this->fleet.Store().SetMode(RandomBelow(this->evacuation_random, 2) == 0
+                                    ? StoreMode::kBusy
+                                    : StoreMode::kServing);
+  }
+  void EndOutage() {
+    std::this_thread::sleep_for(RandomPause(this->evacuation_random));
+    this->fleet.Store().SetMode(StoreMode::kServing);
+    std::this_thread::sleep_for(kPropagationTime);
+  }
   void Restart(std::size_t gateway) {
     this->history.RecordStart(gateway);
     this->fleet.Restart(gateway);
@@ -221,8 +280,13 @@
   GatewayFleet& fleet;
   SoakHistory& history;
   EndpointBehaviour& behaviour;
+  EvacuationWatch& evacuations;
   const SoakPlan& plan;
   Random random;
+  /** Of its own, so that a seed plays the same other faults without them. */
+  Random evacuation_random;
+  std::optional<std::string> evacuated;  ///< The domain, if any.
+  Clock::time_point evacuated_at{};
   std::uint64_t version = 1;
 };
 
@@ -232,12 +296,25 @@
   fleet_plan.engines = kEngines;
   fleet_plan.ledgers = kLedgers;
   fleet_plan.proxied = true;
+  if (plan.has_evacuations)
+    fleet_plan.failure_domains = {kDomains.begin(), kDomains.end()};
   fleet_plan.settings = {{"retry_budget_percent", kRetryPercent},
                          {"retry_slack", kRetryBurst},
                          {"log_bytes_per_second", kLogBytesPerSecond}};
   return fleet_plan;
 }
 
+/** @return A script that also records where requests arrive. */
+EndpointScript Watched(EvacuationWatch& evacuations,
+                       std::size_t endpoint,
+                       const EndpointScript& script) {
+  return [&evacuations, endpoint, script](ScriptedCall& call) {
+    evacuations.RecordArrival(call.Id(),
+                              kDomains.at(endpoint % kDomains.size()));
+    script(call);
+  };
+}
+
 /** Takes an endpoint down until it has started again. */
 void CrashEndpoint(GatewayFleet& fleet, const std::string& endpoint) {
   const std::size_t number =
@@ -254,18 +331,23 @@
 SoakResult RunSoak(const SoakPlan& plan) {
   SoakHistory history;
   EndpointBehaviour behaviour;
+  EvacuationWatch evacuations;
   const auto started_at = Clock::now();
   GatewayFleet fleet(FleetPlanOf(plan));
   behaviour.crash = [&](const std::string& endpoint) {
     CrashEndpoint(fleet, endpoint);
   };
   for (std::size_t i = 0; i < kEngines; ++i) {
-    fleet.Engine(i).SetScript(SoakEndpoint(
-        history, behaviour, "engine-" + std::to_string(i), plan.seed * 10 + i));
+    fleet.Engine(i).SetScript(
+        Watched(evacuations, i,
+                SoakEndpoint(history, behaviour, "engine-" + std::to_string(i),
+                             plan.seed * 10 + i)));
   }
   for (std::size_t i = 0; i < kLedgers; ++i) {
-    fleet.Ledger(i).SetScript(SoakEndpoint(
-        history, behaviour, "ledger-" + std::to_string(i), plan.seed * 20 + i));
+    fleet.Ledger(i).SetScript(
+        Watched(evacuations, i,
+                SoakEndpoint(history, behaviour, "ledger-" + std::to_string(i),
+                             plan.seed * 20 + i)));
   }
   std::atomic<bool> is_over = false;
   std::vector<std::thread> callers;
@@ -281,7 +363,7 @@
   }
   callers.emplace_back(
       [&] { RepeatDeadlyUntil(is_over, fleet, history, plan.gateways); });
-  FaultInjector injector(fleet, history, behaviour, plan);
+  FaultInjector injector(fleet, history, behaviour, evacuations, plan);
   injector.RunUntil(Clock::now() + plan.length);
   injector.RemoveFaults();
   const bool has_recovered = WaitUntil(
@@ -294,6 +376,7 @@
         return true;
       },
       kRecoveryTime);
+  WaitUntil([&] { return evacuations.HaveAllReturned(); }, kMaxEvacuationTime);
   is_over = true;
   for (std::thread& caller : callers)
     caller.join();
@@ -301,6 +384,8 @@
     history.CheckLog(i, std::filesystem::file_size(fleet.LogPath(i)),
                      started_at);
   SoakResult result = history.Finish();
+  for (const std::string& violation : evacuations.Violations())
+    result.violations.push_back(violation);
   if (!has_recovered)
     result.violations.emplace_back("not every gateway has recovered");
   if (result.served == 0)
--- a/test/soak/soak_run.h
+++ b/test/soak/soak_run.h
@@ -15,6 +15,8 @@
   std::uint64_t seed = 1;
   std::size_t gateways = 3;
   std::chrono::milliseconds length = std::chrono::seconds(8);
+  /** Failure domains are evacuated and restored beside the other faults. */
+  bool has_evacuations = false;
 };
 
 /** Counts and violations of a run. */
--- a/test/stories/gateway_soak.cc
+++ b/test/stories/gateway_soak.cc
@@ -10,9 +10,10 @@
 namespace {
 
 /** Runs one seed and reports all violations. */
-void RunSeed(std::uint64_t seed) {
+void RunSeed(std::uint64_t seed, bool has_evacuations = false) {
   SoakPlan plan;
   plan.seed = seed;
+  plan.has_evacuations = has_evacuations;
   const SoakResult result = RunSoak(plan);
   std::string all_violations;
   for (const std::string& violation : result.violations)
@@ -31,7 +32,9 @@
       {Then("every guarantee holds under seed 1", [] { RunSeed(1); }),
        Then("every guarantee holds under seed 2", [] { RunSeed(2); }),
        Then("every guarantee holds under seed 20261544",
-            [] { RunSeed(20261544); })});
+            [] { RunSeed(20261544); }),
+       Then("every guarantee holds while failure domains are evacuated",
+            [] { RunSeed(1, true); })});
 });
 
 }  // namespace
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -97,4 +97,11 @@
 mutant src/gateway/forward_standby.cc \
   'return "";' 'this->connection->Close(); return "";' \
   'ended without a whole answer' stops 4
+mutant src/decision/endpoint_availability.cc \
+  '{"evacuated", EndpointUse::kNever' '{"evacuated", EndpointUse::kNormal' \
+  'reached evacuated domain' evacuations
+mutant src/gateway/evacuation.cc \
+  'const auto lasted = this->selector.EndEvacuation(domain, Clock::now());' \
+  'const std::optional<std::chrono::milliseconds> lasted;' \
+  'restored domain [a-z]* got no request' evacuations
 exit "$failed"
