--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -219,6 +219,11 @@
       kFirstGatewayHost + static_cast<int>(index), kOperatorPort));
 }
 
+SocketAddress GatewayFleet::Peer(std::size_t index) const {
+  return ParseSocketAddress(
+      this->Address(kFirstGatewayHost + static_cast<int>(index), kGossipPort));
+}
+
 bool GatewayFleet::IsReady(std::size_t index) const {
   try {
     const SocketAddress address = ParseSocketAddress(
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -78,6 +78,7 @@
   ChildProcess& Gateway(std::size_t index) { return *this->gateways.at(index); }
   SocketAddress Caller(std::size_t index) const;
   SocketAddress Operator(std::size_t index) const;
+  SocketAddress Peer(std::size_t index) const;
 
   /** Starts a gateway again. @pre It has ended. */
   void Restart(std::size_t index);
