--- a/review/common/gateway.cc
+++ b/review/common/gateway.cc
@@ -121,7 +121,11 @@
        "\"" + Control(network, this->plan.number).Text() + "\""},
       {"{{seeds}}", this->plan.seeds},
       {"{{limits.linkMbps}}", "1000.0"},
+      {"{{limits.memoryMb}}", "260"},
+      {"{{limits.maxFds}}", "4100"},
       {"{{bounds.budgetSlack}}", "54"},
+      {"{{bounds.coldOverage}}", ""},
+      {"{{bounds.coldSlack}}", ""},
       {"{{bounds.drainMs}}", std::to_string(kDrain.count())},
       {"{{bounds.graceS}}", std::to_string(kGrace.count() / 1000)}};
   for (const auto& [placeholder, value] : fields)
