Gateway: metrics of placing and waiting, load multiples as settings

Cause: an operator could neither see why prompts were prefilled again nor how long the queues were, and the multiples of the mean load above which prompts leave an endpoint were constants.

Change: settings load_multiple and short_prompt_load_multiple (100 to 1000 %, defaults the constants of before; equal ones treat short prompts as others). Metrics by service: waiting_requests, waits_given_up_total, prompt_tokens_total by cached or not, requests_placed_away_total, prefill_backlog_tokens and prefill_backlog_largest_share. The request line states uncached_tokens of each attempt with a prompt, and wait_ms, the queue's estimate when a request was refused.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -237,6 +237,12 @@
                            TimePoint now,
                            std::int64_t output_tokens = 0);
 
+  /** @return True if other endpoints of the service in normal use have the
+   * prompt's shared part cached, and this one has not. */
+  bool IsCachedOnlyElsewhere(const EndpointState& endpoint,
+                             std::span<const PromptSegment> prompt,
+                             TimePoint now) const;
+
   /** Sets the memory of each engine of a service; 0 if unknown. */
   void SetEngineMemory(const ServiceName& service,
                        std::int64_t capacity_tokens) {
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -462,6 +462,21 @@
           static_cast<double>(endpoint.EstimatedRequests()), now};
 }
 
+bool EndpointSelector::IsCachedOnlyElsewhere(
+    const EndpointState& endpoint,
+    std::span<const PromptSegment> prompt,
+    TimePoint now) const {
+  const PromptSegment* shared = LastSharedSegment(prompt);
+  if (shared == nullptr ||
+      endpoint.memory.Holds(shared->id, this->MemoryMoment(endpoint, now)))
+    return false;
+  const auto& all = this->EndpointsOf(endpoint.entry.service);
+  return std::any_of(all.begin(), all.end(), [&](const auto& other) {
+    return other->availability.StateAt(now).use == EndpointUse::kNormal &&
+           other->memory.Holds(shared->id, this->MemoryMoment(*other, now));
+  });
+}
+
 std::int64_t EndpointSelector::RecordStart(
     EndpointState& endpoint,
     std::span<const PromptSegment> segments,
--- a/src/gateway/endpoint_reservation.h
+++ b/src/gateway/endpoint_reservation.h
@@ -31,15 +31,20 @@
       : selector(&selector),
         endpoint(std::move(endpoint)),
         time(now),
+        is_away_from_cache(
+            selector.IsCachedOnlyElsewhere(*this->endpoint, prompt, now)),
         prefill_tokens(
             selector.RecordStart(*this->endpoint, prompt, now, output_tokens)),
+        uncached_tokens(this->prefill_tokens),
         prefill_backlog(this->endpoint->PrefillBacklog()) {}
 
   EndpointReservation(EndpointReservation&& other) noexcept
       : selector(other.selector),
         endpoint(std::exchange(other.endpoint, nullptr)),
         time(other.time),
+        is_away_from_cache(other.is_away_from_cache),
         prefill_tokens(std::exchange(other.prefill_tokens, 0)),
+        uncached_tokens(other.uncached_tokens),
         prefill_backlog(other.prefill_backlog) {}
 
   EndpointReservation& operator=(EndpointReservation&& other) noexcept {
@@ -49,6 +54,8 @@
     this->selector = other.selector;
     this->endpoint = std::exchange(other.endpoint, nullptr);
     this->time = other.time;
+    this->is_away_from_cache = other.is_away_from_cache;
+    this->uncached_tokens = other.uncached_tokens;
     this->prefill_tokens = std::exchange(other.prefill_tokens, 0);
     this->prefill_backlog = other.prefill_backlog;
     return *this;
@@ -64,6 +71,13 @@
    * sent, its own included. */
   std::int64_t PrefillBacklog() const { return this->prefill_backlog; }
 
+  /** @return Prompt tokens that the endpoint has not cached. */
+  std::int64_t UncachedTokens() const { return this->uncached_tokens; }
+
+  /** @return True if only other endpoints have the prompt's shared part
+   * cached. */
+  bool IsAwayFromCache() const { return this->is_away_from_cache; }
+
   /** Takes the prompt's tokens off the endpoint's prefill backlog. */
   void ReleasePrefill() {
     if (this->endpoint) {
@@ -84,7 +98,9 @@
   EndpointSelector* selector = nullptr;
   EndpointHandle endpoint;
   TimePoint time{};
-  std::int64_t prefill_tokens = 0;
+  bool is_away_from_cache = false;
+  std::int64_t prefill_tokens = 0;  ///< Those that wait for prefill.
+  std::int64_t uncached_tokens = 0;
   std::int64_t prefill_backlog = 0;
 };
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "gateway/load_metrics.h"
 #include "gateway/response_head.h"
 #include "kernel/json_types.h"
 #include "kernel/log.h"
@@ -202,9 +203,11 @@
   if (!chosen)
     return {};
   this->state.cold_starts.RecordSend(*chosen, now);
-  return {this->state.selector, std::move(chosen),
-          this->request.metadata.segments, this->request.metadata.output_tokens,
-          now};
+  EndpointReservation reserved(this->state.selector, std::move(chosen),
+                               this->request.metadata.segments,
+                               this->request.metadata.output_tokens, now);
+  CountPlacement(reserved, this->request.metadata.segments);
+  return reserved;
 }
 
 bool ForwardSession::IsQuarantined() const {
@@ -325,6 +328,8 @@
   const EndpointId id = endpoint.Entry().id;
   this->record.RecordAttempt(endpoint, RowOf(result).name,
                              this->AttemptEvents(), this->progress_at, now);
+  if (!this->request.metadata.segments.empty())
+    this->record.RecordUncachedTokens(this->reservation.UncachedTokens());
   this->state.selector.RecordHoldingTime(
       this->request.service, Elapsed(this->reservation.Time(), now));
   // An attempt ended by the caller or the deadline says nothing about the
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -141,7 +141,7 @@
   void RecordLoadOfService(AttemptResult result, Clock::time_point now);
 
   /** @return Time after which the refused caller should return. */
-  std::chrono::milliseconds RetryAfter() const;
+  std::chrono::milliseconds RetryAfter();
 
   // Relaying a stream: forward_stream.cc.
 
--- a/src/gateway/forward_wait.cc
+++ b/src/gateway/forward_wait.cc
@@ -130,7 +130,7 @@
   }
 }
 
-milliseconds ForwardSession::RetryAfter() const {
+milliseconds ForwardSession::RetryAfter() {
   if (!this->table)
     return kStartRetryAfter;
   const auto now = Clock::now();
@@ -152,6 +152,7 @@
     outlook.refused_share = 1.0 - queue->second.admission.Ratio();
     outlook.queue_wait =
         queue->second.waiting.EstimateWait(this->MakeWaitingRequest(), now);
+    this->record.RecordEstimatedWait(outlook.queue_wait);
   }
   return RetryAfterFor(outlook);
 }
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -12,6 +12,7 @@
 #include "gateway/caller_connection.h"
 #include "gateway/forward_session.h"
 #include "gateway/gateway_state.h"
+#include "gateway/load_metrics.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/publication_follower.h"
 #include "kernel/http_server.h"
@@ -367,6 +368,7 @@
       this->state.connection_pool.CloseExpired(now);
       for (const auto& connection : this->connections)
         connection->CloseIfTimedOut(now);
+      ReportLoad(this->state);
       ProcessMetrics().Set(
           "buffered_bytes_available", "",
           static_cast<double>(this->state.buffered_bytes.Available()));
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -57,6 +57,10 @@
   EndpointSelectorLimits limits;
   limits.leaving_time = std::max(settings.endpoint_leave_time - kLeaveMargin,
                                  std::chrono::milliseconds(0));
+  limits.max_mean_multiple =
+      static_cast<double>(settings.load_multiple) / kPercent;
+  limits.short_mean_multiple =
+      static_cast<double>(settings.short_prompt_load_multiple) / kPercent;
   return limits;
 }
 
--- a/src/gateway/request_record.cc
+++ b/src/gateway/request_record.cc
@@ -108,6 +108,8 @@
     line.push_back(
         {"unusable", state.selector.CountUnusable(request.service, now)});
   }
+  if (this->estimated_wait)
+    line.push_back({"wait_ms", this->estimated_wait->count()});
   if (this->sent_at != Clock::time_point{}) {
     line.push_back(
         {"sent_ms", Elapsed(this->received_at, this->sent_at).count()});
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -60,6 +61,17 @@
                      Clock::time_point silent_since,
                      Clock::time_point now);
 
+  /** Records the prompt tokens that the endpoint of the last attempt had not
+   * cached. */
+  void RecordUncachedTokens(std::int64_t tokens) {
+    this->attempts.back()["uncached_tokens"] = tokens;
+  }
+
+  /** Records the queue's estimate of the wait when the request was refused. */
+  void RecordEstimatedWait(std::chrono::milliseconds wait) {
+    this->estimated_wait = wait;
+  }
+
   /** Records the status sent to the caller. */
   void RecordStatus(unsigned status) { this->final_status = status; }
 
@@ -93,6 +105,7 @@
   unsigned final_status = 0;
   const char* reason = "served";
   nlohmann::json attempts = nlohmann::json::array();
+  std::optional<std::chrono::milliseconds> estimated_wait;
   bool has_broken_attempt = false;
   SegmentSet quarantined_segments;
 };
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gateway/gateway_state.h"
+#include "gateway/load_metrics.h"
 
 namespace buckthornpath {
 
@@ -46,6 +47,7 @@
     if (waiter == queue.waiters.end())
       continue;
     const std::function<void()> give_up = waiter->second.give_up;
+    CountGivenUp(service);
     give_up();
   }
 }
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -50,6 +50,8 @@
   std::string cold_senders;
   std::int64_t cold_overage = 0;
   std::int64_t cold_slack = 0;
+  std::int64_t load_multiple = 0;
+  std::int64_t short_prompt_load_multiple = 0;
   std::int64_t link_capacity = 0;
   std::int64_t chat_memory_entries = 0;
   std::chrono::milliseconds vm_list_interval{};
--- a/test/stories/engine_memory.cc
+++ b/test/stories/engine_memory.cc
@@ -140,6 +140,29 @@
                        selector.RecordStart(*endpoint, Prompt(1, 3), kStart));
 }
 
+void AnotherEngineThatHoldsItIsFound() {
+  EndpointSelector selector(FailureDomainId("a"), EndpointSelectorLimits{});
+  EndpointEntry entry{.id = EndpointId("first"),
+                      .service = ServiceName("llm"),
+                      .address = "10.0.0.1:1",
+                      .failure_domain = FailureDomainId("a"),
+                      .slots = 10};
+  selector.Publish(entry);
+  const EndpointHandle first = selector.Find(entry.id);
+  entry.id = EndpointId("second");
+  selector.Publish(entry);
+  const EndpointHandle second = selector.Find(entry.id);
+  const auto is_away = [&](const EndpointHandle& endpoint) {
+    return selector.IsCachedOnlyElsewhere(*endpoint, Prompt(1, 9), kStart);
+  };
+  CPPUNIT_ASSERT_MESSAGE("cached nowhere", !is_away(second));
+  selector.RecordStart(*first, Prompt(1, 1), kStart);
+  CPPUNIT_ASSERT(!is_away(first));
+  CPPUNIT_ASSERT(is_away(second));
+  selector.RecordStart(*second, Prompt(1, 2), kStart);
+  CPPUNIT_ASSERT_MESSAGE("cached at both", !is_away(second));
+}
+
 const Story kStory("engine_memory", [] {
   return Section(
       "given an engine that caches the prompts of many chats",
@@ -147,7 +170,9 @@
                {Then("only what is missing is prefilled",
                      OnlyWhatIsMissingIsPrefilled),
                 Then("a segment that a peer announces stands for its prefix",
-                     APeersSegmentStandsForThoseBeforeIt)}),
+                     APeersSegmentStandsForThoseBeforeIt),
+                Then("another engine that holds it is found",
+                     AnotherEngineThatHoldsItIsFound)}),
        Section(
            "when there are more prompts than memory",
            {Then("the least recently used is evicted",
--- a/test/stories/gateway_logs.cc
+++ b/test/stories/gateway_logs.cc
@@ -49,6 +49,7 @@
   CPPUNIT_ASSERT_EQUAL(
       503U, fleet.Call(0, TextOf(RequestWithId("full", "/issue/x"))).status);
   const std::string output = Explain(fleet, "full");
+  AssertContains(output, "\"wait_ms\"");
   AssertContains(output, "\"reason\":\"no_room\"");
   AssertContains(output, "\"taken_share\"");
   AssertContains(output, "\"published_age_ms\"");
@@ -149,6 +150,34 @@
   AssertContains(metrics, name + "first_byte_seconds_count");
 }
 
+void MetricsCountCachedPrompts() {
+  GatewayPlan plan;
+  plan.engines = 1;
+  GatewayFleet fleet(plan);
+  for (const std::string number : {"1", "2"}) {
+    CallerText text = RequestWithId("prompt-" + number, "/draft/x");
+    text.more_fields = "Buckthornpath-Prompt-Prefix: 5c1e07a2:800,e000000" +
+                       number + ":250\r\n";
+    CPPUNIT_ASSERT_EQUAL(200U, fleet.Call(0, TextOf(text)).status);
+  }
+  const auto uncached = [&](const char* id) {
+    return fleet.LogOf(0, id).at("attempts").at(0).at("uncached_tokens");
+  };
+  CPPUNIT_ASSERT_EQUAL(1050, uncached("prompt-1").get<int>());
+  CPPUNIT_ASSERT_EQUAL(250, uncached("prompt-2").get<int>());
+  const std::string name = "buckthornpath_prompt_tokens_total{service=\"llm\",";
+  const std::string metrics = MetricsOf(fleet);
+  AssertContains(metrics, name + "cached=\"no\"} 1300");
+  AssertContains(metrics, name + "cached=\"yes\"} 800");
+  CPPUNIT_ASSERT(metrics.find("requests_placed_away_total") ==
+                 std::string::npos);
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return MetricsOf(fleet).find(
+               "buckthornpath_waiting_requests{service=\"llm\"} 0") !=
+           std::string::npos;
+  }));
+}
+
 /** Makes a gateway log as many kinds of events as possible. */
 void TriggerEvents(GatewayFleet& fleet) {
   fleet.Call(0, TextOf(RequestWithId("served", "/lookup/x")));
@@ -260,7 +289,9 @@
                  UnknownRequestIsReported)}),
        Section("when metrics are read",
                {Then("services, priorities and outcomes are distinguished",
-                     MetricsDistinguishOutcomes)}),
+                     MetricsDistinguishOutcomes),
+                Then("prompt tokens are counted by what is cached",
+                     MetricsCountCachedPrompts)}),
        Section("when log lines are about callers' requests",
                {Then("they never hold keys", KeysAreNeverLogged),
                 Then("their events and fields are those of the table",
--- a/test/stories/settings_template.cc
+++ b/test/stories/settings_template.cc
@@ -2,10 +2,14 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <vector>
 
+#include "gateway/gateway_state.h"
 #include "harness/story.h"
 #include "kernel/settings.h"
 
@@ -172,6 +176,69 @@
   CPPUNIT_ASSERT(FaultOf(R"("retry_slack": -1.5)") != "");
 }
 
+void LoadMultiplesHaveLimits() {
+  const Settings defaults = RenderedSettings(json::object());
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{160}, defaults.load_multiple);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{135}, defaults.short_prompt_load_multiple);
+  for (const std::string name :
+       {"load_multiple", "short_prompt_load_multiple"}) {
+    for (const std::string value : {"100", "1000", "\"1.5x\""})
+      CPPUNIT_ASSERT_EQUAL(std::string(), FaultOf('"' + name + "\": " + value));
+    for (const std::string value : {"99", "1001"}) {
+      CPPUNIT_ASSERT_EQUAL("/" + name + ": must be from 100 to 1000 %",
+                           FaultOf('"' + name + "\": " + value));
+    }
+  }
+}
+
+/** @return Of 12 requests with one shared prompt, those at the endpoint with
+ * the most. */
+std::int64_t MostAtOneEndpoint(const std::string& multiples,
+                               std::uint32_t tokens) {
+  const Settings settings = ParseSettings(
+      R"({"vm": "v", "failure_domain": "a", "operator_address": "1.2.3.4:5",)"
+      R"( "configuration_address": "1.2.3.4:6", )" +
+      multiples + "}");
+  boost::asio::io_context io;
+  GatewayState state(settings, io.get_executor());
+  const auto now = GatewayState::Clock::now();
+  for (const char* id : {"first", "second"}) {
+    state.selector.Publish({.id = EndpointId(id),
+                            .service = ServiceName("llm"),
+                            .address = "10.0.0.1:1",
+                            .failure_domain = FailureDomainId("a"),
+                            .slots = 100});
+  }
+  std::int64_t most = 0;
+  for (std::uint64_t i = 0; i < 12; ++i) {
+    const std::vector<PromptSegment> prompt = {{1, tokens}, {100 + i, 10}};
+    const EndpointHandle endpoint =
+        state.selector.Choose({ServiceName("llm"), prompt, 0, {}}, now,
+                              [](const EndpointState&) { return true; });
+    state.selector.RecordPrefillEnd(
+        *endpoint, state.selector.RecordStart(*endpoint, prompt, now));
+    most = std::max(most, endpoint->OwnRequests());
+  }
+  return most;
+}
+
+void LoadMultiplesDecideWherePromptsGo() {
+  const std::string low =
+      R"("load_multiple": 100, "short_prompt_load_multiple": 100)";
+  const std::string mixed =
+      R"("load_multiple": 180, "short_prompt_load_multiple": 100)";
+  const std::string high =
+      R"("load_multiple": 180, "short_prompt_load_multiple": 180)";
+  constexpr std::uint32_t kShort = 500;
+  constexpr std::uint32_t kLong = 20000;
+  // Two endpoints: 100 % of a mean of up to 6, and 2.5, is at most 8 requests.
+  // At 180 % the home of a prompt is within the bound until it has 15.
+  CPPUNIT_ASSERT(MostAtOneEndpoint(low, kLong) <= 8);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{12}, MostAtOneEndpoint(mixed, kLong));
+  CPPUNIT_ASSERT(MostAtOneEndpoint(mixed, kShort) <= 8);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{12}, MostAtOneEndpoint(high, kShort));
+}
+
 const Story kStory("settings_template", [] {
   return Section(
       "given the settings template of the platform",
@@ -190,7 +257,11 @@
                {Then("the region is empty", AMissingRegionIsEmpty)}),
        Section("when settings are written by hand",
                {Then("texts that are no numbers are refused",
-                     OnlyNumbersAreConverted)})});
+                     OnlyNumbersAreConverted),
+                Then("load multiples beyond their limits are refused by name",
+                     LoadMultiplesHaveLimits),
+                Then("load multiples decide where prompts go",
+                     LoadMultiplesDecideWherePromptsGo)})});
 });
 
 }  // namespace
