--- a/test/stories/settings_template.cc
+++ b/test/stories/settings_template.cc
@@ -182,11 +182,14 @@
   CPPUNIT_ASSERT_EQUAL(std::int64_t{135}, defaults.short_prompt_load_multiple);
   for (const std::string name :
        {"load_multiple", "short_prompt_load_multiple"}) {
-    for (const std::string value : {"100", "1000", "\"1.5x\""})
-      CPPUNIT_ASSERT_EQUAL(std::string(), FaultOf('"' + name + "\": " + value));
-    for (const std::string value : {"99", "1001"}) {
+    const auto fault_of = [&](const json& value) {
+      return FaultOf(json(name).dump() + ": " + value.dump());
+    };
+    for (const json& value : {json(100), json(1000), json("1.5x")})
+      CPPUNIT_ASSERT_EQUAL(std::string(), fault_of(value));
+    for (const json& value : {json(99), json(1001)}) {
       CPPUNIT_ASSERT_EQUAL("/" + name + ": must be from 100 to 1000 %",
-                           FaultOf('"' + name + "\": " + value));
+                           fault_of(value));
     }
   }
 }
