--- a/test/soak/evacuation_watch.cc
+++ b/test/soak/evacuation_watch.cc
@@ -10,21 +10,22 @@
 void EvacuationWatch::RecordBegin(const std::string& domain) {
   const std::lock_guard lock(this->mutex);
   this->evacuated_since.try_emplace(domain, Clock::now());
-  this->arrivals_since_end.erase(domain);
+  this->returned.erase(domain);
 }
 
 void EvacuationWatch::RecordEnd(const std::string& domain) {
   const std::lock_guard lock(this->mutex);
   this->evacuated_since.erase(domain);
-  this->arrivals_since_end[domain] = 0;
+  this->returned[domain].clear();
 }
 
 void EvacuationWatch::RecordArrival(const std::string& id,
                                     const std::string& domain) {
   const std::lock_guard lock(this->mutex);
-  if (const auto ended = this->arrivals_since_end.find(domain);
-      ended != this->arrivals_since_end.end())
-    ++ended->second;
+  // The number of the gateway follows the prefix of the id.
+  if (const auto ended = this->returned.find(domain);
+      ended != this->returned.end())
+    ended->second.insert(std::stoul(id.substr(id.find('-') + 1)));
   const auto begun = this->evacuated_since.find(domain);
   if (begun != this->evacuated_since.end() &&
       Clock::now() - begun->second > kMaxEvacuationTime)
@@ -33,17 +34,20 @@
 
 bool EvacuationWatch::HaveAllReturned() {
   const std::lock_guard lock(this->mutex);
-  return std::all_of(this->arrivals_since_end.begin(),
-                     this->arrivals_since_end.end(),
-                     [](const auto& entry) { return entry.second > 0; });
+  return std::all_of(
+      this->returned.begin(), this->returned.end(),
+      [&](const auto& entry) { return entry.second.size() == this->gateways; });
 }
 
 std::vector<std::string> EvacuationWatch::Violations() {
   const std::lock_guard lock(this->mutex);
   std::vector<std::string> all = this->late_arrivals;
-  for (const auto& [domain, arrivals] : this->arrivals_since_end) {
-    if (arrivals == 0)
-      all.push_back("restored domain " + domain + " got no request");
+  for (const auto& [domain, senders] : this->returned) {
+    if (senders.size() < this->gateways) {
+      all.push_back("restored domain " + domain + " got no request of " +
+                    std::to_string(this->gateways - senders.size()) +
+                    " gateways");
+    }
   }
   return all;
 }
--- a/test/soak/evacuation_watch.h
+++ b/test/soak/evacuation_watch.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
  public:
   using Clock = std::chrono::steady_clock;
 
+  explicit EvacuationWatch(std::size_t gateways) : gateways(gateways) {}
+
   /** Records that the store holds the evacuation of a domain. */
   void RecordBegin(const std::string& domain);
 
@@ -31,18 +34,20 @@
   /** Records that a request has reached an endpoint of a domain. */
   void RecordArrival(const std::string& id, const std::string& domain);
 
-  /** @return True if every restored domain has got a request since. */
+  /** @return True if every restored domain has got requests of all gateways
+   * since. */
   bool HaveAllReturned();
 
   /** @return One text for each request that arrived too late, and for each
-   * restored domain that has got none since. */
+   * restored domain that has not got one of every gateway since. */
   std::vector<std::string> Violations();
 
  private:
+  const std::size_t gateways;
   std::mutex mutex;
   std::map<std::string, Clock::time_point> evacuated_since;
-  /** Arrivals since the last restoration of a domain. */
-  std::map<std::string, std::size_t> arrivals_since_end;
+  /** Gateways whose requests have arrived since a domain was restored. */
+  std::map<std::string, std::set<std::size_t>> returned;
   std::vector<std::string> late_arrivals;
 };
 
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -331,7 +331,7 @@
 SoakResult RunSoak(const SoakPlan& plan) {
   SoakHistory history;
   EndpointBehaviour behaviour;
-  EvacuationWatch evacuations;
+  EvacuationWatch evacuations(plan.gateways);
   const auto started_at = Clock::now();
   GatewayFleet fleet(FleetPlanOf(plan));
   behaviour.crash = [&](const std::string& endpoint) {
