Accept bodies of 4 KiB at the ports that need none

Cause: the operators', readiness and peer ports accepted bodies of 4 MiB. Change: BodilessPortLimits() in src/kernel/bodiless_port.h; larger bodies get 413. The readiness port has no test. Other suites not run.

--- a/src/daemon/operator_server.cc
+++ b/src/daemon/operator_server.cc
@@ -2,6 +2,7 @@
 
 #include "daemon/operator_server.h"
 
+#include "kernel/bodiless_port.h"
 #include "kernel/metrics.h"
 
 namespace buckthornpath {
@@ -13,7 +14,7 @@
       on_drain(std::move(on_drain)),
       server(context.pool,
              ParseSocketAddress(context.settings.operator_address),
-             {},
+             BodilessPortLimits(),
              [this](HttpExchange& exchange) { return this->Serve(exchange); }) {
 }
 
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -14,6 +14,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/publication_follower.h"
+#include "kernel/bodiless_port.h"
 #include "kernel/http_server.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -68,7 +69,7 @@
         acceptor(this->state.executor),
         ready_server(context.pool,
                      ParseSocketAddress(context.settings.ready_address),
-                     {},
+                     BodilessPortLimits(),
                      [this](HttpExchange& exchange) {
                        return this->ServeReadiness(exchange);
                      }),
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "gateway/publication_feed.h"
+#include "kernel/bodiless_port.h"
 #include "kernel/cbor.h"
 #include "kernel/http_client.h"
 #include "kernel/json_types.h"
@@ -135,7 +136,7 @@
       socket(state.executor, UdpEndpoint(state.settings.gossip_address)),
       server(pool,
              ParseSocketAddress(state.settings.gossip_address),
-             {},
+             BodilessPortLimits(),
              [this](HttpExchange& exchange) { return this->Serve(exchange); }),
       seeds(SplitAddresses(state.settings.gossip_seeds)),
       early_round(state.executor) {
