--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for case in review/6 review/7 review/8 review/9 review/10; do
-  [ -f "$case/case.cc" ] || continue
+  [ -f "$case/program.cc" ] || continue
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/common-2 \
-    "$case/case.cc" -o "target/review-2/case-$(basename "$case")"
+    "$case/program.cc" -o "target/review-2/case-$(basename "$case")"
 done
