--- a/review/common-2/standins.h
+++ b/review/common-2/standins.h
@@ -165,13 +165,6 @@
   return size;
 }
 
-/** Closes a connection with a TCP reset. */
-inline void Reset(int fd) {
-  const linger now{1, 0};
-  setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-  close(fd);
-}
-
 // HTTP/1.1.
 
 inline std::string Lower(std::string text) {
