HTTP client: a status code outside 100 to 599 is no answer

Callers of a gateway received "HTTP/1.1 0" with the body of an endpoint in trouble as the answer to their request, also where another endpoint would have answered it. So did callers of a router whose plain service did this.

Cause: the parser of the library takes any three digits for a status code, and neither reader of responses checked the code. 000 is no 5xx, so that the gateway buffered and relayed it; the endpoint role stored it as the answer. 600 to 999 and 101, which accepts an upgrade that none of our requests asks for, went the same way.

Change: CheckResponseHead(), used by EndpointConnection (first, resumed and standby attempts) and HttpResponseStream (endpoint role, store, peers, configuration, operators' command). Such a response is treated as a broken connection: the request may have run, so it is repeated only if it may run twice, and answered 502 otherwise.

Resumed streams and standby attempts rejected such a response already, as they ask for a 2xx.

--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -9,6 +9,7 @@
 
 #include "gateway/cancellable_timer.h"
 #include "gateway/wake_signal.h"
+#include "kernel/response_check.h"
 #include "kernel/socket_option.h"
 
 namespace buckthornpath {
@@ -67,7 +68,7 @@
     if (error)
       co_return error;
   }
-  co_return ErrorCode();
+  co_return CheckResponseHead(this->Head());
 }
 
 asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::ReadBody(
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -37,7 +37,7 @@
 
   asio::awaitable<ErrorCode> Send(const ForwardRequest& request);
 
-  /** Reads the head of the next response. */
+  /** Reads the head of the next response; an invalid one is an error. */
   asio::awaitable<ErrorCode> ReadHead(bool is_head_request);
 
   /** @return The response head that was read last. */
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "kernel/response_check.h"
 #include "kernel/socket_option.h"
 
 namespace buckthornpath {
@@ -100,6 +101,7 @@
   auto [read_error, read] = co_await http::async_read_header(
       stream, state->buffer, state->parser, kAwaitResult);
   ThrowOnError(read_error, "read head");
+  ThrowOnError(CheckResponseHead(state->parser.get()), "read head");
   state->head.status = state->parser.get().result_int();
   for (const auto& field : state->parser.get()) {
     state->head.headers.Append(std::string(field.name_string()),
--- /dev/null
+++ b/src/kernel/response_check.h
@@ -0,0 +1,23 @@
+/** @file response_check.h Rules for HTTP responses that the library's parser
+ * leaves to its user. */
+
+#ifndef SRC_KERNEL_RESPONSE_CHECK_H_
+#define SRC_KERNEL_RESPONSE_CHECK_H_
+
+#include <boost/beast/http/message.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace buckthornpath {
+
+using ResponseHead = boost::beast::http::response_header<>;
+
+/**
+ * Checks the head of a response that was parsed without an error.
+ * @return `bad_status` if the status code is not defined by RFC 9110, or
+ * accepts an upgrade, for which no request of ours asks.
+ */
+boost::system::error_code CheckResponseHead(const ResponseHead& head);
+
+}  // namespace buckthornpath
+
+#endif  // SRC_KERNEL_RESPONSE_CHECK_H_
--- /dev/null
+++ b/test/fakes/broken_answer.cc
@@ -0,0 +1,41 @@
+/** @file broken_answer.cc Bytes that a lenient parser takes for a response. */
+
+#include "fakes/broken_answer.h"
+
+#include <sstream>
+
+namespace buckthornpath {
+
+std::string BrokenAnswer::Format(const std::string& more_fields) const {
+  const std::string body = kBrokenBody;
+  std::ostringstream text;
+  text << this->status_line << "\r\n" << more_fields << this->fields;
+  switch (this->framing) {
+    case Framing::kLength:
+      text << "Content-Length: " << body.size() << "\r\n\r\n" << body;
+      break;
+    case Framing::kChunked:
+      text << "\r\n"
+           << std::hex << body.size() << "\r\n"
+           << body << "\r\n0\r\n\r\n";
+      break;
+    case Framing::kClose:
+      text << "\r\n" << body;
+      break;
+  }
+  return text.str();
+}
+
+std::vector<BrokenAnswer> InvalidStatuses() {
+  std::vector<BrokenAnswer> answers;
+  // 101 accepts an upgrade, for which none of our requests asks.
+  for (const char* code : {"000", "001", "099", "101", "600", "999"}) {
+    BrokenAnswer answer;
+    answer.name = std::string("status ") + code;
+    answer.status_line = std::string("HTTP/1.1 ") + code + " X";
+    answers.push_back(answer);
+  }
+  return answers;
+}
+
+}  // namespace buckthornpath
--- /dev/null
+++ b/test/fakes/broken_answer.h
@@ -0,0 +1,40 @@
+/** @file broken_answer.h Bytes that a lenient parser takes for a response. */
+
+#ifndef TEST_FAKES_BROKEN_ANSWER_H_
+#define TEST_FAKES_BROKEN_ANSWER_H_
+
+#include <string>
+#include <vector>
+
+namespace buckthornpath {
+
+/** Body of all broken answers, which must reach no caller. */
+inline constexpr const char* kBrokenBody = "data: not-an-answer\n\n";
+
+/** A response that breaks a rule of RFC 9110 or RFC 9112. */
+struct BrokenAnswer {
+  /** How the end of the body is told. */
+  enum class Framing {
+    kLength,   ///< By a Content-Length field.
+    kChunked,  ///< By chunks; the test states the Transfer-Encoding field.
+    kClose     ///< By the end of the connection.
+  };
+
+  std::string name;
+  std::string status_line = "HTTP/1.1 200 OK";
+  std::string fields;  ///< Field lines with their CRLF.
+  Framing framing = Framing::kLength;
+
+  /**
+   * @param more_fields Field lines of a sound answer to the request.
+   * @return The bytes of the response.
+   */
+  std::string Format(const std::string& more_fields) const;
+};
+
+/** @return Responses whose status code is none that ends an exchange. */
+std::vector<BrokenAnswer> InvalidStatuses();
+
+}  // namespace buckthornpath
+
+#endif  // TEST_FAKES_BROKEN_ANSWER_H_
--- /dev/null
+++ b/test/stories/broken_answers.cc
@@ -0,0 +1,223 @@
+/** @file broken_answers.cc Bytes of an endpoint that look like a response and
+ * are none reach no caller, whichever attempt of a gateway reads them. */
+
+#include <cppunit/TestAssert.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fakes/broken_answer.h"
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Longer than a gateway waits for a silent stream, and shorter than a caller
+ * does. */
+constexpr milliseconds kPause{1500};
+
+GatewayPlan TwoEndpointsPerService() {
+  GatewayPlan plan;
+  plan.engines = 2;
+  plan.ledgers = 2;
+  plan.settings = {{"retry_slack", 56}};
+  return plan;
+}
+
+bool IsComplete(const RawAnswer& answer) {
+  return answer.body.ends_with("0\r\n\r\n");
+}
+
+/** @return Fields of a sound answer to the call. */
+std::string SoundFields(const ScriptedCall& call, const std::string& type) {
+  return "Buckthornpath-Request-Id: " + call.Id() +
+         "\r\nBuckthornpath-Response-Seal: s\r\nContent-Type: " + type + "\r\n";
+}
+
+/** Sends a broken answer and closes the connection. */
+void SendBroken(ScriptedCall& call,
+                const BrokenAnswer& broken,
+                const std::string& type) {
+  call.Send(broken.Format(SoundFields(call, type)));
+  call.Close(false);
+}
+
+/** A gateway with two endpoints a service, and its callers. */
+class BrokenEndpoints {
+ public:
+  BrokenEndpoints() : fleet(TwoEndpointsPerService()) {}
+
+  void SetScript(const EndpointScript& script) {
+    for (std::size_t i = 0; i < 2; ++i) {
+      this->fleet.Engine(i).SetScript(script);
+      this->fleet.Ledger(i).SetScript(script);
+    }
+  }
+
+  RawAnswer Call(const std::string& path) {
+    CallerText text;
+    text.path = path;
+    text.id = "broken-" + std::to_string(++this->calls);
+    return this->fleet.Call(0, TextOf(text));
+  }
+
+  /** @return Endpoints that received the last call. */
+  std::size_t RunsOfLast() {
+    const std::string id = "broken-" + std::to_string(this->calls);
+    std::size_t runs = 0;
+    for (std::size_t i = 0; i < 2; ++i) {
+      runs += this->fleet.Engine(i).CountOf(id);
+      runs += this->fleet.Ledger(i).CountOf(id);
+    }
+    return runs;
+  }
+
+  /** Outlier ejection and retry budgets are empty in a new fleet. */
+  GatewayFleet fleet;
+
+ private:
+  int calls = 0;
+};
+
+/** @return The answer, for the message of an assertion. */
+std::string Describe(const BrokenAnswer& broken, const RawAnswer& answer) {
+  return broken.name + ": " + answer.head + "\n" + answer.body;
+}
+
+void CheckNothingPassed(const BrokenAnswer& broken, const RawAnswer& answer) {
+  CPPUNIT_ASSERT_MESSAGE(
+      Describe(broken, answer),
+      answer.body.find("not-an-answer") == std::string::npos);
+}
+
+/** A request that must not run twice is answered as one that may have run. */
+std::function<void()> NoCallerGets(
+    const std::function<std::vector<BrokenAnswer>()>& answers,
+    const std::string& path,
+    const std::string& type) {
+  return [answers, path, type] {
+    BrokenEndpoints endpoints;
+    for (const BrokenAnswer& broken : answers()) {
+      endpoints.SetScript(
+          [&](ScriptedCall& call) { SendBroken(call, broken, type); });
+      const RawAnswer answer = endpoints.Call(path);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Describe(broken, answer), 502U,
+                                   answer.status);
+      CheckNothingPassed(broken, answer);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, std::size_t{1},
+                                   endpoints.RunsOfLast());
+    }
+  };
+}
+
+std::function<void()> RepeatableIsAnsweredElsewhere(
+    const std::function<std::vector<BrokenAnswer>()>& answers) {
+  return [answers] {
+    for (const BrokenAnswer& broken : answers()) {
+      BrokenEndpoints endpoints;
+      std::atomic<int> calls = 0;
+      endpoints.SetScript([&](ScriptedCall& call) {
+        if (++calls == 1)
+          SendBroken(call, broken, "text/plain");
+        else
+          call.Answer(200, "second");
+      });
+      const RawAnswer answer = endpoints.Call("/lookup/x");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Describe(broken, answer), 200U,
+                                   answer.status);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, std::string("second"),
+                                   answer.body);
+    }
+  };
+}
+
+/** The first endpoint breaks off after an event; the second one, which is to
+ * resume the stream, sends the broken answer. */
+std::function<void()> NoPartOfAResumedStream(
+    const std::function<std::vector<BrokenAnswer>()>& answers) {
+  return [answers] {
+    for (const BrokenAnswer& broken : answers()) {
+      BrokenEndpoints endpoints;
+      endpoints.SetScript([&](ScriptedCall& call) {
+        if (!call.Field("Last-Event-Id").empty()) {
+          SendBroken(call, broken, "text/event-stream");
+          return;
+        }
+        call.BeginEvents();
+        call.Event(1);
+        call.Close(true);
+      });
+      const RawAnswer answer = endpoints.Call("/talk/x");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, 200U, answer.status);
+      CheckNothingPassed(broken, answer);
+      CPPUNIT_ASSERT_MESSAGE(Describe(broken, answer), !IsComplete(answer));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, std::size_t{2},
+                                   endpoints.RunsOfLast());
+    }
+  };
+}
+
+/** The first endpoint pauses and goes on later; the one that is asked
+ * meanwhile to take the stream over sends the broken answer. */
+std::function<void()> PausedStreamOutlives(
+    const std::function<std::vector<BrokenAnswer>()>& answers) {
+  return [answers] {
+    for (const BrokenAnswer& broken : answers()) {
+      BrokenEndpoints endpoints;
+      std::atomic<int> asked = 0;
+      endpoints.SetScript([&](ScriptedCall& call) {
+        if (!call.Field("Last-Event-Id").empty()) {
+          ++asked;
+          SendBroken(call, broken, "text/event-stream");
+          return;
+        }
+        call.BeginEvents();
+        call.Event(1);
+        std::this_thread::sleep_for(kPause);
+        call.Event(2);
+        call.EndEvents();
+      });
+      const RawAnswer answer = endpoints.Call("/talk/x");
+      CPPUNIT_ASSERT_MESSAGE(broken.name, asked > 0);
+      CheckNothingPassed(broken, answer);
+      CPPUNIT_ASSERT_MESSAGE(Describe(broken, answer),
+                             answer.body.find("id: 2\n") != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(Describe(broken, answer), IsComplete(answer));
+    }
+  };
+}
+
+CppUnit::Test* SectionOf(
+    const std::string& name,
+    const std::function<std::vector<BrokenAnswer>()>& answers) {
+  return Section(
+      "when " + name,
+      {Then("no caller gets it as an answer",
+            NoCallerGets(answers, "/issue/x", "text/plain")),
+       Then("nor as a stream",
+            NoCallerGets(answers, "/draft/x", "text/event-stream")),
+       Then("a repeatable request is answered by another endpoint",
+            RepeatableIsAnsweredElsewhere(answers)),
+       Then("it is no part of a resumed stream",
+            NoPartOfAResumedStream(answers)),
+       Then("a paused stream outlives it as the answer of a standby attempt",
+            PausedStreamOutlives(answers))});
+}
+
+const Story kStory("broken_answers", [] {
+  return Section(
+      "given endpoints that send what looks like a response",
+      {SectionOf("its status code ends no exchange", InvalidStatuses)});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
--- a/test/stories/http_client.cc
+++ b/test/stories/http_client.cc
@@ -1,4 +1,5 @@
-/** @file http_client.cc Limits of an exchange of the HTTP client. */
+/** @file http_client.cc Limits of an exchange of the HTTP client, and responses
+ * that it must not take for one. */
 
 #include "kernel/http_client.h"
 
@@ -11,10 +12,15 @@
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include "fakes/broken_answer.h"
+#include "fakes/scripted_endpoint.h"
 #include "harness/caller.h"
+#include "harness/local_fleet.h"
 #include "harness/story.h"
 
 namespace buckthornpath {
@@ -80,11 +86,34 @@
   CPPUNIT_ASSERT_THROW(result.get(), HttpError);
 }
 
+/** Nothing that a process or command of ours reads by HTTP is taken from a
+ * broken response. */
+std::function<void()> ClientRejects(
+    const std::function<std::vector<BrokenAnswer>()>& answers) {
+  return [answers] {
+    const NetworkClaim claim;
+    const SocketAddress address =
+        ParseSocketAddress(claim.Network() + "1:7100");
+    for (const BrokenAnswer& broken : answers()) {
+      ScriptedEndpoint server(address, [&](ScriptedCall& call) {
+        call.Send(broken.Format("Content-Type: application/json\r\n"));
+        call.Close(false);
+      });
+      CPPUNIT_ASSERT_THROW_MESSAGE(broken.name, CallHttp(address, {}),
+                                   HttpError);
+    }
+  };
+}
+
 const Story kStory("http_client", [] {
   return Section(
-      "given a server that sends a byte of its response now and then",
+      "given a server in trouble",
       {Section("when the exchange has a limit as a whole",
-               {Then("the client gives it up", TricklingResponseIsGivenUp)})});
+               {Then("the client gives a response up that comes byte by byte",
+                     TricklingResponseIsGivenUp)}),
+       Section("when the server sends what looks like a response",
+               {Then("a status code that ends no exchange is an error",
+                     ClientRejects(InvalidStatuses))})});
 });
 
 }  // namespace
