HTTP client: an interim response is not the answer

Callers of a gateway received "102" or "103" with an empty body as the answer to a request that the endpoint went on to answer properly; a resumed or paused stream was lost when the endpoint that took it over announced itself this way. A router passed on the 100 of a plain service in the same way.

Cause: the library hands out a 1xx response as a whole message without body, and neither reader went on to the final response (RFC 9110, section 15.2). In the gateway, an interim response without the request's id was skipped as a late response, of which it takes no more than two.

Change: both readers read on after an interim response, at most 16 of them, so that a server that sends nothing else is given up. None is passed on.

Evidence: on the code before, 5 new tests of broken_answers, 2 of http_client and 1 of broken_service_answers failed ("Expected: 200, Actual: 102"); all pass now. gateway_endless and gateway_answers pass as before.

--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -58,6 +58,16 @@
 
 asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::ReadHead(
     bool is_head_request) {
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    const ErrorCode error = co_await this->ReadNextHead(is_head_request);
+    if (error || !IsInterimResponse(this->Head()))
+      co_return error;
+  }
+  co_return http::error::bad_status;
+}
+
+asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::ReadNextHead(
+    bool is_head_request) {
   this->parser.emplace();
   this->parser->header_limit(kHeaderBytes);
   this->parser->body_limit(boost::none);
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -37,7 +37,8 @@
 
   asio::awaitable<ErrorCode> Send(const ForwardRequest& request);
 
-  /** Reads the head of the next response; an invalid one is an error. */
+  /** Reads the head of the next final response; interim ones are skipped, and
+   * an invalid one is an error. */
   asio::awaitable<ErrorCode> ReadHead(bool is_head_request);
 
   /** @return The response head that was read last. */
@@ -71,6 +72,9 @@
   std::optional<std::chrono::milliseconds> idle_timeout;
 
  private:
+  /** Reads the head of the next response, interim or final. */
+  asio::awaitable<ErrorCode> ReadNextHead(bool is_head_request);
+
   ErrorCode ParseBuffered();
 
   /** Parses buffered input, or reads more from the endpoint and parses it. */
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -50,7 +50,6 @@
 
   State(asio::any_io_executor executor, const HttpTimeouts& timeouts)
       : stream(executor) {
-    this->parser.body_limit(boost::none);
     if (timeouts.total)
       this->deadline = Clock::now() + *timeouts.total;
   }
@@ -60,11 +59,37 @@
     this->stream.expires_at(std::min(Clock::now() + timeout, this->deadline));
   }
 
+  /** Reads the head of the next response, interim or final. */
+  asio::awaitable<void> ReadNextHead() {
+    this->parser.emplace();
+    this->parser->body_limit(boost::none);
+    auto [error, size] = co_await http::async_read_header(
+        this->stream, this->buffer, *this->parser, kAwaitResult);
+    ThrowOnError(error, "read head");
+    ThrowOnError(CheckResponseHead(this->parser->get()), "read head");
+  }
+
+  /** Reads the head of the final response. */
+  asio::awaitable<void> ReadFinalHead() {
+    int interim = 0;
+    co_await this->ReadNextHead();
+    while (IsInterimResponse(this->parser->get())) {
+      if (++interim > kMaxInterimResponses)
+        throw HttpError("read head: too many interim responses");
+      co_await this->ReadNextHead();
+    }
+    this->head.status = this->parser->get().result_int();
+    for (const auto& field : this->parser->get()) {
+      this->head.headers.Append(std::string(field.name_string()),
+                                std::string(field.value()));
+    }
+  }
+
   Clock::time_point deadline = Clock::time_point::max();
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  http::response_parser<http::buffer_body> parser;
+  std::optional<http::response_parser<http::buffer_body>> parser;
   HttpResponse head;
 };
 
@@ -98,22 +123,14 @@
       co_await http::async_write(stream, message, kAwaitResult);
   ThrowOnError(write_error, "write");
   state->ExpireAfter(timeouts.step);
-  auto [read_error, read] = co_await http::async_read_header(
-      stream, state->buffer, state->parser, kAwaitResult);
-  ThrowOnError(read_error, "read head");
-  ThrowOnError(CheckResponseHead(state->parser.get()), "read head");
-  state->head.status = state->parser.get().result_int();
-  for (const auto& field : state->parser.get()) {
-    state->head.headers.Append(std::string(field.name_string()),
-                               std::string(field.value()));
-  }
+  co_await state->ReadFinalHead();
   co_return std::unique_ptr<HttpResponseStream>(
       new HttpResponseStream(std::move(state)));
 }
 
 asio::awaitable<std::optional<std::string>> HttpResponseStream::ReadSome(
     std::chrono::milliseconds timeout) {
-  auto& parser = this->state->parser;
+  auto& parser = *this->state->parser;
   if (parser.is_done())
     co_return std::nullopt;
   std::array<char, kReadBufferBytes> chunk{};
--- a/src/kernel/http_client.h
+++ b/src/kernel/http_client.h
@@ -44,11 +44,12 @@
 class HttpResponseStream {
  public:
   /**
-   * Connects, sends a request and reads the header of the response.
+   * Connects, sends a request and reads the header of the final response;
+   * interim ones are skipped.
    * @param timeouts Limits of the three steps, and of the reads that follow.
    * @param may_send If set, the request is sent only if it returns true.
    * @throws HttpRequestNotSent If connecting fails or may_send returns false.
-   * @throws HttpError If a later step fails.
+   * @throws HttpError If a later step fails, or the response is invalid.
    */
   static asio::awaitable<std::unique_ptr<HttpResponseStream>> Open(
       SocketAddress address,
--- a/src/kernel/response_check.cc
+++ b/src/kernel/response_check.cc
@@ -26,4 +26,8 @@
   return {};
 }
 
+bool IsInterimResponse(const ResponseHead& head) {
+  return head.result_int() / 100 == 1;
+}
+
 }  // namespace buckthornpath
--- a/src/kernel/response_check.h
+++ b/src/kernel/response_check.h
@@ -18,6 +18,12 @@
  */
 boost::system::error_code CheckResponseHead(const ResponseHead& head);
 
+/** Limit of the interim responses before one final response. */
+inline constexpr int kMaxInterimResponses = 16;
+
+/** @return True if another response to the same request follows. */
+bool IsInterimResponse(const ResponseHead& head);
+
 }  // namespace buckthornpath
 
 #endif  // SRC_KERNEL_RESPONSE_CHECK_H_
--- a/test/fakes/broken_answer.cc
+++ b/test/fakes/broken_answer.cc
@@ -26,6 +26,16 @@
   return text.str();
 }
 
+std::vector<std::string> InterimHeads(const std::string& fields) {
+  const std::string hint = "Link: </not-an-answer>; rel=preload\r\n";
+  return {"HTTP/1.1 100 Continue\r\n\r\n",
+          "HTTP/1.1 102 Processing\r\n" + fields + "\r\n",
+          "HTTP/1.1 103 Early Hints\r\n" + fields + hint + "\r\n",
+          // Such a response has no body, whatever its fields say.
+          "HTTP/1.1 100 Continue\r\n" + fields + "Content-Length: 5\r\n\r\n",
+          "HTTP/1.1 199 X\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n"};
+}
+
 std::vector<BrokenAnswer> InvalidStatuses() {
   std::vector<BrokenAnswer> answers;
   // 101 accepts an upgrade, for which none of our requests asks.
--- a/test/fakes/broken_answer.h
+++ b/test/fakes/broken_answer.h
@@ -32,6 +32,10 @@
   std::string Format(const std::string& more_fields) const;
 };
 
+/** @return Heads of interim responses, to be sent before the final one.
+ * @param fields Field lines of a sound answer to the request. */
+std::vector<std::string> InterimHeads(const std::string& fields);
+
 /** @return Responses whose status code is none that ends an exchange. */
 std::vector<BrokenAnswer> InvalidStatuses();
 
--- a/test/stories/broken_answers.cc
+++ b/test/stories/broken_answers.cc
@@ -7,6 +7,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "fakes/broken_answer.h"
@@ -195,6 +196,104 @@
   };
 }
 
+/** Sends all interim heads, in one piece with what follows or apart from it. */
+void SendInterim(ScriptedCall& call, const std::string& type, bool apart) {
+  std::string heads;
+  for (const std::string& head : InterimHeads(SoundFields(call, type))) {
+    heads += head;
+    if (apart) {
+      call.Send(std::exchange(heads, std::string()));
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+  if (!heads.empty())
+    call.Send(heads);
+}
+
+void FinalResponseIsTheAnswer() {
+  BrokenEndpoints endpoints;
+  for (const bool apart : {false, true}) {
+    endpoints.SetScript([apart](ScriptedCall& call) {
+      SendInterim(call, "text/plain", apart);
+      call.Answer(200, "final");
+    });
+    for (const char* path : {"/issue/x", "/lookup/x"}) {
+      const RawAnswer answer = endpoints.Call(path);
+      CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("final"), answer.body);
+      CPPUNIT_ASSERT(answer.head.find("not-an-answer") == std::string::npos);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.RunsOfLast());
+    }
+  }
+}
+
+void FinalStreamIsTheAnswer() {
+  BrokenEndpoints endpoints;
+  for (const bool apart : {false, true}) {
+    endpoints.SetScript([apart](ScriptedCall& call) {
+      SendInterim(call, "text/event-stream", apart);
+      call.BeginEvents();
+      call.Event(1);
+      call.EndEvents();
+    });
+    for (const char* path : {"/draft/x", "/talk/x"}) {
+      const RawAnswer answer = endpoints.Call(path);
+      CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+      CPPUNIT_ASSERT(answer.body.find("id: 1\n") != std::string::npos);
+      CPPUNIT_ASSERT(IsComplete(answer));
+    }
+  }
+}
+
+/** The first endpoint breaks off or pauses after an event. */
+void FinalStreamResumes() {
+  for (const bool pauses : {false, true}) {
+    BrokenEndpoints endpoints;
+    endpoints.SetScript([pauses](ScriptedCall& call) {
+      if (!call.Field("Last-Event-Id").empty()) {
+        SendInterim(call, "text/event-stream", true);
+        call.BeginEvents();
+        call.Event(2);
+        call.EndEvents();
+        return;
+      }
+      call.BeginEvents();
+      call.Event(1);
+      if (pauses)
+        call.WaitForClose(milliseconds(3000));
+      call.Close(true);
+    });
+    const RawAnswer answer = endpoints.Call("/talk/x");
+    CPPUNIT_ASSERT(answer.body.find("id: 2\n") != std::string::npos);
+    CPPUNIT_ASSERT(IsComplete(answer));
+  }
+}
+
+/** After a request was read, an end without a final response tells nothing. */
+void InterimResponseAloneIsNoAnswer() {
+  BrokenEndpoints endpoints;
+  for (const bool reset : {false, true}) {
+    endpoints.SetScript([reset](ScriptedCall& call) {
+      SendInterim(call, "text/plain", false);
+      call.Close(reset);
+    });
+    CPPUNIT_ASSERT_EQUAL(502U, endpoints.Call("/issue/x").status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.RunsOfLast());
+  }
+}
+
+/** They carry the request's id, so that they are no late responses. */
+void InterimResponsesAreBounded() {
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([](ScriptedCall& call) {
+    const std::string head =
+        InterimHeads(SoundFields(call, "text/plain")).at(1);
+    while (call.Send(head)) {
+    }
+  });
+  CPPUNIT_ASSERT_EQUAL(502U, endpoints.Call("/issue/x").status);
+}
+
 CppUnit::Test* SectionOf(
     const std::string& name,
     const std::function<std::vector<BrokenAnswer>()>& answers) {
@@ -215,7 +314,15 @@
 const Story kStory("broken_answers", [] {
   return Section(
       "given endpoints that send what looks like a response",
-      {SectionOf("its status code ends no exchange", InvalidStatuses)});
+      {SectionOf("its status code ends no exchange", InvalidStatuses),
+       Section(
+           "when interim responses come first",
+           {Then("the final response is the answer", FinalResponseIsTheAnswer),
+            Then("so is the final stream", FinalStreamIsTheAnswer),
+            Then("which resumes one that broke or pauses", FinalStreamResumes),
+            Then("they are no answer by themselves",
+                 InterimResponseAloneIsNoAnswer),
+            Then("nor without end", InterimResponsesAreBounded)})});
 });
 
 }  // namespace
--- a/test/stories/broken_service_answers.cc
+++ b/test/stories/broken_service_answers.cc
@@ -97,6 +97,18 @@
   };
 }
 
+void FinalResponseOfTheService() {
+  const BrokenServices services;
+  const ScriptedEndpoint service(services.Service(), [](ScriptedCall& call) {
+    for (const std::string& head : InterimHeads(""))
+      call.Send(head);
+    call.Answer(201, "final");
+  });
+  const HttpResponse response = services.CallService();
+  CPPUNIT_ASSERT_EQUAL(201U, response.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("final"), response.body);
+}
+
 CppUnit::Test* SectionOf(
     const std::string& name,
     const std::function<std::vector<BrokenAnswer>()>& answers) {
@@ -110,7 +122,10 @@
 const Story kStory("broken_service_answers", [] {
   return Section(
       "given a service and an engine that send what looks like a response",
-      {SectionOf("its status code ends no exchange", InvalidStatuses)});
+      {SectionOf("its status code ends no exchange", InvalidStatuses),
+       Section("when interim responses come first",
+               {Then("the final response is the answer",
+                     FinalResponseOfTheService)})});
 });
 
 }  // namespace
--- a/test/stories/http_client.cc
+++ b/test/stories/http_client.cc
@@ -105,6 +105,30 @@
   };
 }
 
+void FinalResponseIsRead() {
+  const NetworkClaim claim;
+  const SocketAddress address = ParseSocketAddress(claim.Network() + "1:7100");
+  const ScriptedEndpoint server(address, [](ScriptedCall& call) {
+    for (const std::string& head : InterimHeads("X-Interim: 1\r\n"))
+      call.Send(head);
+    call.Answer(201, "final");
+  });
+  const HttpResponse response = CallHttp(address, {});
+  CPPUNIT_ASSERT_EQUAL(201U, response.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("final"), response.body);
+  CPPUNIT_ASSERT(!response.headers.Find("X-Interim"));
+}
+
+void InterimResponsesAreBounded() {
+  const NetworkClaim claim;
+  const SocketAddress address = ParseSocketAddress(claim.Network() + "1:7100");
+  const ScriptedEndpoint server(address, [](ScriptedCall& call) {
+    while (call.Send(InterimHeads("").front())) {
+    }
+  });
+  CPPUNIT_ASSERT_THROW(CallHttp(address, {}), HttpError);
+}
+
 const Story kStory("http_client", [] {
   return Section(
       "given a server in trouble",
@@ -113,7 +137,11 @@
                      TricklingResponseIsGivenUp)}),
        Section("when the server sends what looks like a response",
                {Then("a status code that ends no exchange is an error",
-                     ClientRejects(InvalidStatuses))})});
+                     ClientRejects(InvalidStatuses))}),
+       Section("when interim responses come first",
+               {Then("the final response is read", FinalResponseIsRead),
+                Then("they do not come without end",
+                     InterimResponsesAreBounded)})});
 });
 
 }  // namespace
