HTTP client: a body with another transfer coding is not the answer

Callers of a gateway received bodies that were not the endpoint's: with "Transfer-Encoding: gzip, chunked" the coded bytes without the field that names the coding; with "gzip", "identity", "xchunked", "chunked, chunked" or an empty field all bytes until the connection closed, chunk sizes and a broken-off end included; with "gzip" before a Content-Length the part that the length covers. Resumed streams and those that a standby attempt had taken over continued with such bytes, and a router passed on those of a plain service and of an engine.

Cause: the library looks only for "chunked" at the end of the list and leaves everything else to its user; HTTP/1.0 and parameters it ignores. No request of ours has a TE field, so that chunked is the only coding a server may use (RFC 9112, sections 6.1, 6.3 and 7).

Change: CheckResponseHead() rejects a body whose Transfer-Encoding is not just "chunked", and any in HTTP/1.0. Responses without body may name any.

--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -78,7 +78,7 @@
     if (error)
       co_return error;
   }
-  co_return CheckResponseHead(this->Head());
+  co_return CheckResponseHead(this->Head(), is_head_request);
 }
 
 asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::ReadBody(
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -66,7 +66,7 @@
     auto [error, size] = co_await http::async_read_header(
         this->stream, this->buffer, *this->parser, kAwaitResult);
     ThrowOnError(error, "read head");
-    ThrowOnError(CheckResponseHead(this->parser->get()), "read head");
+    ThrowOnError(CheckResponseHead(this->parser->get(), false), "read head");
   }
 
   /** Reads the head of the final response. */
--- a/src/kernel/response_check.h
+++ b/src/kernel/response_check.h
@@ -13,10 +13,14 @@
 
 /**
  * Checks the head of a response that was parsed without an error.
+ * @param is_to_head_request True if the response has no body for this reason.
  * @return `bad_status` if the status code is not defined by RFC 9110, or
- * accepts an upgrade, for which no request of ours asks.
+ * accepts an upgrade, for which no request of ours asks;
+ * `bad_transfer_encoding` if a body has a transfer coding other than chunked,
+ * which no request of ours accepts, or if the version does not allow chunks.
  */
-boost::system::error_code CheckResponseHead(const ResponseHead& head);
+boost::system::error_code CheckResponseHead(const ResponseHead& head,
+                                            bool is_to_head_request);
 
 /** Limit of the interim responses before one final response. */
 inline constexpr int kMaxInterimResponses = 16;
--- a/test/fakes/broken_answer.cc
+++ b/test/fakes/broken_answer.cc
@@ -3,6 +3,7 @@
 #include "fakes/broken_answer.h"
 
 #include <sstream>
+#include <utility>
 
 namespace buckthornpath {
 
@@ -48,4 +49,38 @@
   return answers;
 }
 
+std::vector<BrokenAnswer> InvalidTransferCodings() {
+  using Framing = BrokenAnswer::Framing;
+  const std::vector<std::pair<std::vector<std::string>, Framing>> codings = {
+      {{"gzip, chunked"}, Framing::kChunked},
+      {{"gzip", "chunked"}, Framing::kChunked},
+      {{"identity, chunked"}, Framing::kChunked},
+      {{"chunked chunked"}, Framing::kChunked},
+      {{"chunked;q=1"}, Framing::kChunked},
+      {{"chunked, chunked"}, Framing::kClose},
+      {{"chunked, gzip"}, Framing::kClose},
+      {{"gzip"}, Framing::kClose},
+      {{"identity"}, Framing::kClose},
+      {{"xchunked"}, Framing::kClose},
+      {{"\"chunked\""}, Framing::kClose},
+      {{""}, Framing::kClose},
+      {{"gzip"}, Framing::kLength}};
+  std::vector<BrokenAnswer> answers;
+  for (const auto& [lines, framing] : codings) {
+    BrokenAnswer answer;
+    for (const std::string& line : lines)
+      answer.fields += "Transfer-Encoding: " + line + "\r\n";
+    answer.name = answer.fields;
+    answer.framing = framing;
+    answers.push_back(answer);
+  }
+  BrokenAnswer old_version;
+  old_version.name = "chunks in HTTP/1.0";
+  old_version.status_line = "HTTP/1.0 200 OK";
+  old_version.fields = "Transfer-Encoding: chunked\r\n";
+  old_version.framing = Framing::kChunked;
+  answers.push_back(old_version);
+  return answers;
+}
+
 }  // namespace buckthornpath
--- a/test/fakes/broken_answer.h
+++ b/test/fakes/broken_answer.h
@@ -39,6 +39,10 @@
 /** @return Responses whose status code is none that ends an exchange. */
 std::vector<BrokenAnswer> InvalidStatuses();
 
+/** @return Responses whose body has a transfer coding other than chunked, or
+ * whose Transfer-Encoding field is malformed or not allowed. */
+std::vector<BrokenAnswer> InvalidTransferCodings();
+
 }  // namespace buckthornpath
 
 #endif  // TEST_FAKES_BROKEN_ANSWER_H_
--- a/test/stories/broken_answers.cc
+++ b/test/stories/broken_answers.cc
@@ -294,6 +294,31 @@
   CPPUNIT_ASSERT_EQUAL(502U, endpoints.Call("/issue/x").status);
 }
 
+/** Names of codings are case-insensitive, and empty list elements allowed. */
+void ChunksAreRead() {
+  BrokenEndpoints endpoints;
+  for (const char* coding : {"chunked", "Chunked", "chunked,", ", chunked"}) {
+    endpoints.SetScript([coding](ScriptedCall& call) {
+      call.Send("HTTP/1.1 200 OK\r\n" + SoundFields(call, "text/plain") +
+                "Transfer-Encoding: " + coding +
+                "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+    });
+    const RawAnswer answer = endpoints.Call("/issue/x");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, 200U, answer.status);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, std::string("whole"), answer.body);
+  }
+}
+
+/** Such a response says how a body would have been coded; it has none. */
+void ResponseWithoutBodyMayNameACoding() {
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([](ScriptedCall& call) {
+    call.Send("HTTP/1.1 304 X\r\n" + SoundFields(call, "text/plain") +
+              "Transfer-Encoding: gzip, chunked\r\n\r\n");
+  });
+  CPPUNIT_ASSERT_EQUAL(304U, endpoints.Call("/issue/x").status);
+}
+
 CppUnit::Test* SectionOf(
     const std::string& name,
     const std::function<std::vector<BrokenAnswer>()>& answers) {
@@ -315,6 +340,12 @@
   return Section(
       "given endpoints that send what looks like a response",
       {SectionOf("its status code ends no exchange", InvalidStatuses),
+       SectionOf("its body has another transfer coding than chunked",
+                 InvalidTransferCodings),
+       Section("when its transfer coding is sound",
+               {Then("its chunks are read", ChunksAreRead),
+                Then("a response without body may name any",
+                     ResponseWithoutBodyMayNameACoding)}),
        Section(
            "when interim responses come first",
            {Then("the final response is the answer", FinalResponseIsTheAnswer),
