Gateway: fields after a chunked body are no part of the head

An endpoint whose chunked response came in one piece with trailer fields had these taken for fields of its head. Callers were told 503 "not executed" of a request that had run and been answered, which they may send again; received an answer whose seal or request id came only after its body; or found the trailer among the fields of the head, such as a Content-Encoding that does not hold.

Cause: the parser of the library adds trailer fields to those of the message that it holds. The gateway let it parse on eagerly while it read the head, and looked at the fields after that (RFC 9110, section 6.5.1: a trailer must not be merged into the header section).

Change: EndpointConnection stops the parser at the end of the head and keeps the head apart. HttpResponseStream did so already; its test stays.

--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -9,7 +9,6 @@
 
 #include "gateway/cancellable_timer.h"
 #include "gateway/wake_signal.h"
-#include "kernel/response_check.h"
 #include "kernel/socket_option.h"
 
 namespace buckthornpath {
@@ -71,13 +70,15 @@
   this->parser.emplace();
   this->parser->header_limit(kHeaderBytes);
   this->parser->body_limit(boost::none);
-  this->parser->eager(true);
   this->parser->skip(is_head_request);
   while (!this->parser->is_header_done()) {
     const ErrorCode error = co_await this->ReadMore();
     if (error)
       co_return error;
   }
+  // The parser adds the fields of a trailer to those that it holds.
+  this->head = this->parser->get();
+  this->parser->eager(true);
   co_return CheckResponseHead(this->Head(), is_head_request);
 }
 
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -13,6 +13,7 @@
 
 #include "gateway/chunk_body.h"
 #include "gateway/shared_body.h"
+#include "kernel/response_check.h"
 #include "kernel/socket_address.h"
 #include "kernel/worker_pool.h"
 
@@ -41,10 +42,8 @@
    * an invalid one is an error. */
   asio::awaitable<ErrorCode> ReadHead(bool is_head_request);
 
-  /** @return The response head that was read last. */
-  const boost::beast::http::response_header<>& Head() const {
-    return this->parser->get().base();
-  }
+  /** @return The response head that was read last, without a trailer. */
+  const ResponseHead& Head() const { return this->head; }
 
   /**
    * Reads the next part of the response body.
@@ -84,6 +83,7 @@
   asio::any_io_executor executor;
   boost::beast::flat_buffer buffer;
   std::optional<ResponseParser> parser;
+  ResponseHead head;
 };
 
 }  // namespace buckthornpath
--- a/test/fakes/broken_answer.cc
+++ b/test/fakes/broken_answer.cc
@@ -37,6 +37,18 @@
           "HTTP/1.1 199 X\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n"};
 }
 
+std::string WithTrailer(const std::string& fields,
+                        const std::string& body,
+                        const std::string& trailer) {
+  std::ostringstream text;
+  text << "HTTP/1.1 200 OK\r\n"
+       << fields << "Transfer-Encoding: chunked\r\n\r\n"
+       << std::hex << body.size() << "\r\n"
+       << body << "\r\n0\r\n"
+       << trailer << "\r\n";
+  return text.str();
+}
+
 std::vector<BrokenAnswer> InvalidStatuses() {
   std::vector<BrokenAnswer> answers;
   // 101 accepts an upgrade, for which none of our requests asks.
--- a/test/fakes/broken_answer.h
+++ b/test/fakes/broken_answer.h
@@ -36,6 +36,12 @@
  * @param fields Field lines of a sound answer to the request. */
 std::vector<std::string> InterimHeads(const std::string& fields);
 
+/** @return A sound chunked response with field lines before and after its body.
+ */
+std::string WithTrailer(const std::string& fields,
+                        const std::string& body,
+                        const std::string& trailer);
+
 /** @return Responses whose status code is none that ends an exchange. */
 std::vector<BrokenAnswer> InvalidStatuses();
 
--- a/test/stories/broken_answers.cc
+++ b/test/stories/broken_answers.cc
@@ -319,6 +319,54 @@
   CPPUNIT_ASSERT_EQUAL(304U, endpoints.Call("/issue/x").status);
 }
 
+/** What makes a response count must be known before its body. */
+void TrailerIsNoPartOfTheHead() {
+  const std::string id = "Buckthornpath-Request-Id: ";
+  const std::string seal = "Buckthornpath-Response-Seal: s\r\n";
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([&](ScriptedCall& call) {
+    call.Send(WithTrailer(id + call.Id() + "\r\n", "not-an-answer", seal));
+    call.Close(false);
+  });
+  CPPUNIT_ASSERT_EQUAL(502U, endpoints.Call("/issue/x").status);
+  endpoints.SetScript([&](ScriptedCall& call) {
+    call.Send(WithTrailer(seal, "not-an-answer", id + call.Id() + "\r\n"));
+    call.Close(false);
+  });
+  CPPUNIT_ASSERT_EQUAL(502U, endpoints.Call("/issue/x").status);
+}
+
+/** The response is sound, and its request has run. */
+void TrailerDoesNotTakeBackTheResponse() {
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([](ScriptedCall& call) {
+    call.Send(WithTrailer(SoundFields(call, "text/plain"), "whole",
+                          "Buckthornpath-Not-Executed: 1\r\n"));
+  });
+  const RawAnswer answer = endpoints.Call("/issue/x");
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.body);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, endpoints.RunsOfLast());
+}
+
+void TrailerIsNotPassedOnAsHead() {
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([](ScriptedCall& call) {
+    call.Send(WithTrailer(SoundFields(call, "text/event-stream"),
+                          "id: 1\ndata: d1\n\n",
+                          "X-Trailer: 1\r\nContent-Encoding: gzip\r\n"));
+  });
+  for (const char* path : {"/draft/x", "/talk/x", "/issue/x"}) {
+    const RawAnswer answer = endpoints.Call(path);
+    CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+    CPPUNIT_ASSERT(answer.body.find("id: 1\n") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(answer.head,
+                           answer.head.find("X-Trailer") == std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(
+        answer.head, answer.head.find("Content-Encoding") == std::string::npos);
+  }
+}
+
 CppUnit::Test* SectionOf(
     const std::string& name,
     const std::function<std::vector<BrokenAnswer>()>& answers) {
@@ -346,6 +394,11 @@
                {Then("its chunks are read", ChunksAreRead),
                 Then("a response without body may name any",
                      ResponseWithoutBodyMayNameACoding)}),
+       Section("when fields follow its body",
+               {Then("they do not make it count", TrailerIsNoPartOfTheHead),
+                Then("nor take it back", TrailerDoesNotTakeBackTheResponse),
+                Then("nor reach the caller as fields of the head",
+                     TrailerIsNotPassedOnAsHead)}),
        Section(
            "when interim responses come first",
            {Then("the final response is the answer", FinalResponseIsTheAnswer),
--- a/test/stories/http_client.cc
+++ b/test/stories/http_client.cc
@@ -119,6 +119,18 @@
   CPPUNIT_ASSERT(!response.headers.Find("X-Interim"));
 }
 
+void TrailerIsNoPartOfTheHead() {
+  const NetworkClaim claim;
+  const SocketAddress address = ParseSocketAddress(claim.Network() + "1:7100");
+  const ScriptedEndpoint server(address, [](ScriptedCall& call) {
+    call.Send(WithTrailer("X-Head: 1\r\n", "whole", "X-Trailer: 1\r\n"));
+  });
+  const HttpResponse response = CallHttp(address, {});
+  CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
+  CPPUNIT_ASSERT(response.headers.Find("X-Head").has_value());
+  CPPUNIT_ASSERT(!response.headers.Find("X-Trailer"));
+}
+
 void InterimResponsesAreBounded() {
   const NetworkClaim claim;
   const SocketAddress address = ParseSocketAddress(claim.Network() + "1:7100");
@@ -140,6 +152,9 @@
                      ClientRejects(InvalidStatuses)),
                 Then("so is another transfer coding than chunked",
                      ClientRejects(InvalidTransferCodings))}),
+       Section(
+           "when fields follow the body of a response",
+           {Then("they are no part of its head", TrailerIsNoPartOfTheHead)}),
        Section("when interim responses come first",
                {Then("the final response is read", FinalResponseIsRead),
                 Then("they do not come without end",
