Test: a part of an answer that comes before its upload was read

Both readers give an exchange up whose request could not be written, and read no answer after that.

The stand-in runs its script once the head of a request has arrived, with a receive buffer that keeps a long upload from being written.

--- a/test/fakes/scripted_endpoint.cc
+++ b/test/fakes/scripted_endpoint.cc
@@ -5,6 +5,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <sstream>
@@ -36,6 +38,13 @@
   return !error;
 }
 
+void ScriptedCall::DiscardBody(std::size_t limit) {
+  std::string bytes(std::min(limit, this->unread_bytes), '\0');
+  boost::system::error_code ignored;
+  this->unread_bytes -=
+      boost::asio::read(this->socket, boost::asio::buffer(bytes), ignored);
+}
+
 void ScriptedCall::Answer(unsigned status,
                           const std::string& body,
                           const std::string& more_fields) {
@@ -102,6 +111,14 @@
   this->script = std::move(next);
 }
 
+void ScriptedEndpoint::StopReadingBodies() {
+  // A small buffer keeps a caller writing while the script runs.
+  constexpr int kReceiveBufferBytes = 4096;
+  this->acceptor.set_option(
+      boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+  this->reads_bodies = false;
+}
+
 std::vector<ScriptedCall::Message> ScriptedEndpoint::Received() {
   const std::lock_guard lock(this->mutex);
   return this->received;
@@ -166,9 +183,14 @@
     parser.header_limit(kHeaderBytes);
     parser.body_limit(boost::none);
     boost::system::error_code error;
-    http::read(socket, buffer, parser, error);
+    if (this->reads_bodies)
+      http::read(socket, buffer, parser, error);
+    else
+      http::read_header(socket, buffer, parser, error);
     if (error)
       return;
+    std::size_t unread_bytes = parser.content_length_remaining().value_or(0);
+    unread_bytes -= std::min(unread_bytes, buffer.size());
     ScriptedCall::Message message = parser.release();
     EndpointScript current;
     {
@@ -176,7 +198,7 @@
       this->received.push_back(message);
       current = this->script;
     }
-    ScriptedCall call(std::move(message), socket);
+    ScriptedCall call(std::move(message), socket, unread_bytes);
     current(call);
     if (!socket.is_open())
       return;
--- a/test/fakes/scripted_endpoint.h
+++ b/test/fakes/scripted_endpoint.h
@@ -27,8 +27,13 @@
  public:
   using Message = boost::beast::http::request<boost::beast::http::string_body>;
 
-  ScriptedCall(Message message, boost::asio::ip::tcp::socket& socket)
-      : message(std::move(message)), socket(socket) {}
+  /** @param unread_bytes Bytes of the body that have not been read. */
+  ScriptedCall(Message message,
+               boost::asio::ip::tcp::socket& socket,
+               std::size_t unread_bytes = 0)
+      : message(std::move(message)),
+        socket(socket),
+        unread_bytes(unread_bytes) {}
 
   /** @return Value of a header field; empty if there is none. */
   std::string Field(const std::string& name) const;
@@ -38,6 +43,9 @@
   /** Sends bytes unchanged. @return False if the connection has failed. */
   bool Send(const std::string& bytes);
 
+  /** Reads bytes of the body that have not been read, at most this many. */
+  void DiscardBody(std::size_t limit);
+
   /** Sends a complete response with the endpoint's response seal. */
   void Answer(unsigned status,
               const std::string& body,
@@ -57,6 +65,7 @@
  private:
   Message message;
   boost::asio::ip::tcp::socket& socket;
+  std::size_t unread_bytes;
 };
 
 /** Handles one request of an endpoint. */
@@ -70,6 +79,10 @@
 
   void SetScript(EndpointScript script);
 
+  /** Runs the script of each further request once its head has arrived. The
+   * script must close the connection. */
+  void StopReadingBodies();
+
   /** Ends as a process that crashes: all connections close and new ones are
    * refused, until Recover(). May be called by the script. */
   void Crash();
@@ -104,6 +117,7 @@
   EndpointScript script;
   std::vector<ScriptedCall::Message> received;
   bool is_crashed = false;
+  std::atomic<bool> reads_bodies = true;
   std::atomic<int> accepted = 0;
   std::atomic<bool> is_stopping = false;
   SocketAddress address;
