HTTP client: a content coding that was not asked for is no answer

Callers that asked for no coding received coded bytes as the answer, also in the middle of a resumed stream, whose head said nothing of it; a router passed on the coded body of a plain service without the field that names the coding.

Cause: neither reader looked at Content-Encoding, and none of our processes decodes one.

Change: a body has to be plain or coded in a way that the request's Accept-Encoding lists; requests of our own have none. A head that says that nothing ran, and a response without body, hold whatever the field says.

Evidence: on the code before, 2 new tests of broken_answers, 1 of http_client and 2 of broken_service_answers failed ("Expected: 502, Actual: 200"); all pass now. Three tests of what stays allowed passed before and pass now.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -391,7 +391,7 @@
   const ForwardRequest forwarded = this->MakeRequest(endpoint);
   const ExpectedResponse expected{
       this->request.metadata.request_id,
-      this->exchange.Request().method() == http::verb::head};
+      this->exchange.Request().method() == http::verb::head, forwarded};
   bool has_head = false;
   const auto send_error = co_await this->connection->Send(forwarded);
   if (!send_error)
--- a/src/gateway/response_head.cc
+++ b/src/gateway/response_head.cc
@@ -3,6 +3,7 @@
 #include "gateway/response_head.h"
 
 #include "kernel/metrics.h"
+#include "kernel/response_check.h"
 
 namespace buckthornpath {
 
@@ -12,6 +13,13 @@
  */
 constexpr int kMaxLateResponses = 2;
 
+/** @return True if the request did not run, whatever the body is. */
+bool StatesNotExecuted(const EndpointConnection& connection,
+                       const ResponseMetadata& response) {
+  return response.not_executed ||
+         connection.Head().result_int() == kMisdirected;
+}
+
 }  // namespace
 
 asio::awaitable<bool> ReadMatchingHead(EndpointConnection& connection,
@@ -23,7 +31,9 @@
       co_return false;
     response = adapter.ParseResponseHeader(connection.Head());
     if (response.request_id == expected.request_id)
-      co_return true;
+      co_return StatesNotExecuted(connection, response) ||
+          HasAcceptedCodings(connection.Head(), expected.is_to_head_request,
+                             expected.request);
     ProcessMetrics().Add("foreign_answers_total");
     std::string ignored;
     while (!connection.IsResponseComplete()) {
--- a/src/gateway/response_head.h
+++ b/src/gateway/response_head.h
@@ -18,13 +18,15 @@
 struct ExpectedResponse {
   std::string request_id;
   bool is_to_head_request = false;
+  const HeaderFields& request;  ///< Says which codings a body may have.
 };
 
 /**
  * Reads heads until one belongs to the request; late responses to earlier
  * requests on the connection are skipped.
  * @param[out] response What the head that was read last says.
- * @return False if the connection fails or no head belongs to the request.
+ * @return False if the connection fails, no head belongs to the request, or the
+ * body has a content coding that the request does not accept.
  */
 asio::awaitable<bool> ReadMatchingHead(EndpointConnection& connection,
                                        const PlatformAdapter& adapter,
--- a/src/gateway/standby_attempt.cc
+++ b/src/gateway/standby_attempt.cc
@@ -111,7 +111,7 @@
   const auto send_error = co_await this->connection->Send(this->request);
   if (send_error)
     co_return AttemptResult::kBroken;
-  const ExpectedResponse expected{this->request_id, false};
+  const ExpectedResponse expected{this->request_id, false, this->request};
   const bool has_head = co_await ReadMatchingHead(
       *this->connection, this->state.adapter, expected, this->response);
   if (!has_head)
--- a/src/kernel/http_client.cc
+++ b/src/kernel/http_client.cc
@@ -91,8 +91,8 @@
     ThrowOnError(CheckResponseHead(this->parser->get(), false), "read head");
   }
 
-  /** Reads the head of the final response. */
-  asio::awaitable<void> ReadFinalHead() {
+  /** Reads the head of the final response to a request. */
+  asio::awaitable<void> ReadFinalHead(const http::fields& request) {
     int interim = 0;
     co_await this->ReadNextHead();
     while (IsInterimResponse(this->parser->get())) {
@@ -100,6 +100,8 @@
         throw HttpError("read head: too many interim responses");
       co_await this->ReadNextHead();
     }
+    if (!HasAcceptedCodings(this->parser->get(), false, request))
+      throw HttpError("read head: content coding that was not asked for");
     this->head.status = this->parser->get().result_int();
     for (const auto& field : this->parser->get()) {
       this->head.headers.Append(std::string(field.name_string()),
@@ -145,7 +147,7 @@
       co_await http::async_write(stream, message, kAwaitResult);
   ThrowOnError(write_error, "write");
   state->ExpireAfter(timeouts.step);
-  co_await state->ReadFinalHead();
+  co_await state->ReadFinalHead(message);
   co_return std::unique_ptr<HttpResponseStream>(
       new HttpResponseStream(std::move(state)));
 }
--- a/src/kernel/response_check.h
+++ b/src/kernel/response_check.h
@@ -4,6 +4,7 @@
 #ifndef SRC_KERNEL_RESPONSE_CHECK_H_
 #define SRC_KERNEL_RESPONSE_CHECK_H_
 
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
@@ -24,6 +25,16 @@
 boost::system::error_code CheckResponseHead(const ResponseHead& head,
                                             bool is_to_head_request);
 
+/**
+ * @param request Fields of the request. Without Accept-Encoding it asks for the
+ * body as it is: callers and readers of ours then decode none.
+ * @return True if the body has no content coding that the request does not
+ * accept.
+ */
+bool HasAcceptedCodings(const ResponseHead& head,
+                        bool is_to_head_request,
+                        const boost::beast::http::fields& request);
+
 /** Finds the end of a response head whose bytes arrive in pieces. */
 class HeadScanner {
  public:
--- a/test/fakes/broken_answer.cc
+++ b/test/fakes/broken_answer.cc
@@ -7,6 +7,23 @@
 
 namespace buckthornpath {
 
+namespace {
+
+/** @return Responses that hold one line more each. */
+std::vector<BrokenAnswer> WithFieldLines(
+    const std::vector<std::string>& lines) {
+  std::vector<BrokenAnswer> answers;
+  for (const std::string& line : lines) {
+    BrokenAnswer answer;
+    answer.name = "field line '" + line + "'";
+    answer.fields = line + "\r\n";
+    answers.push_back(answer);
+  }
+  return answers;
+}
+
+}  // namespace
+
 std::string BrokenAnswer::Format(const std::string& more_fields) const {
   std::ostringstream text;
   text << this->status_line << "\r\n" << more_fields << this->fields;
@@ -95,6 +112,11 @@
   return answers;
 }
 
+std::vector<BrokenAnswer> ContentCodings() {
+  return WithFieldLines({"Content-Encoding: gzip", "Content-Encoding: br",
+                         "Content-Encoding: identity, gzip"});
+}
+
 std::vector<BrokenAnswer> InvalidStatusLines() {
   std::vector<BrokenAnswer> answers;
   for (const char* line :
@@ -112,23 +134,6 @@
   return answers;
 }
 
-namespace {
-
-/** @return Responses that hold one line more each. */
-std::vector<BrokenAnswer> WithFieldLines(
-    const std::vector<std::string>& lines) {
-  std::vector<BrokenAnswer> answers;
-  for (const std::string& line : lines) {
-    BrokenAnswer answer;
-    answer.name = "field line '" + line + "'";
-    answer.fields = line + "\r\n";
-    answers.push_back(answer);
-  }
-  return answers;
-}
-
-}  // namespace
-
 std::vector<BrokenAnswer> InvalidFieldNames() {
   return WithFieldLines({"X Y: 1", "X : 1", "X\t: 1", "X\x01: 1", "X\x1f: 1",
                          "X\x7f: 1", "X\rY: 1", "X\nY: 1",
--- a/test/fakes/broken_answer.h
+++ b/test/fakes/broken_answer.h
@@ -50,6 +50,9 @@
  * whose Transfer-Encoding field is malformed or not allowed. */
 std::vector<BrokenAnswer> InvalidTransferCodings();
 
+/** @return Responses whose body has a content coding. */
+std::vector<BrokenAnswer> ContentCodings();
+
 /** @return Responses whose status line is malformed. */
 std::vector<BrokenAnswer> InvalidStatusLines();
 
--- a/test/stories/broken_answers.cc
+++ b/test/stories/broken_answers.cc
@@ -63,9 +63,10 @@
     }
   }
 
-  RawAnswer Call(const std::string& path) {
+  RawAnswer Call(const std::string& path, const std::string& more_fields = "") {
     CallerText text;
     text.path = path;
+    text.more_fields = more_fields;
     text.id = "broken-" + std::to_string(++this->calls);
     return this->fleet.Call(0, TextOf(text));
   }
@@ -409,6 +410,76 @@
             RepeatableIsAnsweredElsewhere(answers))});
 }
 
+/** Callers of the platform take the body as it is, unless they name a coding.
+ */
+void UnrequestedContentCodingIsNoAnswer() {
+  BrokenEndpoints endpoints;
+  for (const BrokenAnswer& broken : ContentCodings()) {
+    for (const auto& [path, type] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"/issue/x", "text/plain"}, {"/draft/x", "text/event-stream"}}) {
+      endpoints.SetScript(
+          [&](ScriptedCall& call) { SendBroken(call, broken, type); });
+      const RawAnswer answer = endpoints.Call(path);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, 502U, answer.status);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, std::size_t{1},
+                                   endpoints.RunsOfLast());
+    }
+  }
+}
+
+void NextAttemptWithAContentCodingIsNoPart() {
+  for (const bool pauses : {false, true}) {
+    BrokenEndpoints endpoints;
+    endpoints.SetScript([pauses](ScriptedCall& call) {
+      if (!call.Field("Last-Event-Id").empty()) {
+        BrokenAnswer broken;
+        broken.fields = "Content-Encoding: gzip\r\n";
+        SendBroken(call, broken, "text/event-stream");
+        return;
+      }
+      call.BeginEvents();
+      call.Event(1);
+      if (pauses)
+        std::this_thread::sleep_for(kPause);
+      call.Close(true);
+    });
+    const RawAnswer answer = endpoints.Call("/talk/x");
+    CPPUNIT_ASSERT(!IsComplete(answer));
+    CPPUNIT_ASSERT(answer.body.find("not-an-answer") == std::string::npos);
+  }
+}
+
+void RequestedContentCodingIsPassedOn() {
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([](ScriptedCall& call) {
+    call.Answer(200, "coded", "Content-Encoding: GZIP\r\n");
+  });
+  const RawAnswer answer =
+      endpoints.Call("/issue/x", "Accept-Encoding: br;q=0.5, gzip\r\n");
+  CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("coded"), answer.body);
+  CPPUNIT_ASSERT(answer.head.find("Content-Encoding") != std::string::npos);
+}
+
+void IdentityIsNoContentCoding() {
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([](ScriptedCall& call) {
+    call.Answer(200, "plain", "Content-Encoding: identity\r\n");
+  });
+  CPPUNIT_ASSERT_EQUAL(200U, endpoints.Call("/issue/x").status);
+}
+
+/** The head says that nothing has run, whatever its body is. */
+void NotExecutedMayHaveAContentCoding() {
+  BrokenEndpoints endpoints;
+  endpoints.SetScript([](ScriptedCall& call) {
+    call.Answer(503, "coded",
+                "Content-Encoding: gzip\r\nBuckthornpath-Not-Executed: 1\r\n");
+  });
+  CPPUNIT_ASSERT_EQUAL(503U, endpoints.Call("/issue/x").status);
+}
+
 CppUnit::Test* SectionOf(
     const std::string& name,
     const std::function<std::vector<BrokenAnswer>()>& answers) {
@@ -442,6 +513,16 @@
                {Then("its chunks are read", ChunksAreRead),
                 Then("a response without body may name any",
                      ResponseWithoutBodyMayNameACoding)}),
+       Section(
+           "when its body has a content coding",
+           {Then("one that was not asked for is no answer",
+                 UnrequestedContentCodingIsNoAnswer),
+            Then("nor part of a stream that moves there",
+                 NextAttemptWithAContentCodingIsNoPart),
+            Then("one that the caller accepts is passed on",
+                 RequestedContentCodingIsPassedOn),
+            Then("identity is none", IdentityIsNoContentCoding),
+            Then("a refusal remains one", NotExecutedMayHaveAContentCoding)}),
        Section("when fields follow its body",
                {Then("they do not make it count", TrailerIsNoPartOfTheHead),
                 Then("nor take it back", TrailerDoesNotTakeBackTheResponse),
--- a/test/stories/broken_service_answers.cc
+++ b/test/stories/broken_service_answers.cc
@@ -127,6 +127,8 @@
                  InvalidFieldNames),
        SectionOf("its body has another transfer coding than chunked",
                  InvalidTransferCodings),
+       SectionOf("its body has a content coding that was not asked for",
+                 ContentCodings),
        Section("when interim responses come first",
                {Then("the final response is the answer",
                      FinalResponseOfTheService)})});
--- a/test/stories/http_client.cc
+++ b/test/stories/http_client.cc
@@ -152,6 +152,8 @@
                      ClientRejects(InvalidStatuses)),
                 Then("so is another transfer coding than chunked",
                      ClientRejects(InvalidTransferCodings)),
+                Then("so is a content coding that was not asked for",
+                     ClientRejects(ContentCodings)),
                 Then("so is a malformed status line",
                      ClientRejects(InvalidStatusLines)),
                 Then("so is a field name with a blank or a control byte",
