Router: an answer whose status ends no exchange is not sent

A caller of a router received "HTTP/1.1 0" if its endpoint process, of an earlier release, had stored what a service in trouble sent: the router wrote any status of a CallFinished message into its response. A release has to run beside the one before it.

Change: ResponseWriter rejects a status outside 200 to 599, and the caller is told that the outcome is unknown, as it is of a broken response.

Evidence: the new test of outcome_table failed on the code before and passes now.

--- a/src/kernel/response_check.cc
+++ b/src/kernel/response_check.cc
@@ -16,8 +16,8 @@
 namespace http = beast::http;
 
 // RFC 9110, section 15.
-constexpr unsigned kMinStatus = 100;
-constexpr unsigned kMaxStatus = 599;
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxFinalStatus = 599;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
@@ -54,8 +54,8 @@
 
 bool HasBody(const ResponseHead& head, bool is_to_head_request) {
   const unsigned status = head.result_int();
-  return status >= 200 && status != kNoContent && status != kNotModified &&
-         !is_to_head_request;
+  return status >= kMinFinalStatus && status != kNoContent &&
+         status != kNotModified && !is_to_head_request;
 }
 
 /** @return True if an element of Accept-Encoding allows a coding. */
@@ -74,9 +74,7 @@
 
 boost::system::error_code CheckResponseHead(const ResponseHead& head,
                                             bool is_to_head_request) {
-  const unsigned status = head.result_int();
-  if (status < kMinStatus || status > kMaxStatus ||
-      status == kSwitchingProtocols)
+  if (!IsFinalStatus(head.result_int()) && !IsInterimResponse(head))
     return http::error::bad_status;
   const auto codings = ListElements(head, http::field::transfer_encoding);
   const bool is_only_chunked =
@@ -120,8 +118,13 @@
          head.find("\n\t") != std::string_view::npos;
 }
 
+bool IsFinalStatus(unsigned status) {
+  return status >= kMinFinalStatus && status <= kMaxFinalStatus;
+}
+
 bool IsInterimResponse(const ResponseHead& head) {
-  return head.result_int() / 100 == 1;
+  return head.result_int() / 100 == 1 &&
+         head.result_int() != kSwitchingProtocols;
 }
 
 }  // namespace buckthornpath
--- a/src/kernel/response_check.h
+++ b/src/kernel/response_check.h
@@ -54,6 +54,9 @@
 /** Limit of the interim responses before one final response. */
 inline constexpr int kMaxInterimResponses = 16;
 
+/** @return True if a status code ends an exchange. */
+bool IsFinalStatus(unsigned status);
+
 /** @return True if another response to the same request follows. */
 bool IsInterimResponse(const ResponseHead& head);
 
--- a/src/router/call_session.cc
+++ b/src/router/call_session.cc
@@ -257,6 +257,7 @@
 asio::awaitable<bool> CallSession::HandleMessage(const Message& message,
                                                  const EndpointId& endpoint) {
   bool is_mismatch = false;
+  std::string invalid_status;
   try {
     if (const auto* chunk = std::get_if<CallChunk>(&message)) {
       co_await this->writer.WriteChunk(*chunk);
@@ -269,6 +270,14 @@
     }
   } catch (const ResponseMismatch&) {
     is_mismatch = true;
+  } catch (const InvalidAnswerStatus& error) {
+    invalid_status = error.what();
+  }
+  if (!invalid_status.empty()) {
+    this->problem = {
+        "service_failed", invalid_status, Outcome::kUnknown, {}, ""};
+    this->machine.OnUnknown();
+    co_return true;
   }
   if (is_mismatch) {
     this->problem = {"answer_differs", "", Outcome::kRan, {}, ""};
--- a/src/router/response_writer.cc
+++ b/src/router/response_writer.cc
@@ -8,6 +8,7 @@
 
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "kernel/response_check.h"
 #include "wire/event_stream.h"
 #include "wire/message_connection.h"
 
@@ -68,6 +69,8 @@
   }
   if (this->last_received < this->last_sent)
     throw ResponseMismatch();
+  if (!IsFinalStatus(finished.status))
+    throw InvalidAnswerStatus(finished.status);
   if (!this->is_streamed) {
     HttpResponse response;
     response.status = finished.status;
--- a/src/router/response_writer.h
+++ b/src/router/response_writer.h
@@ -24,6 +24,14 @@
       : runtime_error("the repeated answer differs from the first one") {}
 };
 
+/** The status of an answer ends no exchange: no caller may get it. */
+class InvalidAnswerStatus : public std::runtime_error {
+ public:
+  explicit InvalidAnswerStatus(unsigned status)
+      : runtime_error("service answered with status " +
+                      std::to_string(status)) {}
+};
+
 /**
  * Writes an answer to a caller: server-sent events with an end event for a
  * model, one complete response for a plain service.
@@ -63,6 +71,7 @@
 
   /**
    * Ends a complete answer.
+   * @throws InvalidAnswerStatus If it is none.
    * @throws ResponseMismatch If the caller already has more chunks.
    * @throws ConnectionLost If chunks are missing.
    */
--- a/test/stories/outcome_table.cc
+++ b/test/stories/outcome_table.cc
@@ -258,6 +258,22 @@
   CPPUNIT_ASSERT(Throws<ResponseMismatch>(writer.Finish(finished)));
 }
 
+/** An endpoint process of an earlier release passes on what a service in
+ * trouble has sent. */
+void StatusThatEndsNoExchangeIsNotSent() {
+  for (const std::uint32_t status : {0U, 99U, 100U, 101U, 199U, 600U}) {
+    RecordingExchange exchange;
+    ResponseWriter writer(exchange, false, 0);
+    Throws<ConnectionLost>(writer.WriteChunk({1, 1, "not-an-answer"}));
+    CallFinished finished;
+    finished.chunks = 1;
+    finished.status = status;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(status),
+                           Throws<std::runtime_error>(writer.Finish(finished)));
+    CPPUNIT_ASSERT_EQUAL(std::string(), exchange.text);
+  }
+}
+
 void PlainBodyIsRestarted() {
   RecordingExchange exchange;
   ResponseWriter writer(exchange, false, 0);
@@ -295,6 +311,8 @@
                      GenerationsAreNotSpliced),
                 Then("a shorter generation is not complete",
                      ShorterGenerationIsIncomplete),
+                Then("an answer whose status ends no exchange is not sent",
+                     StatusThatEndsNoExchangeIsNotSent),
                 Then("a plain body holds one response only",
                      PlainBodyIsRestarted)})});
 });
