Gateway: items with an error status are no items of a peer

No caller is known to have seen this; the body of an error of ours decodes to no items.

Change: both ask for status 200.

Evidence: with the code moved and not yet changed, both tests of the new story peer_answers failed (items of a 201 and of a 404 were used); both pass now, and gateway_hubs, gateway_hub_fleet, gateway_publication as before.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -6,10 +6,9 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "gateway/peer_snapshot.h"
 #include "gateway/publication_feed.h"
 #include "kernel/bodiless_port.h"
-#include "kernel/cbor.h"
-#include "kernel/http_client.h"
 #include "kernel/json_types.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
@@ -69,36 +68,11 @@
 /** Limit of segments announced in one round. */
 constexpr std::size_t kMaxSegmentsPerRound = 128;
 
-constexpr char kSnapshotPath[] = "/fleet/published";
-
 asio::ip::udp::endpoint UdpEndpoint(const std::string& address) {
   const SocketAddress parsed = ParseSocketAddress(address);
   return {parsed.address(), parsed.port()};
 }
 
-json EncodeItems(const PublishedItems& all) {
-  json items = json::array();
-  for (const PublishedItem& item : all.items) {
-    items.push_back({item.key,
-                     json::binary({item.value.begin(), item.value.end()}),
-                     item.revision});
-  }
-  return {{"revision", all.revision}, {"items", std::move(items)}};
-}
-
-/** @throws json::exception If the value is not a snapshot of items. */
-PublishedItems DecodeItems(const json& value) {
-  PublishedItems all;
-  all.revision = value.at("revision").get<std::uint64_t>();
-  for (const json& entry : value.at("items")) {
-    const auto& bytes = entry.at(1).get_binary();
-    all.items.push_back({entry.at(0).get<std::string>(),
-                         std::string(bytes.begin(), bytes.end()),
-                         entry.at(2).get<std::uint64_t>(), false});
-  }
-  return all;
-}
-
 /** @return True for a gateway of version 1, which names no failure domain and
  * exchanges its load with all others directly. */
 bool IsVersion1(const GatewayMember& member) {
@@ -573,11 +547,8 @@
       continue;
     std::string fault;
     try {
-      HttpRequest request;
-      request.target = kSnapshotPath;
-      const HttpResponse response = co_await HttpFetch(
-          ParseSocketAddress(newest_peer), std::move(request), kSyncTimeout);
-      PublishedItems all = DecodeItems(ParseCbor(response.body));
+      PublishedItems all =
+          co_await FetchSnapshot(ParseSocketAddress(newest_peer), kSyncTimeout);
       co_await this->follower.ApplyFromPeer(std::move(all), newest_peer);
     } catch (const std::exception& error) {
       fault = error.what();
@@ -597,7 +568,7 @@
   HttpResponse response;
   if (exchange.request().Path() == kSnapshotPath) {
     response.headers.Append("Content-Type", "application/cbor");
-    json::to_cbor(EncodeItems(this->follower.Published().All()), response.body);
+    response.body = EncodeSnapshot(this->follower.Published().All());
   } else {
     response.status = 404;
   }
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -61,6 +61,8 @@
 /** Time without a record after which a hub counts as failed. */
 constexpr milliseconds kHubSilence{700};
 
+constexpr unsigned kOk = 200;
+
 }  // namespace
 
 PublicationFollower::PublicationFollower(GatewayState& state)
@@ -193,6 +195,10 @@
   request.target = PublicationFeed::TargetOf(this->feed_position);
   const auto stream = co_await HttpResponseStream::Open(
       ParseSocketAddress(address), std::move(request), kHubConnectTimeout);
+  if (stream->head().status != kOk) {
+    throw HttpError("feed request: expected status 200, got " +
+                    std::to_string(stream->head().status));
+  }
   this->hub = address;
   LogLine(LogLevel::kNotice, "hub_followed", {{"peer", address}});
   FeedFrameReader frames;
