Gateway: a response with two request ids belongs to no request

A caller received a response that named two requests as its own answer if its id came first, with both ids in the head: the first field was read and the others were not looked at. A repeated field is a list (RFC 9110, section 5.3), and the list is no request's id.

--- a/test/stories/broken_answers.cc
+++ b/test/stories/broken_answers.cc
@@ -384,6 +384,25 @@
   };
 }
 
+/** Such a response may belong to another request. */
+void TwoRequestIdsAreNone() {
+  BrokenEndpoints endpoints;
+  for (const bool own_first : {true, false}) {
+    endpoints.SetScript([own_first](ScriptedCall& call) {
+      const std::string own = "Buckthornpath-Request-Id: " + call.Id() + "\r\n";
+      const std::string other = "Buckthornpath-Request-Id: other\r\n";
+      call.Send("HTTP/1.1 200 OK\r\n" +
+                (own_first ? own + other : other + own) +
+                "Buckthornpath-Response-Seal: s\r\n"
+                "Content-Length: 13\r\n\r\nnot-an-answer");
+      call.Close(false);
+    });
+    const RawAnswer answer = endpoints.Call("/issue/x");
+    CPPUNIT_ASSERT_EQUAL(502U, answer.status);
+    CPPUNIT_ASSERT(answer.body.find("not-an-answer") == std::string::npos);
+  }
+}
+
 /** Broken heads, which the parser of the library rejects. */
 CppUnit::Test* HeadSectionOf(
     const std::string& name,
@@ -505,6 +524,8 @@
                  InvalidFieldNames),
        HeadSectionOf("a line of its head is no field", InvalidFieldLines),
        HeadSectionOf("its status line is malformed", InvalidStatusLines),
+       Section("when it has two request ids",
+               {Then("no caller gets it as an answer", TwoRequestIdsAreNone)}),
        BodySectionOf("its length is malformed", InvalidLengths),
        BodySectionOf("its chunks are malformed", InvalidChunks),
        SectionOf("its body has another transfer coding than chunked",
