Store client: keys in queries are percent-encoded

Cause: the next page begins after the last key of a page, and that key went into the query with only its slashes escaped. The rest of the name ended the value, named another parameter, or made the request malformed. The read of the list failed, so a process that had started had no configuration at all.

Evidence: the stand-in now answers in pages that begin after the key decoded from the query, and turns malformed requests away. With the daemon of the untouched code, "the same replicas are used with as many reads as without" failed: "servers/f&x=1: 0 endpoints, 0 served, 35 reads of pages, 35 malformed"; likewise "wherever the entry stands on a page": "a&+#% x on pages of 1: 0 endpoints, 0 served, 72 reads of pages".

Fix: targets are made by one function (kernel/url_text.h) with the encoder of Boost.URL, which escapes all but unreserved characters; the reader of query parameters decodes with the same library. With 23 kinds of names at the end of a page, replicas, served requests and reads of pages are those without the entry.

Handled already: nothing is served from a part of the list after a restart. "nothing is served until the list is whole" passes with the untouched daemon as well; the test stays.

--- a/src/kernel/http_type.cc
+++ b/src/kernel/http_type.cc
@@ -5,6 +5,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
+#include "kernel/url_text.h"
+
 namespace buckthornpath {
 
 void HttpHeaders::Append(std::string name, std::string value) {
@@ -38,7 +40,7 @@
       continue;
     if (equals == std::string_view::npos)
       return std::string();
-    return std::string(pair.substr(equals + 1));
+    return DecodeUrlText(pair.substr(equals + 1));
   }
   return std::nullopt;
 }
--- a/src/kernel/http_type.h
+++ b/src/kernel/http_type.h
@@ -43,7 +43,8 @@
   /** @return The target without its query. */
   std::string_view Path() const;
 
-  /** @return The value of a query parameter without percent-decoding. */
+  /** @return The decoded value of a query parameter; nothing if it is missing
+   * or its percent-encoding is malformed. */
   std::optional<std::string> QueryParameter(std::string_view name) const;
 };
 
--- a/test/fakes/platform_store.cc
+++ b/test/fakes/platform_store.cc
@@ -4,6 +4,11 @@
 
 #include <openssl/evp.h>
 
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+#include <charconv>
+#include <set>
+
 namespace buckthornpath {
 
 namespace {
@@ -13,6 +18,8 @@
 
 constexpr milliseconds kWatchPollInterval{10};
 constexpr std::chrono::seconds kSilentDelay{30};
+constexpr std::size_t kMaxKeyBytes = 200;
+constexpr std::uint64_t kMaxWaitMs = 30000;
 
 std::string EncodeBase64(const std::string& bytes) {
   std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -24,13 +31,49 @@
   return text;
 }
 
-HttpResponse Json(const json& body) {
+HttpResponse Json(std::string body) {
   HttpResponse response;
   response.headers.Append("Content-Type", "application/json");
-  response.body = body.dump();
+  response.body = std::move(body);
   return response;
 }
 
+std::string ArrayOf(const std::vector<std::string>& items) {
+  std::string text = "[";
+  for (const std::string& item : items)
+    text += (text.size() > 1 ? "," : "") + item;
+  return text + "]";
+}
+
+/** A parsed request target. */
+struct Target {
+  std::string path;
+  std::map<std::string, std::string> parameters;
+};
+
+/** @return Nothing if the target is malformed or repeats a parameter. */
+std::optional<Target> ParseTarget(const std::string& text) {
+  const auto url = boost::urls::parse_origin_form(text);
+  if (!url)
+    return std::nullopt;
+  Target target;
+  target.path = url->path();
+  for (const auto& param : url->params({false, true, false})) {
+    if (!target.parameters.emplace(param.key, param.value).second)
+      return std::nullopt;
+  }
+  return target;
+}
+
+std::optional<std::uint64_t> ParseInteger(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, number);
+  if (error != std::errc() || end != last)
+    return std::nullopt;
+  return number;
+}
+
 HttpResponse Status(unsigned status) {
   HttpResponse response;
   response.status = status;
@@ -52,28 +95,35 @@
   this->thread.join();
 }
 
-json PlatformStore::ItemBody(const std::string& key) const {
-  const auto& [value, revision] = this->items.at(key);
-  return {{"key", key},
-          {"value", EncodeBase64(value)},
-          {"revision", revision},
-          {"createRevision", revision},
-          {"lease", 0}};
+void PlatformStore::Write(const std::string& key, std::string body) {
+  this->items[key] = body;
+  this->events.push_back({this->revision, std::move(body)});
 }
 
 void PlatformStore::Put(const std::string& key, const std::string& value) {
   const std::lock_guard lock(this->mutex);
-  this->items[key] = {value, ++this->revision};
-  this->events.push_back({this->revision, this->ItemBody(key)});
+  ++this->revision;
+  this->Write(key, json({{"key", key},
+                         {"value", EncodeBase64(value)},
+                         {"revision", this->revision},
+                         {"createRevision", this->revision},
+                         {"lease", 0}})
+                       .dump());
+}
+
+void PlatformStore::PutRaw(const std::string& key, const std::string& text) {
+  const std::lock_guard lock(this->mutex);
+  ++this->revision;
+  this->Write(key, text);
 }
 
 void PlatformStore::Remove(const std::string& key) {
   const std::lock_guard lock(this->mutex);
   this->items.erase(key);
   ++this->revision;
-  this->events.push_back(
-      {this->revision,
-       {{"key", key}, {"revision", this->revision}, {"removed", true}}});
+  const json event = {
+      {"key", key}, {"revision", this->revision}, {"removed", true}};
+  this->events.push_back({this->revision, event.dump()});
 }
 
 void PlatformStore::RemoveUnseen(const std::string& key) {
@@ -93,38 +143,98 @@
   this->mode = mode;
 }
 
-HttpResponse PlatformStore::Range() {
+void PlatformStore::SetPages(PageMode pages) {
+  const std::lock_guard lock(this->mutex);
+  this->pages = pages;
+}
+
+void PlatformStore::SetPageSize(std::size_t items) {
+  const std::lock_guard lock(this->mutex);
+  this->page_size = items;
+}
+
+StoreCalls PlatformStore::Calls() {
+  const std::lock_guard lock(this->mutex);
+  return this->calls;
+}
+
+HttpResponse PlatformStore::RefuseMalformed() {
   const std::lock_guard lock(this->mutex);
-  json list = json::array();
-  for (const auto& [key, item] : this->items)
-    list.push_back(this->ItemBody(key));
-  return Json({{"items", list},
-               {"morePages", false},
-               {"storeRevision", this->revision}});
+  ++this->calls.malformed;
+  return Status(400);
 }
 
-asio::awaitable<HttpResponse> PlatformStore::Watch(std::uint64_t after,
-                                                   milliseconds wait) {
-  const auto deadline = std::chrono::steady_clock::now() + wait;
+HttpResponse PlatformStore::Range(const Parameters& parameters) {
+  const auto prefix = parameters.find("prefix");
+  const auto after = parameters.find("after");
+  const bool is_first = after == parameters.end();
+  const std::set<std::string> known = {"prefix", "after"};
+  for (const auto& [name, value] : parameters) {
+    if (!known.contains(name) || value.size() > kMaxKeyBytes)
+      return this->RefuseMalformed();
+  }
+  if (prefix == parameters.end())
+    return this->RefuseMalformed();
+  const std::lock_guard lock(this->mutex);
+  ++this->calls.range;
+  if (!is_first && this->pages == PageMode::kOnlyTheFirst)
+    return Status(503);
+  auto item = is_first || this->pages == PageMode::kRepeated
+                  ? this->items.begin()
+                  : this->items.upper_bound(after->second);
+  std::vector<std::string> page;
+  for (; item != this->items.end() && page.size() < this->page_size; ++item) {
+    if (item->first.starts_with(prefix->second))
+      page.push_back(item->second);
+  }
+  const bool has_more = item != this->items.end();
+  return Json("{\"items\":" + ArrayOf(page) +
+              ",\"morePages\":" + (has_more ? "true" : "false") +
+              ",\"storeRevision\":" + std::to_string(this->revision) + "}");
+}
+
+asio::awaitable<HttpResponse> PlatformStore::Watch(Parameters parameters) {
+  const auto after = ParseInteger(parameters["after"]);
+  const auto wait = ParseInteger(parameters["waitMs"]);
+  if (!after || !wait || *wait > kMaxWaitMs || !parameters.contains("prefix"))
+    co_return this->RefuseMalformed();
+  const auto deadline = std::chrono::steady_clock::now() + milliseconds(*wait);
+  {
+    const std::lock_guard lock(this->mutex);
+    ++this->calls.watch;
+  }
   while (true) {
     {
       const std::lock_guard lock(this->mutex);
-      if (after < this->oldest_revision)
+      if (*after < this->oldest_revision)
         co_return Status(410);
-      json list = json::array();
+      std::vector<std::string> list;
       for (const Event& event : this->events) {
-        if (event.revision > after)
+        if (event.revision > *after)
           list.push_back(event.body);
       }
       if (!list.empty() || std::chrono::steady_clock::now() >= deadline ||
           this->mode != StoreMode::kServing) {
-        co_return Json({{"events", list}, {"storeRevision", this->revision}});
+        co_return Json("{\"events\":" + ArrayOf(list) + ",\"storeRevision\":" +
+                       std::to_string(this->revision) + "}");
       }
     }
     co_await SleepFor(kWatchPollInterval);
   }
 }
 
+asio::awaitable<HttpResponse> PlatformStore::Respond(
+    const HttpRequest& request) {
+  std::optional<Target> target = ParseTarget(request.target);
+  if (!target)
+    co_return this->RefuseMalformed();
+  if (target->path == "/kv-range")
+    co_return this->Range(target->parameters);
+  if (target->path == "/kv-watch")
+    co_return co_await this->Watch(std::move(target->parameters));
+  co_return Status(404);
+}
+
 asio::awaitable<void> PlatformStore::Serve(HttpExchange& exchange) {
   StoreMode current = StoreMode::kServing;
   {
@@ -133,20 +243,9 @@
   }
   if (current == StoreMode::kSilent)
     co_await SleepFor(kSilentDelay);
-  const HttpRequest& request = exchange.request();
-  HttpResponse response;
-  if (current == StoreMode::kBusy) {
-    response = Status(503);
-  } else if (request.Path() == "/kv-range") {
-    response = this->Range();
-  } else if (request.Path() == "/kv-watch") {
-    response = co_await this->Watch(
-        std::stoull(request.QueryParameter("after").value_or("0")),
-        milliseconds(
-            std::stoll(request.QueryParameter("waitMs").value_or("0"))));
-  } else {
-    response = Status(404);
-  }
+  HttpResponse response = Status(503);
+  if (current != StoreMode::kBusy)
+    response = co_await this->Respond(exchange.request());
   co_await exchange.Send(std::move(response));
 }
 
--- a/test/fakes/platform_store.h
+++ b/test/fakes/platform_store.h
@@ -3,10 +3,13 @@
 #ifndef TEST_FAKES_PLATFORM_STORE_H_
 #define TEST_FAKES_PLATFORM_STORE_H_
 
+#include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -21,7 +24,25 @@
   kSilent,  ///< Responds only after 30 s.
 };
 
-/** Items with revisions; served by range and watch, written by the test. */
+/** How the store divides the list of items into pages. */
+enum class PageMode {
+  kSound,
+  kRepeated,     ///< Answers each read with the first page.
+  kOnlyTheFirst  ///< Responds to reads of later pages with status 503.
+};
+
+/** Calls that the store has received. */
+struct StoreCalls {
+  std::size_t range = 0;
+  std::size_t watch = 0;
+  std::size_t malformed = 0;  ///< Responded to with status 400.
+};
+
+/**
+ * Items with revisions; served by range and watch, written by the test. The
+ * query of a request is decoded as a form is, and a request that is not sound
+ * is responded to with status 400.
+ */
 class PlatformStore {
  public:
   explicit PlatformStore(const SocketAddress& address);
@@ -33,6 +54,10 @@
     this->Put(key, value.dump());
   }
 
+  /** Writes an item that another writer or the store itself made odd.
+   * @param text Served in the place of the key, and as an event. */
+  void PutRaw(const std::string& key, const std::string& text);
+
   void Remove(const std::string& key);
 
   /** Removes an item without an event for the watches. */
@@ -42,24 +67,37 @@
   void Compact();
 
   void SetMode(StoreMode mode);
+  void SetPages(PageMode pages);
+
+  /** @param items Maximum number of items of a page. */
+  void SetPageSize(std::size_t items);
+
+  StoreCalls Calls();
 
  private:
+  /** Parameters of a query, decoded. */
+  using Parameters = std::map<std::string, std::string>;
+
   struct Event {
     std::uint64_t revision;
-    nlohmann::json body;
+    std::string body;
   };
 
   asio::awaitable<void> Serve(HttpExchange& exchange);
-  asio::awaitable<HttpResponse> Watch(std::uint64_t after,
-                                      std::chrono::milliseconds wait);
-  HttpResponse Range();
-  nlohmann::json ItemBody(const std::string& key) const;
+  asio::awaitable<HttpResponse> Respond(const HttpRequest& request);
+  asio::awaitable<HttpResponse> Watch(Parameters parameters);
+  HttpResponse Range(const Parameters& parameters);
+  HttpResponse RefuseMalformed();
+  void Write(const std::string& key, std::string body);
 
   std::mutex mutex;
   StoreMode mode = StoreMode::kServing;
+  PageMode pages = PageMode::kSound;
+  std::size_t page_size = std::numeric_limits<std::size_t>::max();
+  StoreCalls calls;
   std::uint64_t revision = 100;
   std::uint64_t oldest_revision = 0;
-  std::map<std::string, std::pair<std::string, std::uint64_t>> items;
+  std::map<std::string, std::string> items;  ///< As served, by key.
   std::deque<Event> events;
   WorkerPool pool{1};
   HttpServer server;
--- /dev/null
+++ b/test/stories/odd_entries.cc
@@ -0,0 +1,239 @@
+/** @file odd_entries.cc Entries of other writers decide for no other entry. */
+
+#include <cppunit/TestAssert.h>
+
+#include <chrono>
+#include <map>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kLedgers = 5;
+
+constexpr int kRequests = 20;
+
+/** What callers and the store see of a process that has started again. */
+struct Start {
+  std::size_t endpoints = 0;
+  std::size_t served = 0;  ///< Of kRequests.
+  std::size_t range_calls = 0;
+  std::size_t malformed_calls = 0;
+
+  bool operator==(const Start&) const = default;
+};
+
+std::string Describe(const Start& start) {
+  std::ostringstream text;
+  text << start.endpoints << " endpoints, " << start.served << " served, "
+       << start.range_calls << " reads of pages, " << start.malformed_calls
+       << " malformed";
+  return text.str();
+}
+
+GatewayPlan ManyLedgers(std::size_t gateways = 1) {
+  GatewayPlan plan;
+  plan.gateways = gateways;
+  plan.ledgers = kLedgers;
+  return plan;
+}
+
+/** Gateways whose list of replicas is longer than a page, and a process that
+ * the entries of another writer name. */
+class FleetWithOddEntry {
+ public:
+  explicit FleetWithOddEntry(std::size_t gateways = 1)
+      : gateways(gateways),
+        fleet(ManyLedgers(gateways)),
+        stray(ParseSocketAddress(this->StrayAddress()),
+              [](ScriptedCall& call) { call.Answer(200, "stray"); }) {}
+
+  GatewayFleet& Fleet() { return this->fleet; }
+  PlatformStore& Store() { return this->fleet.Store(); }
+
+  /** @return An entry that would name a replica under a sound name. */
+  std::string SoundValue() {
+    return json({{"service", "ledger"},
+                 {"address", this->StrayAddress()},
+                 {"zone", "a"},
+                 {"version", "v1"},
+                 {"slots", 8},
+                 {"state", "ready"},
+                 {"coldRemainingMs", 0},
+                 {"sequence", 1}})
+        .dump();
+  }
+
+  /** Ends all gateways at once and starts them again. */
+  void RestartAll() {
+    for (std::size_t i = 0; i < this->gateways; ++i)
+      this->fleet.Gateway(i).Kill();
+    for (std::size_t i = 0; i < this->gateways; ++i)
+      this->fleet.Restart(i);
+  }
+
+  bool AllReady() {
+    for (std::size_t i = 0; i < this->gateways; ++i) {
+      if (!this->fleet.IsReady(i))
+        return false;
+    }
+    return true;
+  }
+
+  /** Restarts all gateways and sends requests to each. */
+  Start MeasureStart() {
+    const StoreCalls before = this->Store().Calls();
+    this->RestartAll();
+    Start start;
+    // A gateway that is not ready lacks the requests in the result.
+    WaitUntil([this] { return this->AllReady(); });
+    for (int i = 0; i < kRequests; ++i) {
+      CallerText text;
+      text.id = "start-" + std::to_string(++this->requests);
+      const std::size_t gateway = static_cast<std::size_t>(i) % this->gateways;
+      if (this->fleet.Call(gateway, TextOf(text)).body == "served")
+        ++start.served;
+    }
+    start.endpoints = this->EndpointsOf(0);
+    const StoreCalls after = this->Store().Calls();
+    start.range_calls = after.range - before.range;
+    start.malformed_calls = after.malformed - before.malformed;
+    return start;
+  }
+
+  std::size_t EndpointsOf(std::size_t gateway) {
+    const json status = LocalFleet::StatusOf(this->fleet.Operator(gateway));
+    return status.is_object() ? status.value("endpoints", std::size_t{0}) : 0;
+  }
+
+  /** @return Requests that reached the process of the odd entries. */
+  std::size_t StrayRequests() { return this->stray.Received().size(); }
+
+  /** @return Lines of a gateway's log on items that it cannot use. */
+  std::vector<json> ItemLines(std::size_t gateway) {
+    std::vector<json> found;
+    std::istringstream lines(this->fleet.Log(gateway));
+    for (std::string line; std::getline(lines, line);) {
+      const json entry = json::parse(line, nullptr, false);
+      // The last line may not be written to its end.
+      if (entry.is_object() && entry.value("event", "").starts_with("item_"))
+        found.push_back(entry);
+    }
+    return found;
+  }
+
+ private:
+  std::string StrayAddress() const {
+    return this->fleet.Caller(0).address().to_string() + ":7199";
+  }
+
+  std::size_t gateways;
+  GatewayFleet fleet;
+  ScriptedEndpoint stray;
+  int requests = 0;
+};
+
+/** The replicas of the plan: an engine and the ledgers. */
+constexpr std::size_t kReplicas = kLedgers + 1;
+
+void AssertServes(const Start& start, const std::string& what) {
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(what + ": " + Describe(start), kReplicas,
+                               start.endpoints);
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(what + ": " + Describe(start),
+                               static_cast<std::size_t>(kRequests),
+                               start.served);
+}
+
+/** Ends of names in the list of replicas. */
+const std::vector<std::string> kOddEnds = {
+    "&x=1", "+x",  "#x", "%x",  "%41", " x",         "%2Fx",        "?x",
+    "=x",   "\"x", "'x", "\\x", "\nx", "\x01x",      "\x7fx",       "/x",
+    ";x,y", "{x}", "&",  " ",   "%",   "&after=zzz", "\u00e9\u4e16"};
+
+/** A place in the list, and a size of pages with which it is the last on its
+ * page. The list has 7 sound items and 8 with the odd one, which is the same
+ * number of pages of this size. */
+struct PageEnd {
+  std::string begin;  ///< Of the name.
+  std::size_t page_size;
+};
+const std::vector<PageEnd> kPageEnds = {{"f", 3}, {"ledger-1", 5}};
+
+/** The names of the incident, and others that a query cannot hold as they
+ * are. */
+void RestartReadsPastOddNames() {
+  FleetWithOddEntry odd;
+  for (const PageEnd& place : kPageEnds) {
+    odd.Store().SetPageSize(place.page_size);
+    const Start plain = odd.MeasureStart();
+    AssertServes(plain, "no odd entry");
+    for (const std::string& end : kOddEnds) {
+      const std::string key = "servers/" + place.begin + end;
+      odd.Store().Put(key, std::string("{}"));
+      const Start start = odd.MeasureStart();
+      CPPUNIT_ASSERT_MESSAGE(key + ": " + Describe(start), start == plain);
+      odd.Store().Remove(key);
+    }
+  }
+}
+
+/** First on a page, last on it, and alone on it. */
+void RestartReadsPastOddNamesAnywhere() {
+  FleetWithOddEntry odd;
+  // Before the engine, between ledgers and after them.
+  for (const std::string name : {"a&+#% x", "ledger-1&+#% x", "z&+#% x"}) {
+    for (const std::size_t size : {1, 2, 3, 4}) {
+      odd.Store().SetPageSize(size);
+      odd.Store().Put("servers/" + name, std::string("{}"));
+      const Start start = odd.MeasureStart();
+      AssertServes(start, name + " on pages of " + std::to_string(size));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, start.malformed_calls);
+      odd.Store().Remove("servers/" + name);
+    }
+  }
+}
+
+/** After a restart nothing is served from a part of the list. */
+void PartOfTheListIsNotServed() {
+  FleetWithOddEntry odd;
+  odd.Store().SetPageSize(3);
+  odd.Store().SetPages(PageMode::kOnlyTheFirst);
+  const std::size_t log_size = odd.Fleet().Log(0).size();
+  odd.RestartAll();
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return odd.Fleet().Log(0).find("store_lost", log_size) != std::string::npos;
+  }));
+  CPPUNIT_ASSERT(!odd.AllReady());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, odd.EndpointsOf(0));
+  CPPUNIT_ASSERT_EQUAL(503U, odd.Fleet().Call(0, TextOf({})).status);
+  odd.Store().SetPages(PageMode::kSound);
+  CPPUNIT_ASSERT(WaitUntil([&] { return odd.AllReady(); }));
+  CPPUNIT_ASSERT_EQUAL(kReplicas, odd.EndpointsOf(0));
+}
+
+const Story kStory("odd_entries", [] {
+  return Section(
+      "given a list of replicas that is longer than a page of the store",
+      {Section("when all processes start again beside an entry of an odd name",
+               {Then("the same replicas are used with as many reads as without",
+                     RestartReadsPastOddNames),
+                Then("wherever the entry stands on a page",
+                     RestartReadsPastOddNamesAnywhere)}),
+       Section("when only the first page can be read",
+               {Then("nothing is served until the list is whole",
+                     PartOfTheListIsNotServed)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
