Platform: an entry under an odd name names no endpoint

Callers saw: requests sent to a process that is no replica of ours, if an entry under a name such as a&b+c#d%20 held a sound value.

Cause: an id was checked for unprintable characters only, so such a name was an endpoint's id in header fields, messages and labels.

Evidence: "a sound value under such a name names no replica" failed with the untouched daemon: not every entry had a line that says why it is not used.

--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -158,7 +158,8 @@
   virtual boost::asio::awaitable<DecodedItem> Decode(
       const PublishedItem& item) const = 0;
 
-  /** @return The endpoint that a key names; empty for other keys. */
+  /** @return The endpoint that a key names; empty for other keys, and for names
+   * that no endpoint can have. */
   virtual std::optional<EndpointId> EndpointIdFromKey(
       const std::string& key) const = 0;
 
--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -203,6 +203,23 @@
   }
 }
 
+/** A process that another writer names under an odd name gets no requests. */
+void SoundValueUnderAnOddNameIsNotUsed() {
+  FleetWithOddEntry odd;
+  odd.Store().SetPageSize(2);
+  const std::vector<std::string> keys = {
+      "servers/a&b+c#d%20 e", "servers/",      "servers/a b",
+      "servers/\"",           "servers/a/b",   "servers/ledger-1\r\nX: y",
+      "servers/ledger-1%00",  "servers/\u00e9"};
+  // Some are seen by the watch, then all by the list.
+  for (const std::string& key : keys)
+    odd.Store().Put(key, odd.SoundValue());
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return odd.ItemLines(0).size() == keys.size(); }));
+  AssertServes(odd.MeasureStart(), "sound values under odd names");
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, odd.StrayRequests());
+}
+
 /** After a restart nothing is served from a part of the list. */
 void PartOfTheListIsNotServed() {
   FleetWithOddEntry odd;
@@ -228,7 +245,9 @@
                {Then("the same replicas are used with as many reads as without",
                      RestartReadsPastOddNames),
                 Then("wherever the entry stands on a page",
-                     RestartReadsPastOddNamesAnywhere)}),
+                     RestartReadsPastOddNamesAnywhere),
+                Then("a sound value under such a name names no replica",
+                     SoundValueUnderAnOddNameIsNotUsed)}),
        Section("when only the first page can be read",
                {Then("nothing is served until the list is whole",
                      PartOfTheListIsNotServed)})});
