Log: one bounded line says why an entry is not used

Operators saw: a line for each time that the writer of an odd entry renewed it, in each process, and as long as the entry: 100,000 bytes for a state that is not known.

Cause: nothing remembered what had been logged, and the reason quotes texts that others wrote.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -353,24 +353,21 @@
 asio::awaitable<void> PublicationFollower::ApplyItem(PublishedItem item,
                                                      PublicationOrigin origin) {
   if (item.removed) {
+    this->reported.Remove(item.key);
     this->ApplyRemoval(item, origin);
     co_return;
   }
-  const auto endpoint = this->state.adapter.EndpointIdFromKey(item.key);
   const DecodedItem decoded = co_await this->state.adapter.Decode(item);
   // The item may have changed again while it was decoded.
   if (this->published.RevisionOf(item.key) != item.revision)
     co_return;
   if (const auto* ignored = std::get_if<IgnoredItem>(&decoded)) {
-    if (!ignored->reason.empty()) {
-      LogLine(LogLevel::kWarning, "item_unusable",
-              {{"key", item.key}, {"reason", ignored->reason}});
-    }
-    // An endpoint whose entry cannot be decoded must not be used.
-    if (endpoint)
-      this->state.selector.Withdraw(*endpoint);
-  } else if (const auto* table =
-                 std::get_if<std::shared_ptr<const RoutingTable>>(&decoded)) {
+    this->IgnoreItem(item, ignored->reason);
+    co_return;
+  }
+  this->reported.Remove(item.key);
+  if (const auto* table =
+          std::get_if<std::shared_ptr<const RoutingTable>>(&decoded)) {
     this->ApplyTable(*table);
   } else if (const auto* evacuation = std::get_if<DomainEvacuation>(&decoded)) {
     this->state.BeginEvacuation(evacuation->domain, origin);
@@ -379,6 +376,17 @@
   }
 }
 
+void PublicationFollower::IgnoreItem(const PublishedItem& item,
+                                     const std::string& reason) {
+  if (!reason.empty() && this->reported.Add(item.key)) {
+    LogLine(LogLevel::kWarning, "item_unusable",
+            {{"key", item.key}, {"reason", reason}});
+  }
+  // An endpoint whose entry cannot be used must not be used.
+  if (const auto endpoint = this->state.adapter.EndpointIdFromKey(item.key))
+    this->state.selector.Withdraw(*endpoint);
+}
+
 void PublicationFollower::ApplyTable(
     std::shared_ptr<const RoutingTable> table) {
   if (this->state.table && this->state.table->Version() >= table->Version())
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/publication_feed.h"
 #include "gateway/publication_state.h"
+#include "kernel/reported_items.h"
 
 namespace buckthornpath {
 
@@ -79,6 +80,9 @@
   asio::awaitable<void> ApplyItem(PublishedItem item, PublicationOrigin origin);
   void ApplyRemoval(const PublishedItem& item, const PublicationOrigin& origin);
 
+  /** Leaves an item unused. @param reason Empty if it is not for gateways. */
+  void IgnoreItem(const PublishedItem& item, const std::string& reason);
+
   /** @return The origin of items that are read now. */
   PublicationOrigin OriginOf(std::string source) const;
   void ApplyTable(std::shared_ptr<const RoutingTable> table);
@@ -94,6 +98,7 @@
   Clock::time_point hub_expected_until{};
   std::uint64_t read_revision = 0;  ///< Read from the store; 0: read all.
   std::chrono::milliseconds read_timeout;
+  ReportedItems reported;
   bool is_reading_store = false;
   bool is_store_reachable = true;
 };
--- a/src/kernel/log.cc
+++ b/src/kernel/log.cc
@@ -37,6 +37,9 @@
 /** Queued lines from which on lines about single requests are dropped. */
 constexpr std::int64_t kRequestLineLimit = kMaxQueuedLines / 2;
 
+/** Maximum bytes of a text in a line; others may have written it. */
+constexpr std::size_t kMaxTextBytes = 1024;
+
 /** Minimum time between two log_dropped lines. */
 constexpr std::chrono::milliseconds kMinDropReportInterval{1000};
 
@@ -98,6 +101,14 @@
   return std::exchange(state.dropped, 0);
 }
 
+/** @return The value of a field; a long text is cut. */
+nlohmann::json Shorten(const nlohmann::json& value) {
+  const auto* text = value.get_ptr<const std::string*>();
+  if (text == nullptr || text->size() <= kMaxTextBytes)
+    return value;
+  return text->substr(0, kMaxTextBytes) + "...";
+}
+
 std::string Format(LogLevel level,
                    LogEventName event,
                    const std::vector<LogField>& fields) {
@@ -109,7 +120,7 @@
       {"process", State().process},
       {"event", event.Text()}};
   for (const LogField& field : fields)
-    line[std::string(field.name.Text())] = field.value;
+    line[std::string(field.name.Text())] = Shorten(field.value);
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -50,7 +50,8 @@
 };
 
 /**
- * Logs one line with the time, the level, the process and the event.
+ * Logs one line with the time, the level, the process and the event. A text of
+ * more than 1,024 bytes is cut.
  * @param event Name in kLogEvents.
  * @param fields Further fields of the line.
  */
--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -203,6 +203,12 @@
   }
 }
 
+/** @return The text of an item in the list or of an event. */
+std::string RawItem(const std::string& key_text, const std::string& more) {
+  return R"({"key":)" + key_text + "," + more +
+         R"(,"createRevision":1,"lease":0})";
+}
+
 /** A process that another writer names under an odd name gets no requests. */
 void SoundValueUnderAnOddNameIsNotUsed() {
   FleetWithOddEntry odd;
@@ -220,6 +226,36 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, odd.StrayRequests());
 }
 
+/** A writer that renews its entry does not fill the log, and the line has a
+ * bound, whatever the entry holds. */
+void OneLineSaysWhyAnEntryIsNotUsed() {
+  FleetWithOddEntry odd;
+  const std::string key = "servers/a&b";
+  const std::string long_state(100000, 'x');
+  json unknown_state = json::parse(odd.SoundValue());
+  unknown_state["state"] = long_state;
+  for (int i = 0; i < 5; ++i) {
+    odd.Store().Put(key, odd.SoundValue());
+    odd.Store().Put("servers/plain", unknown_state.dump());
+    odd.Store().PutRaw("servers/raw",
+                       RawItem("\"servers/raw\"", "\"value\":3"));
+  }
+  odd.Store().Put("op/config", StandardConfiguration(2));
+  // Lines are written in order.
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return odd.Fleet().Log(0).find("\"version\":2,") != std::string::npos;
+  }));
+  std::map<std::string, std::size_t> lines;
+  for (const json& line : odd.ItemLines(0)) {
+    ++lines[line.value("key", "")];
+    CPPUNIT_ASSERT(!line.value("reason", "").empty());
+    CPPUNIT_ASSERT(line.dump().size() < 2000);
+  }
+  const std::map<std::string, std::size_t> expected = {
+      {key, 1}, {"servers/plain", 1}, {"servers/raw", 1}};
+  CPPUNIT_ASSERT(lines == expected);
+}
+
 /** After a restart nothing is served from a part of the list. */
 void PartOfTheListIsNotServed() {
   FleetWithOddEntry odd;
@@ -250,7 +286,10 @@
                      SoundValueUnderAnOddNameIsNotUsed)}),
        Section("when only the first page can be read",
                {Then("nothing is served until the list is whole",
-                     PartOfTheListIsNotServed)})});
+                     PartOfTheListIsNotServed)}),
+       Section("when an entry is looked at by operators",
+               {Then("one line says why it names no replica",
+                     OneLineSaysWhyAnEntryIsNotUsed)})});
 });
 
 }  // namespace
