Platform: an item whose value cannot be read has changed all the same

Callers saw: requests sent to a replica whose entry another writer had overwritten with what is no base64, as long as the change came by the watch; after a restart the same entry named no replica. An evacuation whose value could not be read did not happen.

Cause: such an item was left out before its key was looked at. The numbers of an item and of a configuration were not checked for their sign: a revision or version below 0 counted as the greatest there can be, and no later one would have been used.

--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -274,6 +274,43 @@
   CPPUNIT_ASSERT_EQUAL(kReplicas, odd.EndpointsOf(0));
 }
 
+/** An entry that another writer overwrites with what cannot be read. */
+void OverwrittenEntryNamesNoReplica() {
+  FleetWithOddEntry odd;
+  odd.Store().PutRaw(
+      "servers/ledger-0",
+      RawItem("\"servers/ledger-0\"", R"("value":"%","revision":100000)"));
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return odd.EndpointsOf(0) == kReplicas - 1; }));
+  // And an evacuation says it all by its key.
+  odd.Store().PutRaw(
+      "op/evacuate/b",
+      RawItem("\"op/evacuate/b\"", R"("value":7,"revision":100001)"));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return LocalFleet::StatusOf(odd.Fleet().Operator(0))
+        .value("evacuated", json::object())
+        .contains("b");
+  }));
+  CPPUNIT_ASSERT_EQUAL(200U, odd.Fleet().Call(0, TextOf({})).status);
+}
+
+/** Guards against a version below 0 that counts as the greatest. */
+void NegativeVersionIsNotInForce() {
+  FleetWithOddEntry odd;
+  json configuration = StandardConfiguration(2);
+  configuration["version"] = -1;
+  odd.Store().Put("op/config", configuration);
+  const auto version = [&] {
+    return LocalFleet::StatusOf(odd.Fleet().Operator(0))
+        .value("configuration", json())
+        .dump();
+  };
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return version() != "1" || !odd.ItemLines(0).empty(); }));
+  odd.Store().Put("op/config", StandardConfiguration(2));
+  CPPUNIT_ASSERT(WaitUntil([&] { return version() == "2"; }));
+}
+
 const Story kStory("odd_entries", [] {
   return Section(
       "given a list of replicas that is longer than a page of the store",
@@ -284,6 +321,11 @@
                      RestartReadsPastOddNamesAnywhere),
                 Then("a sound value under such a name names no replica",
                      SoundValueUnderAnOddNameIsNotUsed)}),
+       Section("when a page has an item that cannot be read",
+               {Then("its replica is not used any more",
+                     OverwrittenEntryNamesNoReplica),
+                Then("a version below 0 is not in force",
+                     NegativeVersionIsNotInForce)}),
        Section("when only the first page can be read",
                {Then("nothing is served until the list is whole",
                      PartOfTheListIsNotServed)}),
