Store client: a page that ends with an odd item is not the last

Callers saw: the replicas of all later pages were given up, if the last item of a page had no key or was no object; such a list also counted as whole, so that what it lacked was removed. A page that began after its own last key was read again without end.

Cause: the next page begins after the key of the last item, and the list ended where there was none.

Evidence: "the list goes on after it" failed with the untouched daemon: "null: 1 endpoints, 0 served, 1 reads of pages" for six replicas.

--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -256,6 +256,43 @@
   CPPUNIT_ASSERT(lines == expected);
 }
 
+/** Items that name no key, or whose members have odd types. */
+const std::vector<std::string> kUnreadableItems = {
+    "null",
+    "7",
+    "\"servers/a\"",
+    "[]",
+    "{}",
+    R"({"value":"e30=","revision":5})",
+    R"({"key":7,"value":"e30=","revision":5})",
+    R"({"key":"","value":"e30=","revision":5})",
+    R"({"key":"servers/f","value":"e30="})",
+    R"({"key":"servers/f","value":"e30=","revision":-1})",
+    R"({"key":"servers/f","value":"e30=","revision":1e400})",
+    R"({"key":"servers/f","value":"e30=","revision":99999999999999999999999})",
+    R"({"key":"servers/f","value":7,"revision":5})",
+    R"({"key":"servers/f","value":"\u0000","revision":5})",
+    R"({"key":"servers/f","value":"%%%%","revision":5})",
+    R"({"key":"servers/f","value":{"a":[]},"revision":5,"removed":"yes"})"};
+
+/** A page that ends with such an item, or begins with it, is not the last. */
+void UnreadableItemEndsNoList() {
+  FleetWithOddEntry odd;
+  // After the engine, at the end of a page of two, three or eight items.
+  for (const std::size_t size : {2, 3, 8}) {
+    odd.Store().SetPageSize(size);
+    for (const std::string& item : kUnreadableItems) {
+      odd.Store().PutRaw("servers/f", item);
+      const Start start = odd.MeasureStart();
+      AssertServes(start, item);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(item, std::size_t{0}, start.malformed_calls);
+      // At most one page more: the one that begins with the odd item again.
+      CPPUNIT_ASSERT_MESSAGE(item, start.range_calls <= 8 / size + 2);
+      CPPUNIT_ASSERT(WaitUntil([&] { return !odd.ItemLines(0).empty(); }));
+    }
+  }
+}
+
 /** After a restart nothing is served from a part of the list. */
 void PartOfTheListIsNotServed() {
   FleetWithOddEntry odd;
@@ -322,7 +359,8 @@
                 Then("a sound value under such a name names no replica",
                      SoundValueUnderAnOddNameIsNotUsed)}),
        Section("when a page has an item that cannot be read",
-               {Then("its replica is not used any more",
+               {Then("the list goes on after it", UnreadableItemEndsNoList),
+                Then("its replica is not used any more",
                      OverwrittenEntryNamesNoReplica),
                 Then("a version below 0 is not in force",
                      NegativeVersionIsNotInForce)}),
