Store client: a name that is not UTF-8 leaves the page readable

Callers saw: no request served after a restart while one name in the list held bytes that are not UTF-8.

Cause: the parser rejects a whole response for one string in it.

Evidence: "the list goes on after it" failed with the untouched daemon at such a key: "0 endpoints, 0 served, 70 reads of pages". "Those that follow a hub use the same replicas", with entries of every kind and three gateways, failed as well: "0 endpoints, 0 served, 107 reads of pages".

The item is odd by its name and names no endpoint. Values, which are parsed one by one, must be UTF-8 as before.

--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -273,7 +273,9 @@
     R"({"key":"servers/f","value":7,"revision":5})",
     R"({"key":"servers/f","value":"\u0000","revision":5})",
     R"({"key":"servers/f","value":"%%%%","revision":5})",
-    R"({"key":"servers/f","value":{"a":[]},"revision":5,"removed":"yes"})"};
+    R"({"key":"servers/f","value":{"a":[]},"revision":5,"removed":"yes"})",
+    "{\"key\":\"servers/f\xff\xfe\",\"value\":\"e30=\",\"revision\":5}",
+    "{\"key\":\"servers/f\",\"value\":\"\xc3\x28\",\"revision\":5}"};
 
 /** A page that ends with such an item, or begins with it, is not the last. */
 void UnreadableItemEndsNoList() {
@@ -311,6 +313,29 @@
   CPPUNIT_ASSERT_EQUAL(kReplicas, odd.EndpointsOf(0));
 }
 
+/** All gateways start again beside entries of every kind; some read the store
+ * and others follow them. */
+void HubsHandOnWhatIsSound() {
+  FleetWithOddEntry odd(3);
+  odd.Store().SetPageSize(3);
+  for (const std::string& end : kOddEnds)
+    odd.Store().Put("servers/f" + end, odd.SoundValue());
+  odd.Store().PutRaw(
+      "servers/raw\xff",
+      RawItem("\"servers/raw\xff\xfe\"", "\"value\":\"e30=\",\"revision\":5"));
+  for (std::size_t i = 0; i < kUnreadableItems.size(); ++i)
+    odd.Store().PutRaw("servers/u" + std::to_string(i), kUnreadableItems[i]);
+  const Start start = odd.MeasureStart();
+  AssertServes(start, "odd entries of every kind");
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, start.malformed_calls);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, odd.StrayRequests());
+  for (std::size_t i = 0; i < 3; ++i) {
+    CPPUNIT_ASSERT_EQUAL(kReplicas, odd.EndpointsOf(i));
+    CPPUNIT_ASSERT_EQUAL(std::string::npos,
+                         odd.Fleet().Log(i).find("service_restarted"));
+  }
+}
+
 /** An entry that another writer overwrites with what cannot be read. */
 void OverwrittenEntryNamesNoReplica() {
   FleetWithOddEntry odd;
@@ -357,7 +382,9 @@
                 Then("wherever the entry stands on a page",
                      RestartReadsPastOddNamesAnywhere),
                 Then("a sound value under such a name names no replica",
-                     SoundValueUnderAnOddNameIsNotUsed)}),
+                     SoundValueUnderAnOddNameIsNotUsed),
+                Then("those that follow a hub use the same replicas",
+                     HubsHandOnWhatIsSound)}),
        Section("when a page has an item that cannot be read",
                {Then("the list goes on after it", UnreadableItemEndsNoList),
                 Then("its replica is not used any more",
