Gateway: a list that cannot be read on removes nothing

Callers saw: no request served after a restart, if a page of the list brought nothing new: the same page was read again without end. Ending the list there instead would have taken away all replicas that it did not reach, here and at the gateways that follow this one.

Fix: the list says that it is not complete. Its items are merged, nothing counts as removed, the watch goes on from the revision of the first page, and replicas that renew their entries are learnt from it within a heartbeat. Without a configuration the list is read again. One line, list_incomplete, names the key after which the list ended.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -566,11 +566,14 @@
     co_return;
   }
   HttpResponse response;
-  if (exchange.request().Path() == kSnapshotPath) {
-    response.headers.Append("Content-Type", "application/cbor");
-    response.body = EncodeSnapshot(this->follower.Published().All());
-  } else {
+  const PublicationState& published = this->follower.Published();
+  if (exchange.request().Path() != kSnapshotPath) {
     response.status = 404;
+  } else if (!published.IsComplete()) {
+    response.status = 503;
+  } else {
+    response.headers.Append("Content-Type", "application/cbor");
+    response.body = EncodeSnapshot(published.All());
   }
   co_await exchange.Send(std::move(response));
 }
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -76,6 +76,7 @@
   std::uint64_t revision = 0;
   std::vector<PublishedItem> items;
   std::size_t unreadable = 0;  ///< Items left out, as they cannot be read.
+  bool is_complete = true;     ///< False: a list that could not be read on.
 };
 
 /** The platform's store could not be read. */
@@ -96,7 +97,7 @@
   virtual ~PublicationSource() = default;
 
   /**
-   * Reads all items.
+   * Reads all items, or those up to the point where the list cannot be read on.
    * @param timeout Limit of the wait for each part of them.
    * @throws StoreUnavailable If the store does not answer.
    */
--- a/src/gateway/publication_feed.cc
+++ b/src/gateway/publication_feed.cc
@@ -71,7 +71,8 @@
   std::optional<PublishedItems> changes;
   if (reader.process == this->process)
     changes = this->published.ChangesSince(reader.change_count);
-  record.is_snapshot = !changes && is_loaded;
+  // A reader removes what a snapshot lacks.
+  record.is_snapshot = !changes && is_loaded && this->published.IsComplete();
   if (changes) {
     record.items = std::move(*changes);
   } else if (is_loaded) {
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -245,6 +245,10 @@
     const PublishedItems all =
         co_await this->source->ReadAll(this->read_timeout);
     co_await this->ApplyAll(all, kStoreSource);
+    if (!this->state.is_loaded && !all.is_complete)
+      throw StoreUnavailable(
+          "the list of items ends before the configuration and cannot be read "
+          "on");
     this->read_revision = all.revision;
     co_return;
   }
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -76,9 +76,10 @@
     if (this->MergeItem(item))
       changed.push_back(item);
   }
+  this->is_complete = this->is_complete || all.is_complete;
   std::vector<std::string> missing;
   for (const auto& [key, item] : this->items) {
-    if (!listed.contains(key))
+    if (all.is_complete && !listed.contains(key))
       missing.push_back(key);
   }
   for (const std::string& key : missing)
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -40,7 +40,8 @@
       : removal_grace(removal_grace), is_renewed(std::move(is_renewed)) {}
 
   /**
-   * Merges a snapshot of all items. Items that it lacks count as removed.
+   * Merges a snapshot of all items. Items that it lacks count as removed, if it
+   * is complete.
    * @return Items that changed; a removed one has no value.
    */
   std::vector<PublishedItem> MergeSnapshot(const PublishedItems& all,
@@ -71,6 +72,9 @@
 
   std::uint64_t Revision() const { return this->revision; }
 
+  /** @return True once a complete snapshot has been merged. */
+  bool IsComplete() const { return this->is_complete; }
+
   /** @return Revision of an item's last change; 0 if there is no such item. */
   std::uint64_t RevisionOf(const std::string& key) const {
     const auto found = this->items.find(key);
@@ -88,6 +92,7 @@
   std::chrono::milliseconds removal_grace;
   KeyPredicate is_renewed;
   std::uint64_t revision = 0;
+  bool is_complete = false;
   std::map<std::string, PublishedItem> items;
   /** Revision of the latest removal of each removed key. */
   std::map<std::string, std::uint64_t> removals;
--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -295,6 +295,51 @@
   }
 }
 
+/** The list cannot be read on; what is renewed is learnt by the watch. */
+void PageWithoutProgressEndsTheList() {
+  for (const bool has_keys : {true, false}) {
+    FleetWithOddEntry odd;
+    GatewayFleet& fleet = odd.Fleet();
+    odd.Store().SetPageSize(has_keys ? 3 : 1);
+    if (has_keys)
+      odd.Store().SetPages(PageMode::kRepeated);
+    else
+      odd.Store().PutRaw("servers/f", "null");
+    const StoreCalls before = odd.Store().Calls();
+    odd.RestartAll();
+    CPPUNIT_ASSERT(WaitUntil([&] { return odd.AllReady(); }));
+    CPPUNIT_ASSERT(odd.Store().Calls().range - before.range <= 4);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return fleet.Log(0).find("list_incomplete") != std::string::npos;
+    }));
+    for (std::size_t i = 0; i < kLedgers; ++i)
+      fleet.PublishEndpoint("ledger", i, "ready");
+    CPPUNIT_ASSERT(WaitUntil([&] { return odd.EndpointsOf(0) == kReplicas; }));
+    CPPUNIT_ASSERT_EQUAL(200U, fleet.Call(0, TextOf({})).status);
+    CPPUNIT_ASSERT(odd.Store().Calls().range - before.range <= 4);
+  }
+}
+
+/** A process that could not read the list to its end takes no replica away
+ * from those that follow it. */
+void IncompleteListRemovesNothingElsewhere() {
+  FleetWithOddEntry odd(3);
+  GatewayFleet& fleet = odd.Fleet();
+  odd.Store().SetPageSize(3);
+  odd.Store().SetPages(PageMode::kRepeated);
+  for (const std::size_t i : {0, 1}) {
+    fleet.Gateway(i).Kill();
+    fleet.Restart(i);
+  }
+  CPPUNIT_ASSERT(WaitUntil([&] { return odd.AllReady(); }));
+  fleet.Store().Put("op/config", StandardConfiguration(2));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return LocalFleet::StatusOf(fleet.Operator(2)).value("configuration", 0) ==
+           2;
+  }));
+  CPPUNIT_ASSERT_EQUAL(kReplicas, odd.EndpointsOf(2));
+}
+
 /** After a restart nothing is served from a part of the list. */
 void PartOfTheListIsNotServed() {
   FleetWithOddEntry odd;
@@ -413,6 +458,11 @@
                      NegativeVersionIsNotInForce),
                 Then("changes of it cause no flood of calls",
                      UnreadableChangesCauseNoFloodOfCalls)}),
+       Section("when a page brings nothing new",
+               {Then("the list ends, and the watch goes on from there",
+                     PageWithoutProgressEndsTheList),
+                Then("replicas that others know stay in use",
+                     IncompleteListRemovesNothingElsewhere)}),
        Section("when only the first page can be read",
                {Then("nothing is served until the list is whole",
                      PartOfTheListIsNotServed)}),
