Gateway: an item that throws leaves those after it in use

Callers would see: the replicas after one item of a list were not used until their entries changed, if applying that item threw what no reader expects.

Cause: the items of a list are merged first and applied one by one; an exception ended the loop, and what is merged is not applied again.

Evidence: "those after it are applied" failed without this change, with an adapter that throws std::out_of_range for one key. No value is known that makes the platform's adapter throw.

Fix: the loop catches what an item throws, logs item_unusable, withdraws its endpoint and goes on.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -328,7 +328,15 @@
     PublicationOrigin origin) {
   for (const PublishedItem& item : changed) {
     origin.revision = item.revision;
-    co_await this->ApplyItem(item, origin);
+    std::string fault;
+    try {
+      co_await this->ApplyItem(item, origin);
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    // The items after it are merged already and would not be applied again.
+    if (!fault.empty() && this->published.RevisionOf(item.key) == item.revision)
+      this->IgnoreItem(item, fault);
   }
   this->state.is_loaded = this->state.table != nullptr;
   if (!changed.empty()) {
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -3,15 +3,20 @@
 #include <cppunit/TestAssert.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "fakes/scripted_endpoint.h"
 #include "gateway/feed_record.h"
+#include "gateway/gateway_state.h"
 #include "gateway/publication_feed.h"
+#include "gateway/publication_follower.h"
+#include "harness/local_fleet.h"
 #include "harness/story.h"
-#include "kernel/http_server.h"
 
 namespace buckthornpath {
 
@@ -20,6 +25,13 @@
 using std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
+constexpr milliseconds kTimeout{10000};
+
+constexpr milliseconds kSlowDecoding{1500};
+
+/** A later answer would be given up. */
+constexpr milliseconds kHubDelay{100};
+
 constexpr std::uint64_t kRevision = 20;
 
 const char* const kConfiguration = R"({"version":1,"routes":[],"services":[]})";
@@ -37,6 +49,150 @@
   return all;
 }
 
+/** Returns one list, and no changes. */
+class ListSource final : public PublicationSource {
+ public:
+  explicit ListSource(PublishedItems all) : all(std::move(all)) {}
+
+  asio::awaitable<PublishedItems> ReadAll(milliseconds /*timeout*/) override {
+    co_return this->all;
+  }
+
+  asio::awaitable<PublishedItems> ReadChanges(
+      std::uint64_t after,
+      milliseconds wait,
+      milliseconds /*timeout*/) override {
+    co_await SleepFor(wait);
+    co_return PublishedItems{after, {}};
+  }
+
+ private:
+  PublishedItems all;
+};
+
+/** @return The adapter that was linked before a FaultyAdapter was made. */
+const PlatformAdapter& LinkedPlatform() {
+  static const PlatformAdapter& linked = PlatformAdapter::Linked();
+  return linked;
+}
+
+/** The platform's adapter, but for items with certain keys. */
+class FaultyAdapter final : public PlatformAdapter {
+ public:
+  explicit FaultyAdapter(PublishedItems all)
+      : platform(LinkedPlatform()), all(std::move(all)) {
+    this->Register();
+  }
+
+  CallerMetadata ParseCallerHeader(const HeaderFields& header) const override {
+    return this->platform.ParseCallerHeader(header);
+  }
+
+  void WriteForwardHeader(const HeaderFields& caller,
+                          const ForwardMetadata& metadata,
+                          HeaderFields& out) const override {
+    this->platform.WriteForwardHeader(caller, metadata, out);
+  }
+
+  ResponseMetadata ParseResponseHeader(
+      const HeaderFields& header) const override {
+    return this->platform.ParseResponseHeader(header);
+  }
+
+  bool IsInternalField(const std::string& field_name) const override {
+    return this->platform.IsInternalField(field_name);
+  }
+
+  asio::awaitable<DecodedItem> Decode(
+      const PublishedItem& item) const override {
+    if (item.key == "servers/throws")
+      throw std::out_of_range("no such element");
+    if (item.key == "servers/slow")
+      co_await SleepFor(kSlowDecoding);
+    co_return co_await this->platform.Decode(item);
+  }
+
+  std::optional<EndpointId> EndpointIdFromKey(
+      const std::string& key) const override {
+    return this->platform.EndpointIdFromKey(key);
+  }
+
+  std::optional<FailureDomainId> EvacuatedDomainFromKey(
+      const std::string& key) const override {
+    return this->platform.EvacuatedDomainFromKey(key);
+  }
+
+  std::unique_ptr<PublicationSource> MakeSource(
+      const Settings& /*settings*/) const override {
+    return std::make_unique<ListSource>(this->all);
+  }
+
+ private:
+  const PlatformAdapter& platform;
+  PublishedItems all;
+};
+
+/** A gateway that reads a list; its failure domain may have two hubs. */
+class Reader {
+ public:
+  Reader(const PublishedItems& all, const EndpointScript& hub_script)
+      : adapter(all),
+        settings(SettingsOf(this->claim)),
+        first_hub(ParseSocketAddress(this->Address(2)), hub_script),
+        second_hub(ParseSocketAddress(this->Address(3)), hub_script),
+        state(this->settings, this->io.get_executor()),
+        follower(this->state) {}
+
+  void AddHubs() {
+    constexpr std::int64_t kLargeVm = 1000;
+    for (const int host : {2, 3}) {
+      this->state.roster.RecordContact(
+          {this->Address(host), FailureDomainId("a"), kLargeVm, false},
+          Clock::now());
+    }
+  }
+
+  /** Runs until the gateway is ready. @return Endpoints that it uses then. */
+  std::size_t RunUntilReady() {
+    this->follower.Start();
+    const auto end = Clock::now() + kTimeout;
+    while (!this->state.is_loaded && Clock::now() < end) {
+      this->io.poll_one();
+      this->io.restart();
+      std::this_thread::yield();
+    }
+    CPPUNIT_ASSERT(this->state.is_loaded);
+    return this->state.selector.All().size();
+  }
+
+ private:
+  static Settings SettingsOf(const NetworkClaim& claim) {
+    Settings settings;
+    settings.failure_domain = "a";
+    settings.gossip_address = claim.Network() + "1:7103";
+    settings.configuration_address = claim.Network() + "1:7100";
+    return settings;
+  }
+
+  std::string Address(int host) const {
+    return this->claim.Network() + std::to_string(host) + ":7103";
+  }
+
+  NetworkClaim claim;
+  FaultyAdapter adapter;
+  Settings settings;
+  ScriptedEndpoint first_hub;
+  ScriptedEndpoint second_hub;
+  asio::io_context io;
+  GatewayState state;
+  PublicationFollower follower;
+};
+
+void ItemThatThrowsStopsNoOther() {
+  Reader reader(ListWith({"a", "throws", "z"}), nullptr);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader.RunUntilReady());
+}
+
 /** Takes the first record that a feed sends. */
 class FeedReader final : public HttpExchange {
  public:
@@ -97,7 +253,10 @@
 
 const Story kStory("publication_faults", [] {
   return Section("given a list of published items",
-                 {Section("when it could not be read to its end",
+                 {Section("when one of them throws an unexpected exception",
+                          {Then("those after it are applied",
+                                ItemThatThrowsStopsNoOther)}),
+                  Section("when it could not be read to its end",
                           {Then("it takes nothing away, here or from followers",
                                 IncompleteListIsNoSnapshot)})});
 });
