Gateway: ready once all items are applied

Callers would see: a process that had just started answer from a part of the list for some milliseconds.

Cause: applying items yields to other work while a large value is decoded. If a hub confirmed the same items meanwhile, nothing was left to change, and the process counted as loaded with the configuration alone.

Evidence: "the gateway is ready once all items are applied" failed without this change: one endpoint of three was in use.

Fix: the process counts as loaded when the last call that applies items ends.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -9,6 +9,7 @@
 #include "kernel/json_types.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "kernel/scoped_count.h"
 
 namespace buckthornpath {
 
@@ -326,6 +327,7 @@
 asio::awaitable<void> PublicationFollower::ApplyItems(
     std::vector<PublishedItem> changed,
     PublicationOrigin origin) {
+  const ScopedCount mark(this->applying);
   for (const PublishedItem& item : changed) {
     origin.revision = item.revision;
     std::string fault;
@@ -338,7 +340,9 @@
     if (!fault.empty() && this->published.RevisionOf(item.key) == item.revision)
       this->IgnoreItem(item, fault);
   }
-  this->state.is_loaded = this->state.table != nullptr;
+  // Other items may be in the middle of being applied.
+  if (this->applying == 1)
+    this->state.is_loaded = this->state.table != nullptr;
   if (!changed.empty()) {
     this->PublishToFeed();
     this->state.WakeAllWaiting();
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -99,6 +99,7 @@
   std::uint64_t read_revision = 0;  ///< Read from the store; 0: read all.
   std::chrono::milliseconds read_timeout;
   ReportedItems reported;
+  int applying = 0;  ///< Calls of ApplyItems() that have not ended.
   bool is_reading_store = false;
   bool is_store_reachable = true;
 };
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -193,6 +193,24 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader.RunUntilReady());
 }
 
+/** A hub confirms the items while the list of the store is being applied. */
+void ReadyOnceAllItemsAreApplied() {
+  const PublishedItems all = ListWith({"a", "slow", "z"});
+  FeedRecord record;
+  record.is_fresh = true;
+  record.is_snapshot = true;
+  record.position = {77, 3};
+  record.items = all;
+  const std::string frame = EncodeFeedFrame(record);
+  Reader reader(all, [frame](ScriptedCall& call) {
+    // After the list of the store has begun to be applied.
+    std::this_thread::sleep_for(kHubDelay);
+    call.Answer(200, frame);
+  });
+  reader.AddHubs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{3}, reader.RunUntilReady());
+}
+
 /** Takes the first record that a feed sends. */
 class FeedReader final : public HttpExchange {
  public:
@@ -252,13 +270,17 @@
 }
 
 const Story kStory("publication_faults", [] {
-  return Section("given a list of published items",
-                 {Section("when one of them throws an unexpected exception",
-                          {Then("those after it are applied",
-                                ItemThatThrowsStopsNoOther)}),
-                  Section("when it could not be read to its end",
-                          {Then("it takes nothing away, here or from followers",
-                                IncompleteListIsNoSnapshot)})});
+  return Section(
+      "given a list of published items",
+      {Section(
+           "when one of them throws an unexpected exception",
+           {Then("those after it are applied", ItemThatThrowsStopsNoOther)}),
+       Section("when a hub confirms it while it is being applied",
+               {Then("the gateway is ready once all items are applied",
+                     ReadyOnceAllItemsAreApplied)}),
+       Section("when it could not be read to its end",
+               {Then("it takes nothing away, here or from followers",
+                     IncompleteListIsNoSnapshot)})});
 });
 
 }  // namespace
