Operators: the status shows names that others chose

Operators saw: /status failed with 500, or the tool sent control characters to the terminal, while the name of an evacuated failure domain held such bytes.

Cause: the status is dumped by a function that throws on text that is not UTF-8, and the tool prints texts as they are.

Evidence: "the status and the tool show odd names safely" failed with the untouched daemon, which could not read the response with that name either.

Fix: the status replaces what is not UTF-8, as the log does; the tool prints a text with control characters as a JSON string.

--- a/src/cli/show_cmd.cc
+++ b/src/cli/show_cmd.cc
@@ -1,5 +1,7 @@
 /** @file show_cmd.cc Prints the status of a process. */
 
+#include <algorithm>
+#include <cctype>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -10,16 +12,27 @@
 
 namespace {
 
+/** @return The text, as a JSON string if it has control characters: another
+ * writer may have chosen it, and a terminal would obey them. */
+std::string Printable(const std::string& text) {
+  const bool has_control =
+      std::any_of(text.begin(), text.end(),
+                  [](unsigned char c) { return std::iscntrl(c) != 0; });
+  constexpr bool kEscapesNonAscii = true;
+  return has_control ? nlohmann::json(text).dump(-1, ' ', kEscapesNonAscii)
+                     : text;
+}
+
 /** Prints members or elements one per line; nested ones are indented. */
 void PrintTree(const nlohmann::ordered_json& value, std::size_t depth) {
   for (const auto& [name, member] : value.items()) {
-    std::cout << std::string(2 * depth, ' ') << name << ":";
+    std::cout << std::string(2 * depth, ' ') << Printable(name) << ":";
     if (member.is_structured() && !member.empty()) {
       std::cout << "\n";
       PrintTree(member, depth + 1);
     } else {
       std::cout << " "
-                << (member.is_string() ? member.get<std::string>()
+                << (member.is_string() ? Printable(member.get<std::string>())
                                        : member.dump())
                 << "\n";
     }
--- a/src/daemon/operator_server.cc
+++ b/src/daemon/operator_server.cc
@@ -23,7 +23,8 @@
   HttpResponse response;
   if (request.method == "GET" && request.Path() == "/status") {
     response.headers.Append("Content-Type", "application/json");
-    response.body = this->role.Status().dump();
+    response.body = this->role.Status().dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
   } else if (request.method == "GET" && request.Path() == "/metrics") {
     response.headers.Append("Content-Type", "text/plain; version=0.0.4");
     response.body = ProcessMetrics().Render();
--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -12,6 +12,7 @@
 #include "harness/caller.h"
 #include "harness/gateway_fleet.h"
 #include "harness/story.h"
+#include "harness/tool.h"
 
 namespace buckthornpath {
 
@@ -438,6 +439,26 @@
   CPPUNIT_ASSERT(after.watch - before.watch < kChanges / 5);
 }
 
+/** Names of failure domains that others chose. */
+void StatusShowsOddNames() {
+  FleetWithOddEntry odd;
+  GatewayFleet& fleet = odd.Fleet();
+  odd.Store().PutRaw(
+      "op/evacuate/z\xff",
+      RawItem("\"op/evacuate/z\xff\\u001b[2J\"", R"("value":"","revision":5)"));
+  odd.Store().Put("op/evacuate/a\x1b[2J", std::string("{}"));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return LocalFleet::StatusOf(fleet.Operator(0))
+               .value("evacuated", json::object())
+               .size() == 2;
+  }));
+  const ToolRun shown =
+      RunTool({"show", FormatSocketAddress(fleet.Operator(0))});
+  CPPUNIT_ASSERT_EQUAL(0, shown.exit_code);
+  CPPUNIT_ASSERT(shown.Says("a\\u001b[2J"));
+  CPPUNIT_ASSERT(!shown.Says("\x1b"));
+}
+
 const Story kStory("odd_entries", [] {
   return Section(
       "given a list of replicas that is longer than a page of the store",
@@ -468,7 +489,9 @@
                      PartOfTheListIsNotServed)}),
        Section("when an entry is looked at by operators",
                {Then("one line says why it names no replica",
-                     OneLineSaysWhyAnEntryIsNotUsed)})});
+                     OneLineSaysWhyAnEntryIsNotUsed),
+                Then("the status and the tool show odd names safely",
+                     StatusShowsOddNames)})});
 });
 
 }  // namespace
