Metrics: a label may have any text

Operators saw: a page of metrics that no collector reads, or lines that are none of ours, while an entry named a service with a quote or a line break.

Cause: labels were put together without escaping.

Evidence: "a label of a metric may have any text" failed with the untouched daemon.

Fix: MetricLabel() escapes as the text format asks; labels with names that others publish are made by it.

--- a/src/gateway/cold_start_guard.cc
+++ b/src/gateway/cold_start_guard.cc
@@ -62,7 +62,7 @@
        {"for_ms", std::chrono::ceil<std::chrono::milliseconds>(time).count()},
        {"may_send", this->limit.Interval(policy).has_value()}});
   ProcessMetrics().Add("cold_starts_total",
-                       "service=\"" + entry.service.str() + "\"");
+                       MetricLabel("service", entry.service.str()));
 }
 
 void ColdStartGuard::RecordPublished(const EndpointEntry& entry,
@@ -121,7 +121,7 @@
   const ColdStartPolicy policy = this->PolicyOf(entry.service);
   if (this->limit.IsCold(entry.id, policy, now)) {
     ProcessMetrics().Add("cold_endpoint_requests_total",
-                         "service=\"" + entry.service.str() + "\"");
+                         MetricLabel("service", entry.service.str()));
   }
   this->limit.RecordSend(entry.id, policy, now);
 }
--- a/src/gateway/endpoint_crash_probe.cc
+++ b/src/gateway/endpoint_crash_probe.cc
@@ -67,7 +67,7 @@
            {"service", entry.service},
            {"unanswered", requests.size()}});
   ProcessMetrics().Add("endpoint_crashes_total",
-                       "service=\"" + entry.service.str() + "\"");
+                       MetricLabel("service", entry.service.str()));
   this->state.selector.RecordResult(endpoint, EndpointResult::kUnreachable,
                                     now);
   this->state.cold_starts.RecordRefusedConnection(endpoint, now);
--- a/src/gateway/load_metrics.cc
+++ b/src/gateway/load_metrics.cc
@@ -13,7 +13,7 @@
 namespace {
 
 std::string LabelOf(const ServiceName& service) {
-  return "service=\"" + service.str() + "\"";
+  return MetricLabel("service", service.str());
 }
 
 /** Prefill backlog of a service's endpoints, in tokens. */
--- a/src/gateway/request_record.cc
+++ b/src/gateway/request_record.cc
@@ -63,9 +63,9 @@
 void RequestRecord::Count(const RequestClass& request,
                           bool is_disconnected,
                           Clock::time_point now) const {
-  const std::string kind = "service=\"" + request.service.str() +
-                           "\",priority=\"" + std::to_string(request.priority) +
-                           "\"";
+  const std::string kind =
+      MetricLabel("service", request.service.str()) + "," +
+      MetricLabel("priority", std::to_string(request.priority));
   const char* outcome = this->final_status / 100 == 2 ? "served" : "failed";
   if (this->final_status == kUnavailable)
     outcome = "refused";
--- a/src/kernel/metrics.cc
+++ b/src/kernel/metrics.cc
@@ -132,4 +132,14 @@
   return metrics;
 }
 
+std::string MetricLabel(const std::string& name, const std::string& value) {
+  std::string escaped;
+  for (const char character : value) {
+    if (character == '\\' || character == '"')
+      escaped += '\\';
+    escaped += character == '\n' ? "\\n" : std::string(1, character);
+  }
+  return name + "=\"" + escaped + "\"";
+}
+
 }  // namespace buckthornpath
--- a/src/kernel/metrics.h
+++ b/src/kernel/metrics.h
@@ -47,6 +47,9 @@
 
 Metrics& ProcessMetrics();
 
+/** @return A label in text format; the value may be any text. */
+std::string MetricLabel(const std::string& name, const std::string& value);
+
 }  // namespace buckthornpath
 
 #endif  // SRC_KERNEL_METRICS_H_
--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -459,6 +459,24 @@
   CPPUNIT_ASSERT(!shown.Says("\x1b"));
 }
 
+/** The service of an entry is a label. */
+void LabelsHoldAnyText() {
+  FleetWithOddEntry odd;
+  json entry = json::parse(odd.SoundValue());
+  entry["service"] = "odd\"} 1\nbuckthornpath_fake{x=\"\\";
+  odd.Store().Put("servers/odd-service", entry.dump());
+  HttpRequest request;
+  request.target = "/metrics";
+  std::string metrics;
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    metrics = CallHttp(odd.Fleet().Operator(0), request).body;
+    return metrics.find("odd") != std::string::npos;
+  }));
+  CPPUNIT_ASSERT(metrics.find("\nbuckthornpath_fake") == std::string::npos);
+  CPPUNIT_ASSERT(metrics.find(R"(odd\"} 1\nbuckthornpath_fake{x=\"\\")") !=
+                 std::string::npos);
+}
+
 const Story kStory("odd_entries", [] {
   return Section(
       "given a list of replicas that is longer than a page of the store",
@@ -491,7 +509,9 @@
                {Then("one line says why it names no replica",
                      OneLineSaysWhyAnEntryIsNotUsed),
                 Then("the status and the tool show odd names safely",
-                     StatusShowsOddNames)})});
+                     StatusShowsOddNames),
+                Then("a label of a metric may have any text",
+                     LabelsHoldAnyText)})});
 });
 
 }  // namespace
