Tool: explain skips lines that no process of ours writes

Operators saw: explain ended with an error and printed nothing, if one line of a file had a member of another type.

Cause: members were read by their type, and the library throws on another.

Evidence: "explain skips lines that no process of ours writes" failed before: "type must be number, but is string", exit code 2.

--- a/src/cli/explain_cmd.cc
+++ b/src/cli/explain_cmd.cc
@@ -32,6 +32,34 @@
   std::size_t invalid_lines = 0;
 };
 
+/** @return True if a member is absent or has a type. */
+bool HasType(const json& object,
+             const char* name,
+             bool (json::*is_type)() const) {
+  const auto found = object.find(name);
+  return found == object.end() || ((*found).*is_type)();
+}
+
+/** @return True for an object whose members have the types of a log line. Other
+ * programs may write to the same file. */
+bool IsLogLine(const json& line) {
+  if (!line.is_object() || !HasType(line, "attempts", &json::is_array))
+    return false;
+  for (const char* name : {"process", "event", "request", "endpoint"}) {
+    if (!HasType(line, name, &json::is_string))
+      return false;
+  }
+  for (const char* name : {"time_ms", "total_ms", "lines"}) {
+    if (!HasType(line, name, &json::is_number_integer))
+      return false;
+  }
+  const json attempts = line.value("attempts", json::array());
+  return std::all_of(attempts.begin(), attempts.end(), [](const json& attempt) {
+    return attempt.is_object() &&
+           HasType(attempt, "endpoint", &json::is_string);
+  });
+}
+
 /** @throws std::runtime_error If a file cannot be read. */
 ParsedLogs ReadLogs(const std::vector<std::string>& files) {
   ParsedLogs logs;
@@ -45,7 +73,7 @@
       json line = begin == std::string::npos
                       ? json()
                       : json::parse(text.substr(begin), nullptr, false);
-      if (!line.is_object()) {
+      if (!IsLogLine(line)) {
         ++logs.invalid_lines;
         continue;
       }
--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -477,6 +477,30 @@
                  std::string::npos);
 }
 
+/** A file may hold lines of other programs. */
+void ExplainSkipsLinesOfOthers() {
+  const ScratchDirectory scratch;
+  std::string log;
+  for (const char* odd :
+       {R"({"time_ms":"x","process":"p","event":"request","request":"id-1"})",
+        R"({"time_ms":1,"process":7,"event":"request"})",
+        R"({"time_ms":1,"process":"p","event":7,"request":"id-1"})",
+        R"({"time_ms":1,"event":"request","request":["id-1"]})",
+        R"({"time_ms":1,"event":"request","endpoint":{},"request":"id-1"})",
+        R"({"time_ms":1,"event":"request","request":"id-1","total_ms":"x"})",
+        R"({"time_ms":1,"event":"request","request":"id-1","attempts":7})",
+        R"({"time_ms":1,"event":"request","request":"id-1","attempts":[7]})",
+        R"({"time_ms":1,"event":"log_dropped","lines":"x"})"})
+    log += std::string(odd) + "\n";
+  log += R"({"time_ms":5,"process":"gateway/g","event":"request",)"
+         R"("request":"id-1","reason":"served","total_ms":3,"attempts":[]})";
+  const ToolRun run =
+      RunTool({"explain", "id-1", scratch.Write("odd.log", log + "\n")});
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(run.output, 0, run.exit_code);
+  CPPUNIT_ASSERT_MESSAGE(run.output, run.Says("served"));
+  CPPUNIT_ASSERT_MESSAGE(run.output, run.Says("9 lines are not valid"));
+}
+
 const Story kStory("odd_entries", [] {
   return Section(
       "given a list of replicas that is longer than a page of the store",
@@ -505,13 +529,15 @@
        Section("when only the first page can be read",
                {Then("nothing is served until the list is whole",
                      PartOfTheListIsNotServed)}),
-       Section("when an entry is looked at by operators",
-               {Then("one line says why it names no replica",
-                     OneLineSaysWhyAnEntryIsNotUsed),
-                Then("the status and the tool show odd names safely",
-                     StatusShowsOddNames),
-                Then("a label of a metric may have any text",
-                     LabelsHoldAnyText)})});
+       Section(
+           "when an entry is looked at by operators",
+           {Then("one line says why it names no replica",
+                 OneLineSaysWhyAnEntryIsNotUsed),
+            Then("the status and the tool show odd names safely",
+                 StatusShowsOddNames),
+            Then("a label of a metric may have any text", LabelsHoldAnyText),
+            Then("explain skips lines that no process of ours writes",
+                 ExplainSkipsLinesOfOthers)})});
 });
 
 }  // namespace
