Endpoint role: a refusal of an engine may have any body

Callers would see: the endpoint process end, if its engine refused an order with a body that does not state the highest token.

Cause: a member was read with an operator that must not be used on a constant object without it: an assertion in our builds, undefined without assertions.

Evidence: "it is read as a refusal" ended the process without this change.

Fix: the member is looked for first.

--- a/src/endpoint/model_order_client.cc
+++ b/src/endpoint/model_order_client.cc
@@ -60,10 +60,10 @@
             {},
             "engine replied with status " + std::to_string(response.status)};
   const auto body = nlohmann::json::parse(response.body, nullptr, false);
+  const bool has_highest = body.is_object() && body.contains("highest") &&
+                           body.at("highest").is_number_unsigned();
   const std::uint64_t highest =
-      body.is_object() && body["highest"].is_number_unsigned()
-          ? body["highest"].get<std::uint64_t>()
-          : 0;
+      has_highest ? body.at("highest").get<std::uint64_t>() : 0;
   return {OrderOutcome::kSuperseded, FencingToken{highest}, ""};
 }
 
--- a/test/stories/model_orders.cc
+++ b/test/stories/model_orders.cc
@@ -8,9 +8,12 @@
 #include <thread>
 
 #include "buckthornpath/model_assignment.h"
+#include "endpoint/model_order_client.h"
+#include "fakes/scripted_endpoint.h"
 #include "harness/caller.h"
 #include "harness/local_fleet.h"
 #include "harness/story.h"
+#include "kernel/blocking_http.h"
 
 namespace buckthornpath {
 
@@ -202,6 +205,25 @@
   AssertFencingTokensIncrease(fleet);
 }
 
+/** The outcome is known by the status; the body is the engine's own. */
+void RefusalMayHaveAnyBody() {
+  const NetworkClaim claim;
+  const SocketAddress address = ParseSocketAddress(claim.Network() + "1:7110");
+  ScriptedEndpoint engine(address, nullptr);
+  for (const char* body :
+       {"{}", "", "[]", "null", R"({"highest":"x"})", R"({"highest":-1})"}) {
+    engine.SetScript([body](ScriptedCall& call) { call.Answer(409, body); });
+    OrderReply reply;
+    RunBlocking([&]() -> asio::awaitable<void> {
+      ModelOrder order;
+      order.lifetime = std::chrono::milliseconds(5000);
+      reply = co_await SendOrder(address, order, BootClock::now());
+    }());
+    CPPUNIT_ASSERT_MESSAGE(body, reply.outcome == OrderOutcome::kSuperseded);
+    CPPUNIT_ASSERT(reply.highest_fencing == FencingToken{});
+  }
+}
+
 const Story kStory("model_orders", [] {
   return Section(
       "given engines with one endpoint process each",
@@ -218,6 +240,8 @@
                      DuplicateOrderIsRefused),
                 Then("an engine that ignores fencing is sent the newer again",
                      DuplicateOrderIsCorrected)}),
+       Section("when an engine refuses an order with an odd body",
+               {Then("it is read as a refusal", RefusalMayHaveAnyBody)}),
        Section("when a process resumes after another one has sent orders",
                {Then("with fencing checks, the engine gets no outdated order",
                      [] { ResumedProcessIsSuperseded(true); }),
