Membership: an odd item of the VM list hides no other

Callers saw: "no_configuration" or no endpoint after a restart of routers and endpoint processes, while one item of the VM list was odd; running processes kept the list of before.

Cause: one item that could not be read refused the whole list, and so did one byte in it that is not UTF-8. A sound item under any name was an endpoint, whose name goes into header fields and messages.

Fix: each item is read by itself; one that cannot be used, or whose name is not plain, is left out of all lists and logged once as vm_unusable. Bytes that are not UTF-8 are replaced before the list is parsed, and an object with two members of one name is left out. What is no list of VMs is refused as before.

--- a/src/fleet/member_list.cc
+++ b/src/fleet/member_list.cc
@@ -11,6 +11,8 @@
 #include "kernel/field_table.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
+#include "kernel/reported_items.h"
+#include "kernel/url_text.h"
 
 namespace buckthornpath {
 
@@ -24,43 +26,108 @@
 /** Processes per failure domain that long-poll the configuration service. */
 constexpr std::size_t kWatchersPerDomain = 2;
 
-Member ParseMember(const nlohmann::json& item) {
+/** @throws std::invalid_argument If the address has no IP number or no port.
+ */
+SocketAddress ParseListedAddress(const std::string& text) {
+  const SocketAddress address = ParseSocketAddress(text);
+  if (address.port() == 0)
+    throw std::invalid_argument("port of address '" + text + "' is 0");
+  return address;
+}
+
+/** @throws std::invalid_argument If the name is not one of a VM: it goes into
+ * header fields and messages. */
+VmId ParseVmId(const nlohmann::json& item) {
+  const auto& name = item.at("vm").get_ref<const std::string&>();
+  if (!IsPlainName(name))
+    throw std::invalid_argument(
+        "vm is empty or has characters other than letters, digits and -._~");
+  return VmId(name);
+}
+
+Member ParseMember(const VmId& vm, const nlohmann::json& item) {
   Member member;
-  member.vm = VmId(item.at("vm").get<std::string>());
-  member.id = EndpointId(member.vm.str());
+  member.vm = vm;
+  member.id = EndpointId(vm.str());
   member.service = ServiceName(item.at("service").get<std::string>());
   member.failure_domain =
       FailureDomainId(item.at("failure_domain").get<std::string>());
-  member.address = ParseSocketAddress(item.at("address").get<std::string>());
+  member.address = ParseListedAddress(item.at("address").get<std::string>());
   member.state = item.at("state").get<std::string>() == "live"
                      ? MemberState::kLive
                      : MemberState::kLeaving;
   return member;
 }
 
-void ParseVm(const nlohmann::json& item, VmList& list) {
-  const VmId vm(item.at("vm").get<std::string>());
-  list.known.insert(vm);
-  if (item.at("state").get<std::string>() != "live")
-    list.leaving.insert(vm);
+/** What one item of the VM list says. */
+struct ListedVm {
+  VmId vm;
+  bool is_leaving = false;
+  std::optional<Member> member;
+  std::optional<Peer> peer;
+};
+
+/** @throws nlohmann::json::exception, std::invalid_argument */
+ListedVm ParseVm(const nlohmann::json& item) {
+  ListedVm listed;
+  listed.vm = ParseVmId(item);
+  listed.is_leaving = item.at("state").get<std::string>() != "live";
   if (item.value("role", "endpoint") == "endpoint")
-    list.members.push_back(ParseMember(item));
+    listed.member = ParseMember(listed.vm, item);
   const auto gossip = item.value("gossip_address", std::string());
-  if (gossip.empty())
+  if (!gossip.empty()) {
+    listed.peer =
+        Peer{listed.vm,
+             FailureDomainId(item.at("failure_domain").get<std::string>()),
+             ParseListedAddress(gossip)};
+  }
+  return listed;
+}
+
+void AddVm(const nlohmann::json& item, VmList& list) {
+  std::string fault;
+  try {
+    ListedVm listed = ParseVm(item);
+    list.known.insert(listed.vm);
+    if (listed.is_leaving)
+      list.leaving.insert(listed.vm);
+    if (listed.member)
+      list.members.push_back(std::move(*listed.member));
+    if (listed.peer)
+      list.peers.push_back(std::move(*listed.peer));
     return;
-  list.peers.push_back(
-      {vm, FailureDomainId(item.at("failure_domain").get<std::string>()),
-       ParseSocketAddress(gossip)});
+  } catch (const nlohmann::json::exception& error) {
+    fault = error.what();
+  } catch (const std::invalid_argument& error) {
+    fault = error.what();
+  }
+  const bool has_name =
+      item.is_object() && item.contains("vm") && item.at("vm").is_string();
+  list.unusable.push_back(
+      {has_name ? item.at("vm").get<std::string>() : "", std::move(fault)});
+}
+
+/** Logs the items that cannot be used, each once. */
+void ReportUnusable(const VmList& list, ReportedItems& reported) {
+  for (const VmId& vm : list.known)
+    reported.Remove(vm.str());
+  for (const UnusableVm& unusable : list.unusable) {
+    if (reported.Add(unusable.vm))
+      LogLine(LogLevel::kWarning, "vm_unusable",
+              {{"vm", unusable.vm}, {"reason", unusable.reason}});
+  }
 }
 
 /**
  * Reads the VM list once.
  * @param[in,out] etag ETag of the list read last; empty if there is none.
+ * @param[in,out] reported Items that have been logged as unusable.
  * @throws HttpError, InvalidDocument
  */
 asio::awaitable<void> ReadVmList(MemberList& list,
                                  const Settings& settings,
-                                 std::string& etag) {
+                                 std::string& etag,
+                                 ReportedItems& reported) {
   HttpRequest request;
   request.target = "/v1/vms";
   if (!etag.empty())
@@ -75,7 +142,9 @@
   if (response.status != 200)
     throw HttpError("VM list service answered with status " +
                     std::to_string(response.status));
-  list.Replace(ParseVmList(response.body));
+  VmList read = ParseVmList(response.body);
+  ReportUnusable(read, reported);
+  list.Replace(std::move(read));
   etag = response.headers.Find("ETag").value_or("");
 }
 
@@ -231,25 +300,27 @@
 }
 
 VmList ParseVmList(const std::string& text) {
-  const nlohmann::json object = ParseJsonWithComments(text);
-  try {
-    VmList list;
-    for (const nlohmann::json& item : object.at("vms"))
-      ParseVm(item, list);
-    return list;
-  } catch (const nlohmann::json::exception& error) {
-    throw InvalidDocument("/vms", error.what());
-  } catch (const std::invalid_argument& error) {
-    throw InvalidDocument("/vms", error.what());
-  }
+  std::vector<DocumentFault> left_out;
+  const nlohmann::json object =
+      ParseJsonWithComments(ReplaceInvalidUtf8(text), left_out);
+  if (!object.is_object() || !object.contains("vms") ||
+      !object.at("vms").is_array())
+    throw InvalidDocument("/vms", "is missing or not an array");
+  VmList list;
+  for (const DocumentFault& fault : left_out)
+    list.unusable.push_back({"", fault.path + " " + fault.reason});
+  for (const nlohmann::json& item : object.at("vms"))
+    AddVm(item, list);
+  return list;
 }
 
 asio::awaitable<void> FollowVmList(MemberList& list, const Settings& settings) {
   std::minstd_rand random{std::random_device{}()};
   std::string etag;
+  ReportedItems reported;
   while (true) {
     try {
-      co_await ReadVmList(list, settings, etag);
+      co_await ReadVmList(list, settings, etag, reported);
     } catch (const std::exception& error) {
       ProcessMetrics().Add("vm_list_faults_total");
       LogLine(LogLevel::kWarning, "vm_list_fault", {{"reason", error.what()}});
--- a/src/fleet/member_list.h
+++ b/src/fleet/member_list.h
@@ -38,12 +38,19 @@
   SocketAddress address;
 };
 
+/** An item of the VM list that cannot be used. */
+struct UnusableVm {
+  std::string vm;  ///< Empty if it has no name.
+  std::string reason;
+};
+
 /** Contents of the platform's VM list. */
 struct VmList {
   std::vector<Member> members;
   std::vector<Peer> peers;
-  std::set<VmId> known;    ///< All VMs on the list.
-  std::set<VmId> leaving;  ///< Those of them that take no new work.
+  std::set<VmId> known;              ///< All VMs on the list.
+  std::set<VmId> leaving;            ///< Those of them that take no new work.
+  std::vector<UnusableVm> unusable;  ///< Left out of all the others.
 };
 
 /**
@@ -122,8 +129,8 @@
 };
 
 /**
- * Parses a VM list.
- * @throws InvalidDocument If it is malformed.
+ * Parses a VM list. An item that cannot be used leaves the others in use.
+ * @throws InvalidDocument If it is not a list of VMs.
  */
 VmList ParseVmList(const std::string& text);
 
--- a/src/kernel/field_table.cc
+++ b/src/kernel/field_table.cc
@@ -60,7 +60,8 @@
   return size >= rule.minimum && size <= rule.maximum;
 }
 
-/** Parser callback that reports duplicate member names of an object. */
+/** Parser callback that reports duplicate member names of an object, which the
+ * parser then leaves out. */
 class DuplicateNameFinder {
  public:
   bool operator()(int /*depth*/,
@@ -69,22 +70,30 @@
     using Event = nlohmann::json::parse_event_t;
     if (event == Event::object_start)
       this->open_objects.emplace_back();
-    if (event == Event::object_end)
-      this->open_objects.pop_back();
     if (event == Event::key) {
       const auto& name = parsed.get_ref<const std::string&>();
-      if (!this->open_objects.back().insert(name).second) {
+      if (!this->open_objects.back().names.insert(name).second) {
+        this->open_objects.back().has_duplicate = true;
         this->faults.push_back(
             {"/" + name, "occurs more than once in one object"});
       }
     }
-    return true;
+    if (event != Event::object_end)
+      return true;
+    const bool has_duplicate = this->open_objects.back().has_duplicate;
+    this->open_objects.pop_back();
+    return !has_duplicate;
   }
 
   std::vector<DocumentFault> faults;
 
  private:
-  std::vector<std::set<std::string>> open_objects;
+  struct OpenObject {
+    std::set<std::string> names;
+    bool has_duplicate = false;
+  };
+
+  std::vector<OpenObject> open_objects;
 };
 
 }  // namespace
@@ -117,6 +126,15 @@
 }
 
 nlohmann::json ParseJsonWithComments(const std::string& text) {
+  std::vector<DocumentFault> faults;
+  nlohmann::json parsed = ParseJsonWithComments(text, faults);
+  if (!faults.empty())
+    throw InvalidDocument(std::move(faults));
+  return parsed;
+}
+
+nlohmann::json ParseJsonWithComments(const std::string& text,
+                                     std::vector<DocumentFault>& left_out) {
   DuplicateNameFinder finder;
   nlohmann::json parsed;
   try {
@@ -124,11 +142,18 @@
   } catch (const nlohmann::json::parse_error& error) {
     throw InvalidDocument("", error.what());
   }
-  if (!finder.faults.empty())
-    throw InvalidDocument(finder.faults);
+  left_out = std::move(finder.faults);
   return parsed;
 }
 
+std::string ReplaceInvalidUtf8(const std::string& text) {
+  // The serializer of the library replaces; the parser rejects.
+  using nlohmann::json;
+  return json::parse(
+             json(text).dump(-1, ' ', false, json::error_handler_t::replace))
+      .get<std::string>();
+}
+
 void CheckUnknownFields(const nlohmann::json& object,
                         const std::vector<FieldRule>& rules,
                         const std::string& path,
--- a/src/kernel/field_table.h
+++ b/src/kernel/field_table.h
@@ -89,6 +89,17 @@
  */
 nlohmann::json ParseJsonWithComments(const std::string& text);
 
+/**
+ * Parses JSON with comments. Objects with two members of one name are left out.
+ * @param[out] left_out A fault for each repeated name.
+ * @throws InvalidDocument If the text is not valid JSON.
+ */
+nlohmann::json ParseJsonWithComments(const std::string& text,
+                                     std::vector<DocumentFault>& left_out);
+
+/** @return The text with U+FFFD in place of bytes that are not UTF-8. */
+std::string ReplaceInvalidUtf8(const std::string& text);
+
 /** Appends an error for each member of an object that has no rule. */
 void CheckUnknownFields(const nlohmann::json& object,
                         const std::vector<FieldRule>& rules,
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -99,6 +99,7 @@
     {"configuration_fault", "reason", "The configuration service could not be read"},
     {"configuration_peer_fault", "reason", "A peer's configuration could not be read"},
     {"vm_list_fault", "reason", "The list of VMs could not be read"},
+    {"vm_unusable", "vm reason", "An item of the list of VMs is left out, as its name or a field of it cannot be used; logged once for each name"},
     {"fleet_asked", "revision took_ms", "Peers were queried at the start or after a pause"},
     {"malformed_message", "reason", "A malformed message was dropped"},
     {"malformed_gossip", "reason", "A malformed gossip datagram was dropped"},
