Requests: names in paths and queries are percent-encoded everywhere

Callers saw: a new version of the configuration did not come into force, and after a restart none was, if the name of one of its documents held % or #.

Cause: the name went into the path as it is; likewise the version that the service states, and the segment of the tool's lift command, went into queries.

Evidence: "it is read and in force" failed with the untouched daemon and a stand-in that decodes paths, at the name a%b.

Fix: all targets with text that others chose are made by kernel/url_text.h.

--- a/src/cli/lift_cmd.cc
+++ b/src/cli/lift_cmd.cc
@@ -4,6 +4,7 @@
 
 #include "cli/command.h"
 #include "cli/http_call.h"
+#include "kernel/url_text.h"
 
 namespace buckthornpath {
 
@@ -13,7 +14,7 @@
   const std::string segment = options.Text("<segment>").value_or("");
   HttpRequest request;
   request.method = "POST";
-  request.target = "/quarantine/lift?segment=" + segment;
+  request.target = MakeTarget("/quarantine/lift", {{"segment", segment}});
   const HttpResponse response =
       FetchBlocking(ParseSocketAddress(options.Text("<address>").value_or("")),
                     request, kRequestTimeout);
--- a/src/fleet/configuration_client.cc
+++ b/src/fleet/configuration_client.cc
@@ -8,6 +8,7 @@
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/scoped_count.h"
+#include "kernel/url_text.h"
 
 namespace buckthornpath {
 
@@ -103,7 +104,7 @@
     std::string name,
     std::string digest) {
   const HttpResponse response =
-      co_await this->Read("/v1/values/" + name, kReadTimeout);
+      co_await this->Read("/v1/values/" + EncodePath(name), kReadTimeout);
   if (DocumentDigest(response.body) == digest)
     co_return response.body;
   co_return co_await this->gossip.PullFromAny("document/" + digest);
@@ -182,8 +183,9 @@
 
 asio::awaitable<void> ConfigurationClient::PollService(
     std::chrono::milliseconds wait) {
-  const std::string target = "/v1/watch/index?known=" + this->known_version +
-                             "&wait_ms=" + std::to_string(wait.count());
+  const std::string target = MakeTarget(
+      "/v1/watch/index", {{"known", this->known_version},
+                          {"wait_ms", std::to_string(wait.count())}});
   // A lost response is noticed by the end of the wait and kReadTimeout.
   const HttpTimeouts timeouts(kReadTimeout, wait + kReadTimeout);
   const HttpResponse response = co_await this->Read(target, timeouts);
--- a/src/gateway/publication_feed.cc
+++ b/src/gateway/publication_feed.cc
@@ -6,6 +6,8 @@
 #include <random>
 #include <utility>
 
+#include "kernel/url_text.h"
+
 namespace buckthornpath {
 
 namespace {
@@ -49,9 +51,9 @@
       process(std::mt19937_64(std::random_device{}())()) {}
 
 std::string PublicationFeed::TargetOf(const FeedPosition& position) {
-  return std::string(kFeedPath) +
-         "?process=" + std::to_string(position.process) +
-         "&changes=" + std::to_string(position.change_count);
+  return MakeTarget(kFeedPath,
+                    {{"process", std::to_string(position.process)},
+                     {"changes", std::to_string(position.change_count)}});
 }
 
 void PublicationFeed::Publish(bool is_fresh) {
--- a/test/fakes/fake_platform.cc
+++ b/test/fakes/fake_platform.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "fakes/fake_program.h"
+#include "kernel/url_text.h"
 
 namespace buckthornpath {
 
@@ -82,12 +83,14 @@
     if (path == "/control") {
       co_await exchange.Send(this->Control(request));
     } else if (request.method == "PUT" && path.rfind("/v1/values/", 0) == 0) {
-      this->Put(path.substr(11), request.body);
-      co_await exchange.Send(StatusResponse(204));
+      const auto name = DecodeUrlText(path.substr(11));
+      if (name)
+        this->Put(*name, request.body);
+      co_await exchange.Send(StatusResponse(name ? 204 : 400));
     } else if (this->RecordReadAndCheckOutage(ReaderName(request))) {
       co_await exchange.Send(StatusResponse(503));
     } else if (path.rfind("/v1/values/", 0) == 0) {
-      co_await exchange.Send(this->Get(path.substr(11), ReaderName(request)));
+      co_await this->SendValue(exchange, path.substr(11));
     } else if (path.rfind("/v1/watch/", 0) == 0) {
       co_await this->Watch(exchange, path.substr(10));
     } else {
@@ -128,6 +131,15 @@
     return {200, {{"ETag", etag}}, std::move(text)};
   }
 
+  asio::awaitable<void> SendValue(HttpExchange& exchange,
+                                  std::string encoded_name) {
+    const auto name = DecodeUrlText(encoded_name);
+    HttpResponse response = StatusResponse(400);
+    if (name)
+      response = this->Get(*name, ReaderName(exchange.request()));
+    co_await exchange.Send(std::move(response));
+  }
+
   void Put(const std::string& name, std::string text) {
     const std::lock_guard lock(this->mutex);
     StoredValue& value = this->values[name];
--- a/test/harness/local_fleet.cc
+++ b/test/harness/local_fleet.cc
@@ -11,6 +11,7 @@
 #include "fakes/generation.h"
 #include "fleet/published_type.h"
 #include "harness/caller.h"
+#include "kernel/url_text.h"
 #include "wire/ticket.h"
 
 namespace buckthornpath {
@@ -336,7 +337,7 @@
   nlohmann::json documents = nlohmann::json::array();
   for (const auto& [name, document] : this->published) {
     const std::string text = document.dump();
-    SendHttp(service, "PUT", "/v1/values/" + name, text);
+    SendHttp(service, "PUT", "/v1/values/" + EncodePath(name), text);
     documents.push_back({{"name", name},
                          {"revision", this->revision},
                          {"digest", DocumentDigest(text)}});
--- a/test/stories/odd_vms.cc
+++ b/test/stories/odd_vms.cc
@@ -148,6 +148,24 @@
   CPPUNIT_ASSERT_EQUAL(names, lines());
 }
 
+void DocumentWithAnOddNameIsRead() {
+  LocalFleet fleet(SmallPlan());
+  for (const std::string name :
+       {"a&b", "a+b", "a#b", "a%b", "a%41", "a b", "a?b", "a/b", "\xc3\xa9"}) {
+    fleet.Publish({{"profiles/" + name,
+                    {{"name", name},
+                     {"service", "drafting"},
+                     {"rank", "standard"},
+                     {"repeatable", true}}}});
+    CPPUNIT_ASSERT_MESSAGE(
+        name, WaitUntil([&] {
+          return CallStream(fleet.Router(0),
+                            ChatRequest(kParishCredential, name, "c", "words"))
+              .complete;
+        }));
+  }
+}
+
 const Story kStory("odd_vms", [] {
   return Section(
       "given a VM list with items of another writer",
@@ -156,7 +174,10 @@
                      OddItemHidesNoOther),
                 Then("what is no list is refused", WhatIsNoListIsRefused)}),
        Section("when processes start beside them",
-               {Then("they use the others", FleetStartsBesideOddItems)})});
+               {Then("they use the others", FleetStartsBesideOddItems)}),
+       Section(
+           "when a document has an odd name",
+           {Then("it is read and in force", DocumentWithAnOddNameIsRead)})});
 });
 
 }  // namespace
