Tests: configuration waits for the lines of the log that it asks for

Seen: "an invalid index is reported and the last stays active" failed once in a whole run of ctest with four tests at a time: no line configuration_refused.

Cause: a separate thread writes the log, so /status can show a refusal before its line is in the file; the test read the file at once.

The lines are asked for as before, and must come within the story's time for waiting. The order of a refusal and its line in the product is not changed.

--- a/test/stories/configuration.cc
+++ b/test/stories/configuration.cc
@@ -336,9 +336,10 @@
     const nlohmann::json& refused = status["configuration_refused"];
     CPPUNIT_ASSERT_EQUAL(2, refused.value("revision", 0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, refused["faults"].size());
-    CPPUNIT_ASSERT(
-        !LogLines(fleet, kProcessNames[process], "configuration_refused")
-             .empty());
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return !LogLines(fleet, kProcessNames[process], "configuration_refused")
+                  .empty();
+    }));
   }
   fleet.Publish({{"profiles/chat", ChatProfile(20000)}});
   CPPUNIT_ASSERT(
@@ -396,10 +397,12 @@
             });
       },
       kActivationTimeout));
-  std::size_t reports = 0;
-  for (const std::string& name : kProcessNames)
-    reports += LogLines(fleet, name, "configuration_conflict").size();
-  CPPUNIT_ASSERT(reports > 0);
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return std::any_of(
+        kProcessNames.begin(), kProcessNames.end(), [&](const auto& name) {
+          return !LogLines(fleet, name, "configuration_conflict").empty();
+        });
+  }));
   CheckNeverReverted(fleet);
 }
 
