--- a/src/fleet/member_list.cc
+++ b/src/fleet/member_list.cc
@@ -29,7 +29,7 @@
 /** @throws std::invalid_argument If the address has no IP number or no port.
  */
 SocketAddress ParseListedAddress(const std::string& text) {
-  const SocketAddress address = ParseSocketAddress(text);
+  SocketAddress address = ParseSocketAddress(text);
   if (address.port() == 0)
     throw std::invalid_argument("port of address '" + text + "' is 0");
   return address;
