Tests: odd keys outside the list of replicas, and peers alone

An odd key before, among and after the operator's and the replicas' keys, on pages of one to four items; a process that starts while the store is unavailable and learns from another gateway.

--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -188,18 +188,20 @@
   }
 }
 
-/** First on a page, last on it, and alone on it. */
+/** First on a page, last on it, and alone on it; in the list of replicas and
+ * outside of it. */
 void RestartReadsPastOddNamesAnywhere() {
   FleetWithOddEntry odd;
-  // Before the engine, between ledgers and after them.
-  for (const std::string name : {"a&+#% x", "ledger-1&+#% x", "z&+#% x"}) {
+  for (const std::string begin : {"servers/a", "servers/ledger-1", "servers/z",
+                                  "a", "op/", "op/evacuate/", "z"}) {
+    const std::string key = begin + "&+#% x";
     for (const std::size_t size : {1, 2, 3, 4}) {
       odd.Store().SetPageSize(size);
-      odd.Store().Put("servers/" + name, std::string("{}"));
+      odd.Store().Put(key, std::string("{}"));
       const Start start = odd.MeasureStart();
-      AssertServes(start, name + " on pages of " + std::to_string(size));
+      AssertServes(start, key + " on pages of " + std::to_string(size));
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, start.malformed_calls);
-      odd.Store().Remove("servers/" + name);
+      odd.Store().Remove(key);
     }
   }
 }
@@ -382,6 +384,25 @@
   }
 }
 
+/** While the store is unavailable, a new process learns from its peers. */
+void PeersHandOnWhatIsSound() {
+  FleetWithOddEntry odd(2);
+  for (const std::string& end : kOddEnds)
+    odd.Store().Put("servers/f" + end, odd.SoundValue());
+  odd.Store().Put("op/config", StandardConfiguration(2));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return LocalFleet::StatusOf(odd.Fleet().Operator(0))
+               .value("configuration", 0) == 2;
+  }));
+  odd.Store().SetMode(StoreMode::kBusy);
+  odd.Fleet().Gateway(1).Kill();
+  odd.Fleet().Restart(1);
+  CPPUNIT_ASSERT(WaitUntil([&] { return odd.AllReady(); }));
+  CPPUNIT_ASSERT_EQUAL(kReplicas, odd.EndpointsOf(1));
+  CPPUNIT_ASSERT_EQUAL(200U, odd.Fleet().Call(1, TextOf({})).status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, odd.StrayRequests());
+}
+
 /** An entry that another writer overwrites with what cannot be read. */
 void OverwrittenEntryNamesNoReplica() {
   FleetWithOddEntry odd;
@@ -512,7 +533,9 @@
                 Then("a sound value under such a name names no replica",
                      SoundValueUnderAnOddNameIsNotUsed),
                 Then("those that follow a hub use the same replicas",
-                     HubsHandOnWhatIsSound)}),
+                     HubsHandOnWhatIsSound),
+                Then("so does one that can ask its peers alone",
+                     PeersHandOnWhatIsSound)}),
        Section("when a page has an item that cannot be read",
                {Then("the list goes on after it", UnreadableItemEndsNoList),
                 Then("its replica is not used any more",
