Tests: LogOf waits for the line on the end of a request

Cause: a line stream_silent names the request as well, and has no attempts. The log is written by a separate thread; if the line on the end of the request was not in the file yet, LogOf() returned the other one.

LogOf() takes the line of the event request, and waits for it as before.

--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -291,7 +291,8 @@
     std::string line;
     while (std::getline(lines, line)) {
       const json entry = json::parse(line, nullptr, false);
-      if (entry.is_object() && entry.value("request", "") == request_id)
+      if (entry.is_object() && entry.value("event", "") == "request" &&
+          entry.value("request", "") == request_id)
         found = entry;
     }
     return !found.is_null();
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -103,7 +103,7 @@
   /** @return The text of a gateway's log. */
   std::string Log(std::size_t index) const;
 
-  /** @return The last line of a gateway's log with this request id; or null. */
+  /** @return The line of a gateway's log on the end of a request; or null. */
   nlohmann::json LogOf(std::size_t index, const std::string& request_id) const;
 
  private:
