--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -278,6 +278,8 @@
     R"({"key":"servers/f","value":"%%%%","revision":5})",
     R"({"key":"servers/f","value":{"a":[]},"revision":5,"removed":"yes"})",
     "{\"key\":\"servers/f\xff\xfe\",\"value\":\"e30=\",\"revision\":5}",
+    R"({"key":"servers/f)" + std::string(192, 'x') +
+        R"(","value":"e30=","revision":5})",
     "{\"key\":\"servers/f\",\"value\":\"\xc3\x28\",\"revision\":5}"};
 
 /** A page that ends with such an item, or begins with it, is not the last. */
