Platform: an organisation whose name is no field value has no keys

Callers would see: fields of another writer's choice in the requests that reach replicas, or a second request on a connection that others use, while the configuration names an organisation with a line break; a name with a blank at an end reads as that of another organisation.

Cause: the name goes into a header field of each request as it is, and the library writes it without a check.

Evidence: "its requests are refused and the others served" failed without this change at "x\r\nBuckthornpath-Odd: 1": a request with the organisation's key was forwarded and answered with 200.

Fix: a name with control characters, or with a blank at an end, is logged (organisation_unusable) and its keys are not known, so requests with them get 401 and reach no replica. The rest of the configuration is in force.

--- a/src/kernel/http_type.cc
+++ b/src/kernel/http_type.cc
@@ -3,7 +3,9 @@
 
 #include "kernel/http_type.h"
 
+#include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
+#include <cctype>
 
 #include "kernel/url_text.h"
 
@@ -21,6 +23,13 @@
   return std::nullopt;
 }
 
+bool IsFieldValue(std::string_view text) {
+  const bool has_control =
+      std::any_of(text.begin(), text.end(),
+                  [](unsigned char c) { return std::iscntrl(c) != 0; });
+  return !has_control && !text.starts_with(' ') && !text.ends_with(' ');
+}
+
 std::string_view HttpRequest::Path() const {
   return std::string_view(this->target).substr(0, this->target.find('?'));
 }
--- a/src/kernel/http_type.h
+++ b/src/kernel/http_type.h
@@ -34,6 +34,10 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
+/** @return True if a text can be the value of a header field as it is: it has
+ * no control characters, and no blank at its ends, which a reader removes. */
+bool IsFieldValue(std::string_view text);
+
 struct HttpRequest {
   std::string method = "GET";
   std::string target = "/";
--- a/test/stories/odd_entries.cc
+++ b/test/stories/odd_entries.cc
@@ -442,6 +442,35 @@
   CPPUNIT_ASSERT(WaitUntil([&] { return version() == "2"; }));
 }
 
+/** The name of an organisation goes into a header field of its requests. */
+void OddOrganisationIsLeftOut() {
+  FleetWithOddEntry odd;
+  std::uint64_t version = 1;
+  for (const std::string name :
+       {"x\r\nBuckthornpath-Odd: 1", "x\r\n\r\nGET /issue/x HTTP/1.1", "x\n",
+        "\x01", "x\x7f", " parish", "parish ", "parish\t"}) {
+    json configuration = StandardConfiguration(++version);
+    configuration["tenants"].push_back(
+        {{"name", name}, {"apiKeys", {"odd-key"}}});
+    odd.Store().Put("op/config", configuration);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return LocalFleet::StatusOf(odd.Fleet().Operator(0))
+                 .value("configuration", std::uint64_t{0}) == version;
+    }));
+    CallerText text;
+    text.id = "odd-" + std::to_string(version);
+    text.key = "odd-key";
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(json(name).dump(), 401U,
+                                 odd.Fleet().Call(0, TextOf(text)).status);
+    CPPUNIT_ASSERT_EQUAL(200U, odd.Fleet().Call(0, TextOf({})).status);
+  }
+  AssertServes(odd.MeasureStart(), "odd organisations");
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return odd.Fleet().Log(0).find("organisation_unusable") !=
+           std::string::npos;
+  }));
+}
+
 /** As many calls as for sound entries, which come together with others. */
 void UnreadableChangesCauseNoFloodOfCalls() {
   FleetWithOddEntry odd;
@@ -546,6 +575,9 @@
                      NegativeVersionIsNotInForce),
                 Then("changes of it cause no flood of calls",
                      UnreadableChangesCauseNoFloodOfCalls)}),
+       Section("when the configuration has an organisation of an odd name",
+               {Then("its requests are refused and the others served",
+                     OddOrganisationIsLeftOut)}),
        Section("when a page brings nothing new",
                {Then("the list ends, and the watch goes on from there",
                      PageWithoutProgressEndsTheList),
