Tests: a flood of calls is in the queue before the first of them can end

Cause: four tests of the story wait for a queue that forms only if the calls arrive faster than the fake engine ends them: all 60 within 0.2 s, or 100 while 26 end at 24 ms for each four. A busy machine does not send them as fast, and the queue never gets as long as the test asks.

Fix: the engine's steps take 50 ms while a flood arrives and 2 ms, as before, once it is queued. Numbers of calls, lengths of the queue and what is asserted afterwards are the same.

--- a/test/stories/load.cc
+++ b/test/stories/load.cc
@@ -60,6 +60,39 @@
   std::size_t next_chat = 0;
 };
 
+/** Slows the engine down while a flood arrives. At its full speed calls could
+ * end as fast as a busy machine sends them, and no queue would form. */
+class SlowEngine {
+ public:
+  explicit SlowEngine(const LocalFleet& fleet) : fleet(fleet) {
+    this->SetStepFactor(kStepFactor);
+  }
+  SlowEngine(const SlowEngine&) = delete;
+  SlowEngine& operator=(const SlowEngine&) = delete;
+  ~SlowEngine() {
+    try {
+      this->SetStepFactor(1);
+    } catch (const HttpError&) {
+      // The engine has ended.
+    }
+  }
+
+ private:
+  /** Steps of 50 ms, so that no call ends while a flood arrives and no stream
+   * counts as silent. */
+  static constexpr int kStepFactor = 25;
+
+  void SetStepFactor(int factor) {
+    HttpRequest control;
+    control.method = "POST";
+    control.target = "/control";
+    control.body = nlohmann::json({{"slow_factor", factor}}).dump();
+    CallHttp(this->fleet.Engine(0), control);
+  }
+
+  const LocalFleet& fleet;
+};
+
 /** One endpoint with few slots; each priority class has a 20 % share. */
 FleetPlan FloodPlan() {
   FleetPlan plan;
@@ -136,8 +169,11 @@
 void BulkFloodDoesNotDelayUrgent() {
   const LocalFleet fleet(FloodPlan());
   ConcurrentCallers callers;
-  callers.Send(fleet, 0, kHospitalCredential, "statement", 100);
-  CPPUNIT_ASSERT(WaitUntil([&] { return QueuedCalls(fleet, "bulk") > 40; }));
+  {
+    const SlowEngine slow(fleet);
+    callers.Send(fleet, 0, kHospitalCredential, "statement", 100);
+    CPPUNIT_ASSERT(WaitUntil([&] { return QueuedCalls(fleet, "bulk") > 40; }));
+  }
   callers.Send(fleet, 0, kParishCredential, "counter", 6);
   callers.Join();
   CPPUNIT_ASSERT_EQUAL(std::size_t{106}, callers.finished.load());
@@ -149,8 +185,12 @@
 void UrgentFloodLeavesBulkItsShare() {
   const LocalFleet fleet(FloodPlan());
   ConcurrentCallers callers;
-  callers.Send(fleet, 0, kHospitalCredential, "counter", 100);
-  CPPUNIT_ASSERT(WaitUntil([&] { return QueuedCalls(fleet, "urgent") > 70; }));
+  {
+    const SlowEngine slow(fleet);
+    callers.Send(fleet, 0, kHospitalCredential, "counter", 100);
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return QueuedCalls(fleet, "urgent") > 70; }));
+  }
   callers.Send(fleet, 0, kParishCredential, "statement", 30);
   callers.Join();
   CPPUNIT_ASSERT_EQUAL(std::size_t{130}, callers.finished.load());
@@ -164,9 +204,12 @@
 void LargeOrganisationDoesNotDelaySmall() {
   const LocalFleet fleet(FloodPlan());
   ConcurrentCallers callers;
-  callers.Send(fleet, 0, kHospitalCredential, "chat", 100);
-  CPPUNIT_ASSERT(
-      WaitUntil([&] { return QueuedCalls(fleet, "standard") > 40; }));
+  {
+    const SlowEngine slow(fleet);
+    callers.Send(fleet, 0, kHospitalCredential, "chat", 100);
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return QueuedCalls(fleet, "standard") > 40; }));
+  }
   callers.Send(fleet, 0, kParishCredential, "chat", 2);
   callers.Join();
   CPPUNIT_ASSERT_EQUAL(std::size_t{102}, callers.finished.load());
@@ -221,23 +264,26 @@
       nlohmann::json::parse(CallHttp(fleet.Router(0), ticket_request).body)
           .value("ticket", "");
   ConcurrentCallers callers;
-  callers.Send(fleet, 0, kHospitalCredential, "statement", 60, false, 100);
-  CPPUNIT_ASSERT(WaitUntil([&] { return QueuedCalls(fleet, "bulk") >= 56; }));
-  std::thread waiting([&] {
-    HttpRequest request =
-        ChatRequest(kParishCredential, "statement", "c", "a question", kTokens);
-    request.headers.Append("Idempotency-Key", ticket);
-    CallStream(fleet.Router(0), request);
-  });
-  const bool queued =
-      WaitUntil([&] { return QueuedCalls(fleet, "bulk") >= 57; });
-  HttpRequest cancel;
-  cancel.method = "DELETE";
-  cancel.target = "/v1/requests/" + ticket;
-  cancel.headers.Append("Authorization",
-                        std::string("Bearer ") + kParishCredential);
-  CallHttp(fleet.Router(0), cancel);
-  waiting.join();
+  bool queued = false;
+  {
+    const SlowEngine slow(fleet);
+    callers.Send(fleet, 0, kHospitalCredential, "statement", 60, false, 100);
+    CPPUNIT_ASSERT(WaitUntil([&] { return QueuedCalls(fleet, "bulk") >= 56; }));
+    std::thread waiting([&] {
+      HttpRequest request = ChatRequest(kParishCredential, "statement", "c",
+                                        "a question", kTokens);
+      request.headers.Append("Idempotency-Key", ticket);
+      CallStream(fleet.Router(0), request);
+    });
+    queued = WaitUntil([&] { return QueuedCalls(fleet, "bulk") >= 57; });
+    HttpRequest cancel;
+    cancel.method = "DELETE";
+    cancel.target = "/v1/requests/" + ticket;
+    cancel.headers.Append("Authorization",
+                          std::string("Bearer ") + kParishCredential);
+    CallHttp(fleet.Router(0), cancel);
+    waiting.join();
+  }
   callers.Join();
   CPPUNIT_ASSERT(queued);
   CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.RunsOf(ticket));
