--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -46,7 +46,7 @@
     {"quarantine_lifted", "segment", "An operator has ended a quarantine"},
     {"segment_expired", "segments endpoints", "The quarantine of segments is over; they are tried again"},
     {"item_unusable", "key reason", "A published item is ignored because its name or content cannot be used; not logged again until it has been usable or removed"},
-    {"item_unreadable", "key after reason", "An item of the store has no key or no revision and is left out; logged once for each key, the first time for those without. after is the key before it in the response"},
+    {"item_unreadable", "key after reason", "An item of the store has no key, one that is too long, or no revision and is left out; logged once for each key, the first time for those without. after is the key before it in the response"},
     {"organisation_unusable", "organisation reason", "The keys of an organisation are not accepted, as its name cannot go into a header field; the rest of the configuration is in force"},
     {"list_incomplete", "items key", "The list of published items could not be read on after a key; no item counts as removed for not being listed. Changes are followed"},
     {"store_lost", "reason read_ms", "The store does not respond; the failed read took read_ms"},
