Published names and addresses: each check stands in one place

The check for port 0 and the words for a name that is not plain stood in both the platform's adapter and the VM list. Callers and operators see no change; the stories on odd entries and VMs pass as before.

--- a/src/fleet/member_list.cc
+++ b/src/fleet/member_list.cc
@@ -26,22 +26,12 @@
 /** Processes per failure domain that long-poll the configuration service. */
 constexpr std::size_t kWatchersPerDomain = 2;
 
-/** @throws std::invalid_argument If the address has no IP number or no port.
- */
-SocketAddress ParseListedAddress(const std::string& text) {
-  SocketAddress address = ParseSocketAddress(text);
-  if (address.port() == 0)
-    throw std::invalid_argument("port of address '" + text + "' is 0");
-  return address;
-}
-
 /** @throws std::invalid_argument If the name is not one of a VM: it goes into
  * header fields and messages. */
 VmId ParseVmId(const nlohmann::json& item) {
   const auto& name = item.at("vm").get_ref<const std::string&>();
   if (!IsPlainName(name))
-    throw std::invalid_argument(
-        "vm is empty or has characters other than letters, digits and -._~");
+    throw std::invalid_argument("vm " + std::string(kNotPlainName));
   return VmId(name);
 }
 
@@ -52,7 +42,7 @@
   member.service = ServiceName(item.at("service").get<std::string>());
   member.failure_domain =
       FailureDomainId(item.at("failure_domain").get<std::string>());
-  member.address = ParseListedAddress(item.at("address").get<std::string>());
+  member.address = ParsePublishedAddress(item.at("address").get<std::string>());
   member.state = item.at("state").get<std::string>() == "live"
                      ? MemberState::kLive
                      : MemberState::kLeaving;
@@ -79,7 +69,7 @@
     listed.peer =
         Peer{listed.vm,
              FailureDomainId(item.at("failure_domain").get<std::string>()),
-             ParseListedAddress(gossip)};
+             ParsePublishedAddress(gossip)};
   }
   return listed;
 }
--- a/src/kernel/socket_address.cc
+++ b/src/kernel/socket_address.cc
@@ -32,6 +32,13 @@
   return {ip, port};
 }
 
+SocketAddress ParsePublishedAddress(const std::string& text) {
+  SocketAddress address = ParseSocketAddress(text);
+  if (address.port() == 0)
+    throw std::invalid_argument("port of address '" + text + "' is 0");
+  return address;
+}
+
 std::vector<std::string> SplitAddresses(const std::string& list) {
   std::vector<std::string> addresses;
   std::istringstream stream(list);
--- a/src/kernel/socket_address.h
+++ b/src/kernel/socket_address.h
@@ -17,6 +17,12 @@
  */
 SocketAddress ParseSocketAddress(const std::string& text);
 
+/**
+ * Parses an address that another process publishes for connections to it.
+ * @throws std::invalid_argument As ParseSocketAddress(), or if the port is 0.
+ */
+SocketAddress ParsePublishedAddress(const std::string& text);
+
 /** @return The addresses of a comma-separated list, not validated. */
 std::vector<std::string> SplitAddresses(const std::string& list);
 
--- a/src/kernel/url_text.h
+++ b/src/kernel/url_text.h
@@ -31,6 +31,10 @@
  * target, in a header field and in a label of a metric. */
 bool IsPlainName(std::string_view name);
 
+/** What is wrong with a name that is not plain, for a log line. */
+inline constexpr std::string_view kNotPlainName =
+    "is empty or has characters other than letters, digits and -._~";
+
 }  // namespace buckthornpath
 
 #endif  // SRC_KERNEL_URL_TEXT_H_
