Published items: changes are followed after the store has come back from a copy

Callers saw versions of the configuration that came late or not at all, routes that were added and answered 404, and requests at endpoints that had said that they leave or had been removed, after the store had come back from a copy some seconds old.

Cause: such a store gives its revisions out again. A gateway took only items and removals with a greater revision than the one that it held, until the new revisions had passed the old ones, and a peer taught the old ones to a new process. The era that the store states in all its answers was read nowhere.

Now a position in the store's history is a StoreRevision: era, then number.

An answer of a later era does not continue what was read, whatever its status: all is read again. Pages of several eras are no list. An answer that is behind what was known before the read is a failed read, and confirms and removes nothing; nor does a record of a hub that is behind its reader. A value that stays is no change in a new era. What a new era's list lacks is kept for the grace period, whatever its kind: its writer may have written it in the seconds that were lost, and writes it again. An operator's evacuation is such an item as well, so that a domain is not used for the moment in between. Because a new era may change the revision of an item while it is decoded, a decoded item is now compared by its value.

The stand-in for the store states its era, and can come back from a copy. New lines: store_era_began, and the era in those on endpoints, versions and evacuations; the era is in /status.

Not covered: a new process that reads an older version of the configuration from the copy uses it until the operator writes the newer one again.

--- a/src/gateway/evacuation.cc
+++ b/src/gateway/evacuation.cc
@@ -32,7 +32,8 @@
           {{"domain", domain},
            {"endpoints", endpoints},
            {"source", origin.source},
-           {"revision", origin.revision},
+           {"era", origin.revision.era},
+           {"revision", origin.revision.number},
            {"published_age_ms", origin.age.count()}});
   ProcessMetrics().Add("domain_evacuations_total");
   CountEvacuated(this->selector);
@@ -49,7 +50,8 @@
           {{"domain", domain},
            {"evacuated_ms", lasted->count()},
            {"source", origin.source},
-           {"revision", origin.revision},
+           {"era", origin.revision.era},
+           {"revision", origin.revision.number},
            {"published_age_ms", origin.age.count()}});
   CountEvacuated(this->selector);
   // Its endpoints may have been replaced while nothing was sent to them.
--- a/src/gateway/feed_record.cc
+++ b/src/gateway/feed_record.cc
@@ -78,17 +78,24 @@
     bytes = item.value;
   else
     full_size = item.value.size();
-  return {item.key, json::binary({bytes.begin(), bytes.end()}), item.revision,
-          item.removed, full_size};
+  return {item.key,
+          json::binary({bytes.begin(), bytes.end()}),
+          item.revision.number,
+          item.removed,
+          full_size,
+          item.revision.era};
 }
 
 PublishedItem DecodeItem(const json& value) {
   PublishedItem item;
   item.key = value.at(0).get<std::string>();
   const json::binary_t& bytes = value.at(1).get_binary();
-  item.revision = value.at(2).get<std::uint64_t>();
+  item.revision.number = value.at(2).get<std::uint64_t>();
   item.removed = value.at(3).get<bool>();
   const auto full_size = value.at(4).get<std::size_t>();
+  // Older gateways know no eras.
+  if (value.size() > 5)
+    item.revision.era = value.at(5).get<std::uint64_t>();
   item.value = full_size > 0 ? Decompress(bytes, full_size)
                              : std::string(bytes.begin(), bytes.end());
   return item;
@@ -101,7 +108,8 @@
   record.is_snapshot = value.at("snapshot").get<bool>();
   record.position.process = value.at("process").get<std::uint64_t>();
   record.position.change_count = value.at("changes").get<std::uint64_t>();
-  record.items.revision = value.at("revision").get<std::uint64_t>();
+  record.items.revision = {value.value("era", std::uint64_t{0}),
+                           value.at("revision").get<std::uint64_t>()};
   for (const json& item : value.at("items"))
     record.items.items.push_back(DecodeItem(item));
   return record;
@@ -117,7 +125,8 @@
                       {"snapshot", record.is_snapshot},
                       {"process", record.position.process},
                       {"changes", record.position.change_count},
-                      {"revision", record.items.revision},
+                      {"era", record.items.revision.era},
+                      {"revision", record.items.revision.number},
                       {"items", std::move(items)}};
   std::string frame(kLengthBytes, '\0');
   json::to_cbor(value, frame);
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -112,7 +112,8 @@
   ParseSocketAddress(message.sender.address);
   if (value.contains("kind"))
     DecodeCurrentFields(value, message);
-  message.revision = value.at("revision").get<std::uint64_t>();
+  message.revision = {value.value("era", std::uint64_t{0}),
+                      value.at("revision").get<std::uint64_t>()};
   if (value.contains("uses"))
     message.uses = DecodeUses(value.at("uses"));
   for (const json& known : value.at("peers")) {
@@ -138,7 +139,8 @@
   for (const SegmentLocation& place : message.segments)
     segments.push_back({place.endpoint.str(), place.segment});
   json value = {{"from", message.sender.address},
-                {"revision", message.revision},
+                {"era", message.revision.era},
+                {"revision", message.revision.number},
                 {"peers", message.known_addresses},
                 {"parts", std::move(segments)},
                 {"kind", static_cast<unsigned>(message.kind)},
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -15,6 +15,7 @@
 #include "buckthornpath/gateway_roster.h"
 #include "buckthornpath/peer_loads.h"
 #include "buckthornpath/segment_quarantine.h"
+#include "buckthornpath/store_revision.h"
 
 namespace buckthornpath {
 
@@ -46,7 +47,7 @@
   std::uint64_t sequence = 0;  ///< Of a report; rises within a process.
   /** View: sequence of the receiver's latest report that the loads include. */
   std::uint64_t acknowledged = 0;
-  std::uint64_t revision = 0;       ///< Of the sender's published items.
+  StoreRevision revision;           ///< Of the sender's published items.
   std::size_t gateway_count = 0;    ///< Live gateways that the sender knows.
   std::vector<RosterEntry> roster;  ///< Gateways that matter to the receiver.
   /** Loads per endpoint; empty if the sender has no complete sum. */
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -164,6 +164,7 @@
         {"endpoints", this->state.selector.All().size()},
         {"peers", this->peers.PeerCount()},
         {"store_reached", this->follower.IsStoreReachable()},
+        {"store_era", this->follower.Published().Revision().era},
         {"gossip", this->peers.Status()},
         {"connections", this->connections.size()},
         {"unusable", this->UnusableEndpoints()},
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "buckthornpath/retry_budget.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/segment_quarantine.h"
+#include "buckthornpath/store_revision.h"
 #include "buckthornpath/waiting_queue.h"
 #include "gateway/byte_budget.h"
 #include "gateway/cold_start_guard.h"
@@ -57,7 +58,7 @@
 /** Where a change of a published item was learnt. */
 struct PublicationOrigin {
   std::string source;  ///< "store", or the address of another gateway.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   /** Time since the items were last confirmed without the change; 0 if there
    * were none. */
   std::chrono::milliseconds age{};
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -530,9 +530,8 @@
 asio::awaitable<void> PeerExchange::SyncFromPeers() {
   while (true) {
     co_await SleepFor(kSyncInterval);
-    const std::uint64_t own_revision = this->follower.Published().Revision();
     std::string newest_peer;
-    std::uint64_t revision = own_revision;
+    StoreRevision revision = this->follower.Published().Revision();
     for (const auto& [address, peer_revision] : this->revisions) {
       if (peer_revision > revision) {
         newest_peer = address;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -91,7 +91,7 @@
   HttpServer server;
   std::vector<std::string> seeds;
   FleetLoads loads;
-  std::map<std::string, std::uint64_t> revisions;  ///< By gateway address.
+  std::map<std::string, StoreRevision> revisions;  ///< By gateway address.
   HubRole role = HubRole::kMember;
   std::vector<std::string> hubs;   ///< Of the own failure domain.
   std::size_t reported_count = 0;  ///< Gateways that the leader knows.
--- a/src/gateway/peer_snapshot.cc
+++ b/src/gateway/peer_snapshot.cc
@@ -19,12 +19,17 @@
 /** @throws json::exception If the value is not a snapshot of items. */
 PublishedItems DecodeItems(const json& value) {
   PublishedItems all;
-  all.revision = value.at("revision").get<std::uint64_t>();
+  all.revision = {value.value("era", std::uint64_t{0}),
+                  value.at("revision").get<std::uint64_t>()};
   for (const json& entry : value.at("items")) {
     const auto& bytes = entry.at(1).get_binary();
+    // Older gateways know no eras.
+    const auto era =
+        entry.size() > 3 ? entry.at(3).get<std::uint64_t>() : std::uint64_t{0};
     all.items.push_back({entry.at(0).get<std::string>(),
                          std::string(bytes.begin(), bytes.end()),
-                         entry.at(2).get<std::uint64_t>(), false});
+                         {era, entry.at(2).get<std::uint64_t>()},
+                         false});
   }
   return all;
 }
@@ -36,9 +41,10 @@
   for (const PublishedItem& item : all.items) {
     items.push_back({item.key,
                      json::binary({item.value.begin(), item.value.end()}),
-                     item.revision});
+                     item.revision.number, item.revision.era});
   }
-  const json snapshot = {{"revision", all.revision},
+  const json snapshot = {{"era", all.revision.era},
+                         {"revision", all.revision.number},
                          {"items", std::move(items)}};
   std::string bytes;
   json::to_cbor(snapshot, nlohmann::detail::output_adapter<char>(bytes));
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -16,6 +16,7 @@
 
 #include "buckthornpath/endpoint_selector.h"
 #include "buckthornpath/routing_table.h"
+#include "buckthornpath/store_revision.h"
 #include "kernel/settings.h"
 #include "kernel/worker_pool.h"
 
@@ -67,13 +68,13 @@
 struct PublishedItem {
   std::string key;
   std::string value;
-  std::uint64_t revision = 0;  ///< Revision of the last change.
-  bool removed = false;        ///< True: the value is empty.
+  StoreRevision revision;  ///< Position of the last change.
+  bool removed = false;    ///< True: the value is empty.
 };
 
 /** Items at a revision of the platform's store. */
 struct PublishedItems {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::vector<PublishedItem> items;
   std::size_t unreadable = 0;  ///< Items left out, as they cannot be read.
   bool is_complete = true;     ///< False: a list that could not be read on.
@@ -85,7 +86,8 @@
   using runtime_error::runtime_error;
 };
 
-/** The store no longer holds the changes since the requested revision. */
+/** The store does not hold the changes since the requested revision, or has
+ * begun a new era. */
 class StoreHistoryCompacted : public std::runtime_error {
  public:
   using runtime_error::runtime_error;
@@ -97,7 +99,8 @@
   virtual ~PublicationSource() = default;
 
   /**
-   * Reads all items, or those up to the point where the list cannot be read on.
+   * Reads all items of one era, or those up to the point where the list cannot
+   * be read on.
    * @param timeout Limit of the wait for each part of them.
    * @throws StoreUnavailable If the store does not answer.
    */
@@ -110,10 +113,11 @@
    * @param timeout Limit of the time to connect, and of the time until the
    * answer is complete in addition to the wait.
    * @throws StoreUnavailable If the store does not answer.
-   * @throws StoreHistoryCompacted If it no longer holds the changes.
+   * @throws StoreHistoryCompacted If it does not hold the changes, or has begun
+   *     a new era.
    */
   virtual boost::asio::awaitable<PublishedItems> ReadChanges(
-      std::uint64_t after,
+      StoreRevision after,
       std::chrono::milliseconds wait,
       std::chrono::milliseconds timeout) = 0;
 };
--- a/src/gateway/publication_feed.cc
+++ b/src/gateway/publication_feed.cc
@@ -67,7 +67,7 @@
 FeedRecord PublicationFeed::NextRecord(FeedPosition reader) const {
   FeedRecord record;
   // Before the first read there is no state that a reader could rely on.
-  const bool is_loaded = this->published.Revision() > 0;
+  const bool is_loaded = this->published.Revision() != StoreRevision{};
   record.is_fresh = this->is_fresh && is_loaded;
   record.position = {this->process, this->published.ChangeCount()};
   std::optional<PublishedItems> changes;
@@ -91,14 +91,16 @@
   const FeedPosition from =
       reader.process == this->process ? reader : FeedPosition{};
   const FeedPosition to{this->process, this->published.ChangeCount()};
-  const bool is_shared =
-      this->last_frame && this->last_from == from && this->last_to == to;
+  const bool is_shared = this->last_frame && this->last_from == from &&
+                         this->last_to == to &&
+                         this->last_revision == this->published.Revision();
   if (!is_shared) {
     const FeedRecord record = this->NextRecord(from);
     this->last_frame =
         std::make_shared<const std::string>(EncodeFeedFrame(record));
     this->last_from = from;
     this->last_to = record.position;
+    this->last_revision = record.items.revision;
   }
   reader = this->last_to;
   return this->last_frame;
--- a/src/gateway/publication_feed.h
+++ b/src/gateway/publication_feed.h
@@ -48,8 +48,9 @@
   std::uint64_t process;  ///< Identifies this process in positions.
   bool is_fresh = false;
   std::set<WakeSignal*> readers;
-  FeedPosition last_from;  ///< Position before `last_frame`.
-  FeedPosition last_to;    ///< Position after `last_frame`.
+  FeedPosition last_from;       ///< Position before `last_frame`.
+  FeedPosition last_to;         ///< Position after `last_frame`.
+  StoreRevision last_revision;  ///< Stated in `last_frame`.
   std::shared_ptr<const std::string> last_frame;
 };
 
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <random>
 
+#include "gateway/store_history.h"
 #include "kernel/http_client.h"
 #include "kernel/json_types.h"
 #include "kernel/log.h"
@@ -116,7 +117,7 @@
     try {
       co_await this->ReadNext();
     } catch (const StoreHistoryCompacted& error) {
-      this->read_revision = 0;
+      this->read_revision = {};
       LogLine(LogLevel::kNotice, "store_history_lost",
               {{"reason", error.what()}});
       continue;
@@ -219,32 +220,43 @@
   const bool is_loaded = record.position.process != 0;
   if (is_loaded && !record.is_fresh) {
     // Changes that the hub has missed may include removals without an event.
-    this->read_revision = 0;
+    this->read_revision = {};
     this->upstream.RecordFault(address, Clock::now());
     if (!this->MayUseStaleItems())
       co_return;
   }
-  if (record.is_snapshot) {
-    co_await this->ApplyAll(record.items, address);
-  } else if (!record.items.items.empty()) {
-    auto changed = this->published.MergeChanges(record.items, Clock::now());
+  const StoreRevision known = this->published.Revision();
+  const bool is_behind = record.items.revision < known;
+  const bool is_new_era = record.items.revision.era > known.era;
+  if (record.is_snapshot || !record.items.items.empty() || is_new_era) {
     PublicationOrigin origin = this->OriginOf(address);
+    auto changed =
+        this->MergeItems(record.is_snapshot ? &PublicationState::MergeSnapshot
+                                            : &PublicationState::MergeChanges,
+                         record.items, address);
     co_await this->ApplyItems(std::move(changed), std::move(origin));
   }
   this->feed_position = record.position;
-  if (record.is_fresh) {
+  if (is_behind)
+    co_return;
+  if (record.is_fresh || record.is_snapshot)
     this->state.confirmed_at = Clock::now();
+  if (record.is_fresh) {
     // If the hub dies, a watch of the store continues from here.
     if (!this->is_reading_store)
-      this->read_revision = this->published.Revision();
+      this->read_revision = this->published.PositionToContinue();
     this->upstream.RecordFresh(address, Clock::now());
   }
 }
 
 asio::awaitable<void> PublicationFollower::ReadNext() {
-  if (this->read_revision == 0) {
+  const StoreRevision known = this->published.Revision();
+  if (this->read_revision == StoreRevision{}) {
     const PublishedItems all =
         co_await this->source->ReadAll(this->read_timeout);
+    CheckNotBehind(known, all.revision);
+    // Another gateway may have told of a new era meanwhile.
+    CheckNoLaterEra(all.revision, this->published.Revision().era);
     co_await this->ApplyAll(all, kStoreSource);
     if (!this->state.is_loaded && !all.is_complete)
       throw StoreUnavailable(
@@ -253,14 +265,16 @@
     this->read_revision = all.revision;
     co_return;
   }
+  const StoreRevision after = this->read_revision;
   const PublishedItems changes = co_await this->source->ReadChanges(
-      this->read_revision,
-      std::min(this->state.settings.configuration_wait, kMaxWatchWait),
+      after, std::min(this->state.settings.configuration_wait, kMaxWatchWait),
       kWatchTimeout);
+  CheckNotBehind(after, changes.revision);
+  CheckNoLaterEra(changes.revision, this->published.Revision().era);
   PublicationOrigin origin = this->OriginOf(kStoreSource);
   this->state.confirmed_at = Clock::now();
   auto changed =
-      this->published.MergeChanges(changes, this->state.confirmed_at);
+      this->MergeItems(&PublicationState::MergeChanges, changes, kStoreSource);
   co_await this->ApplyItems(std::move(changed), std::move(origin));
   this->read_revision = std::max(this->read_revision, changes.revision);
   if (!changes.items.empty() || changes.unreadable > 0)
@@ -274,7 +288,7 @@
     ProcessMetrics().Add("store_faults_total");
     this->published.RecordOutage(Clock::now());
     // Items may have been removed during the outage without a change event.
-    this->read_revision = 0;
+    this->read_revision = {};
   }
   if (is_reachable == this->is_store_reachable) {
     this->PublishToFeed();
@@ -307,20 +321,39 @@
                                                          std::string address) {
   if (all.revision <= this->published.Revision() || !this->MayUseStaleItems())
     co_return;
-  LogLine(LogLevel::kNotice, "published_by_peer", {{"revision", all.revision}});
+  LogLine(LogLevel::kNotice, "published_by_peer",
+          {{"era", all.revision.era}, {"revision", all.revision.number}});
   co_await this->ApplyAll(all, std::move(address));
 }
 
 PublicationOrigin PublicationFollower::OriginOf(std::string source) const {
   const bool has_items = this->state.confirmed_at != Clock::time_point{};
-  return {std::move(source), 0, has_items ? this->Age() : milliseconds(0)};
+  return {std::move(source), {}, has_items ? this->Age() : milliseconds(0)};
+}
+
+std::vector<PublishedItem> PublicationFollower::MergeItems(
+    Merge merge,
+    const PublishedItems& items,
+    const std::string& source) {
+  const StoreRevision held = this->published.Revision();
+  auto changed = (this->published.*merge)(items, Clock::now());
+  if (held != StoreRevision{} && items.revision.era > held.era) {
+    LogLine(LogLevel::kNotice, "store_era_began",
+            {{"source", source},
+             {"era", items.revision.era},
+             {"revision", items.revision.number},
+             {"held_era", held.era},
+             {"held_revision", held.number}});
+  }
+  return changed;
 }
 
 asio::awaitable<void> PublicationFollower::ApplyAll(const PublishedItems& all,
                                                     std::string source) {
+  auto changed =
+      this->MergeItems(&PublicationState::MergeSnapshot, all, source);
   PublicationOrigin origin = this->OriginOf(std::move(source));
   this->state.confirmed_at = Clock::now();
-  auto changed = this->published.MergeSnapshot(all, this->state.confirmed_at);
   co_await this->ApplyItems(std::move(changed), std::move(origin));
 }
 
@@ -337,7 +370,7 @@
       fault = error.what();
     }
     // The items after it are merged already and would not be applied again.
-    if (!fault.empty() && this->published.RevisionOf(item.key) == item.revision)
+    if (!fault.empty() && this->published.Holds(item))
       this->IgnoreItem(item, fault);
   }
   // Other items may be in the middle of being applied.
@@ -353,11 +386,13 @@
                                        const PublicationOrigin& origin) {
   const PlatformAdapter& adapter = this->state.adapter;
   // The item may have been published again while others were decoded.
-  if (this->published.RevisionOf(item.key) > 0)
+  if (this->published.RevisionOf(item.key) != StoreRevision{})
     return;
   if (const auto endpoint = adapter.EndpointIdFromKey(item.key)) {
     LogLine(LogLevel::kNotice, "endpoint_gone",
-            {{"endpoint", *endpoint}, {"revision", item.revision}});
+            {{"endpoint", *endpoint},
+             {"era", item.revision.era},
+             {"revision", item.revision.number}});
     this->state.selector.Withdraw(*endpoint);
     this->state.cold_starts.RecordWithdrawn(*endpoint);
     this->state.connection_pool.CloseIdle(*endpoint);
@@ -375,7 +410,7 @@
   }
   const DecodedItem decoded = co_await this->state.adapter.Decode(item);
   // The item may have changed again while it was decoded.
-  if (this->published.RevisionOf(item.key) != item.revision)
+  if (!this->published.Holds(item))
     co_return;
   if (const auto* ignored = std::get_if<IgnoredItem>(&decoded)) {
     this->IgnoreItem(item, ignored->reason);
@@ -408,7 +443,9 @@
   if (this->state.table && this->state.table->Version() >= table->Version())
     return;
   LogLine(LogLevel::kNotice, "configuration_in_force",
-          {{"version", table->Version()}, {"routes", table->RouteCount()}});
+          {{"version", table->Version()},
+           {"routes", table->RouteCount()},
+           {"era", this->published.Revision().era}});
   for (const ServiceConfig& service : table->Services()) {
     this->state.selector.SetEngineMemory(
         service.name, static_cast<std::int64_t>(service.engine_memory_tokens));
@@ -424,7 +461,8 @@
     LogLine(LogLevel::kNotice, entry.leaving ? kLeaving : kUp,
             {{"endpoint", entry.id},
              {"service", entry.service},
-             {"address", entry.address}});
+             {"address", entry.address},
+             {"era", this->published.Revision().era}});
   }
   this->state.cold_starts.RecordPublished(entry, !this->state.is_loaded,
                                           Clock::now());
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -70,6 +70,15 @@
   bool MayUseStaleItems() const;
   void StopReadingStore();
   void PublishToFeed();
+
+  /** Merges items and logs a new era. @param merge Member function that does.
+   * @return The items that changed. */
+  using Merge = std::vector<PublishedItem> (PublicationState::*)(
+      const PublishedItems& items,
+      PublicationState::TimePoint now);
+  std::vector<PublishedItem> MergeItems(Merge merge,
+                                        const PublishedItems& items,
+                                        const std::string& source);
   asio::awaitable<void> RunDeferredRemovals();
   void RecordStoreResult(Clock::time_point started_at,
                          const std::string& fault);
@@ -96,7 +105,7 @@
   std::string hub;             ///< The hub that is followed, if any.
   FeedPosition feed_position;  ///< Read from the feeds of hubs so far.
   Clock::time_point hub_expected_until{};
-  std::uint64_t read_revision = 0;  ///< Read from the store; 0: read all.
+  StoreRevision read_revision;  ///< Read from the store; default: read all.
   std::chrono::milliseconds read_timeout;
   ReportedItems reported;
   int applying = 0;  ///< Calls of ApplyItems() that have not ended.
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -23,13 +23,20 @@
   this->deferred_removals.erase(item.key);
   if (held.revision >= item.revision)
     return false;
+  const bool is_known = held.revision != StoreRevision{} &&
+                        held.revision.era < item.revision.era &&
+                        held.value == item.value;
+  if (is_known) {
+    held.revision = item.revision;
+    return false;
+  }
   held = item;
   this->changed_at[item.key] = ++this->change_count;
   return true;
 }
 
 void PublicationState::RecordRemoval(const std::string& key,
-                                     std::uint64_t at_revision) {
+                                     const StoreRevision& at_revision) {
   if (this->removals.size() >= kMaxRemovals) {
     this->removals.clear();
     this->oldest_known_change = this->change_count;
@@ -37,12 +44,12 @@
       return !this->items.contains(change.first);
     });
   }
-  std::uint64_t& newest = this->removals[key];
+  StoreRevision& newest = this->removals[key];
   newest = std::max(newest, at_revision);
 }
 
 void PublicationState::Remove(const std::string& key,
-                              std::uint64_t at_revision,
+                              const StoreRevision& at_revision,
                               TimePoint now,
                               std::vector<PublishedItem>& changed) {
   const auto held = this->items.find(key);
@@ -66,10 +73,33 @@
   changed.push_back({key, "", at_revision, true});
 }
 
+void PublicationState::RemoveUnlisted(const std::string& key,
+                                      const StoreRevision& list,
+                                      TimePoint now,
+                                      std::vector<PublishedItem>& changed) {
+  // It may have been written after the copy was made that the store came back
+  // from.
+  const TimePoint end = this->era_known_at + this->removal_grace;
+  if (this->RevisionOf(key).era < list.era && now < end) {
+    this->deferred_removals.try_emplace(key, end);
+    return;
+  }
+  this->Remove(key, list, now, changed);
+}
+
+void PublicationState::MoveTo(const StoreRevision& position, TimePoint now) {
+  if (this->revision != StoreRevision{} && position.era > this->revision.era)
+    this->era_known_at = now;
+  this->revision = std::max(this->revision, position);
+}
+
 std::vector<PublishedItem> PublicationState::MergeSnapshot(
     const PublishedItems& all,
     TimePoint now) {
   std::vector<PublishedItem> changed;
+  if (all.revision.era < this->revision.era)
+    return changed;
+  this->MoveTo(all.revision, now);
   std::set<std::string> listed;
   for (const PublishedItem& item : all.items) {
     listed.insert(item.key);
@@ -77,14 +107,15 @@
       changed.push_back(item);
   }
   this->is_complete = this->is_complete || all.is_complete;
+  if (all.is_complete)
+    this->listed_era = all.revision.era;
   std::vector<std::string> missing;
   for (const auto& [key, item] : this->items) {
     if (all.is_complete && !listed.contains(key))
       missing.push_back(key);
   }
   for (const std::string& key : missing)
-    this->Remove(key, all.revision, now, changed);
-  this->revision = std::max(this->revision, all.revision);
+    this->RemoveUnlisted(key, all.revision, now, changed);
   return changed;
 }
 
@@ -92,6 +123,9 @@
     const PublishedItems& changes,
     TimePoint now) {
   std::vector<PublishedItem> changed;
+  if (changes.revision.era < this->revision.era)
+    return changed;
+  this->MoveTo(changes.revision, now);
   for (const PublishedItem& item : changes.items) {
     if (item.removed) {
       this->Remove(item.key, item.revision, now, changed);
@@ -99,7 +133,6 @@
       changed.push_back(item);
     }
   }
-  this->revision = std::max(this->revision, changes.revision);
   return changed;
 }
 
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -19,9 +19,12 @@
 /**
  * Replica of the published items. Merges snapshots and changes from the store
  * and from peers, which may arrive late, twice or out of order. An item never
- * returns to an older revision. Items that expire unless they are renewed, and
- * are removed around an outage of the store, are kept for a grace period, as
- * their owners may only have been unable to renew them. Does no I/O.
+ * returns to an older revision. Once the store has begun a new era, what is
+ * known of earlier ones changes nothing, and items that the new era lacks are
+ * kept for a grace period, as their writers may write them again. Items that
+ * expire unless they are renewed, and are removed around an outage of the
+ * store, are kept for a grace period, as their owners may only have been unable
+ * to renew them. Does no I/O.
  */
 class PublicationState {
  public:
@@ -70,32 +73,59 @@
    */
   std::optional<PublishedItems> ChangesSince(std::uint64_t count) const;
 
-  std::uint64_t Revision() const { return this->revision; }
+  StoreRevision Revision() const { return this->revision; }
+
+  /** @return Position from which the store's changes are to be read; the
+   * default one if all items have to be read first. */
+  StoreRevision PositionToContinue() const {
+    return this->listed_era == this->revision.era ? this->revision
+                                                  : StoreRevision{};
+  }
 
   /** @return True once a complete snapshot has been merged. */
   bool IsComplete() const { return this->is_complete; }
 
-  /** @return Revision of an item's last change; 0 if there is no such item. */
-  std::uint64_t RevisionOf(const std::string& key) const {
+  /** @return Revision of an item's last change; the default one if there is no
+   * such item. */
+  StoreRevision RevisionOf(const std::string& key) const {
     const auto found = this->items.find(key);
-    return found == this->items.end() ? 0 : found->second.revision;
+    return found == this->items.end() ? StoreRevision{}
+                                      : found->second.revision;
+  }
+
+  /** @return True if an item still has this value. Its revision may be another:
+   * a new era gives one to items that have not changed. */
+  bool Holds(const PublishedItem& item) const {
+    const auto found = this->items.find(item.key);
+    return found != this->items.end() && found->second.value == item.value;
   }
 
  private:
   bool MergeItem(const PublishedItem& item);
-  void RecordRemoval(const std::string& key, std::uint64_t at_revision);
+
+  /** Moves to a position, unless it is an earlier one. */
+  void MoveTo(const StoreRevision& position, TimePoint now);
+
+  /** Removes an item that a complete list lacks. */
+  void RemoveUnlisted(const std::string& key,
+                      const StoreRevision& list,
+                      TimePoint now,
+                      std::vector<PublishedItem>& changed);
+  void RecordRemoval(const std::string& key, const StoreRevision& at_revision);
   void Remove(const std::string& key,
-              std::uint64_t at_revision,
+              const StoreRevision& at_revision,
               TimePoint now,
               std::vector<PublishedItem>& changed);
 
   std::chrono::milliseconds removal_grace;
   KeyPredicate is_renewed;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
+  std::optional<std::uint64_t> listed_era;  ///< Of the last complete list.
+  TimePoint era_known_at{};  ///< When an earlier era was found to be over.
   bool is_complete = false;
   std::map<std::string, PublishedItem> items;
   /** Revision of the latest removal of each removed key. */
-  std::map<std::string, std::uint64_t> removals;
+  std::map<std::string, StoreRevision> removals;
   std::uint64_t change_count = 0;
   /** Value of `change_count` after the last change of each key. */
   std::map<std::string, std::uint64_t> changed_at;
--- a/test/fakes/platform_store.cc
+++ b/test/fakes/platform_store.cc
@@ -8,6 +8,7 @@
 #include <boost/url/url_view.hpp>
 #include <charconv>
 #include <set>
+#include <utility>
 
 namespace buckthornpath {
 
@@ -20,6 +21,7 @@
 constexpr std::chrono::seconds kSilentDelay{30};
 constexpr std::size_t kMaxKeyBytes = 200;
 constexpr std::uint64_t kMaxWaitMs = 30000;
+constexpr char kEraField[] = "Store-Era";
 
 std::string EncodeBase64(const std::string& bytes) {
   std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -138,6 +140,54 @@
   this->oldest_revision = ++this->revision;
 }
 
+std::uint64_t PlatformStore::Era() {
+  const std::lock_guard lock(this->mutex);
+  return this->era;
+}
+
+StoreCopy PlatformStore::TakeCopy() {
+  const std::lock_guard lock(this->mutex);
+  return {this->revision, this->oldest_revision, this->items, this->events};
+}
+
+void PlatformStore::ComeBackFrom(const StoreCopy& copy,
+                                 OpenWatches open_watches) {
+  const std::lock_guard lock(this->mutex);
+  this->open_watches = open_watches;
+  this->Replace(copy);
+}
+
+void PlatformStore::ComeBackWithinList(const StoreCopy& copy) {
+  const std::lock_guard lock(this->mutex);
+  this->copy_within_list = copy;
+}
+
+void PlatformStore::Replace(const StoreCopy& copy) {
+  this->revision = copy.revision;
+  this->oldest_revision = copy.oldest_revision;
+  this->items = copy.items;
+  this->events = copy.events;
+  ++this->era;
+}
+
+void PlatformStore::SetSendsEra(bool sends) {
+  const std::lock_guard lock(this->mutex);
+  this->sends_era = sends;
+}
+
+bool PlatformStore::LacksHistory(std::uint64_t after, std::uint64_t era) const {
+  const bool is_open = era != this->era;
+  if (is_open && this->open_watches == OpenWatches::kGoOn)
+    return false;
+  return after < this->oldest_revision || after > this->revision;
+}
+
+HttpResponse PlatformStore::WithEra(HttpResponse response) const {
+  if (this->sends_era && !response.headers.Find(kEraField))
+    response.headers.Append(kEraField, std::to_string(this->era));
+  return response;
+}
+
 void PlatformStore::SetMode(StoreMode mode) {
   const std::lock_guard lock(this->mutex);
   this->mode = mode;
@@ -178,7 +228,7 @@
   const std::lock_guard lock(this->mutex);
   ++this->calls.range;
   if (!is_first && this->pages == PageMode::kOnlyTheFirst)
-    return Status(503);
+    return this->WithEra(Status(503));
   auto item = is_first || this->pages == PageMode::kRepeated
                   ? this->items.begin()
                   : this->items.upper_bound(after->second);
@@ -188,9 +238,13 @@
       page.push_back(item->second);
   }
   const bool has_more = item != this->items.end();
-  return Json("{\"items\":" + ArrayOf(page) +
-              ",\"morePages\":" + (has_more ? "true" : "false") +
-              ",\"storeRevision\":" + std::to_string(this->revision) + "}");
+  HttpResponse response = this->WithEra(
+      Json("{\"items\":" + ArrayOf(page) +
+           ",\"morePages\":" + (has_more ? "true" : "false") +
+           ",\"storeRevision\":" + std::to_string(this->revision) + "}"));
+  if (has_more && this->copy_within_list)
+    this->Replace(*std::exchange(this->copy_within_list, std::nullopt));
+  return response;
 }
 
 asio::awaitable<HttpResponse> PlatformStore::Watch(Parameters parameters) {
@@ -199,24 +253,27 @@
   if (!after || !wait || *wait > kMaxWaitMs || !parameters.contains("prefix"))
     co_return this->RefuseMalformed();
   const auto deadline = std::chrono::steady_clock::now() + milliseconds(*wait);
+  std::uint64_t first_era = 0;
   {
     const std::lock_guard lock(this->mutex);
     ++this->calls.watch;
+    first_era = this->era;
   }
   while (true) {
     {
       const std::lock_guard lock(this->mutex);
-      if (*after < this->oldest_revision)
-        co_return Status(410);
+      if (this->LacksHistory(*after, first_era))
+        co_return this->WithEra(Status(410));
       std::vector<std::string> list;
-      for (const Event& event : this->events) {
+      for (const StoreEvent& event : this->events) {
         if (event.revision > *after)
           list.push_back(event.body);
       }
       if (!list.empty() || std::chrono::steady_clock::now() >= deadline ||
           this->mode != StoreMode::kServing) {
-        co_return Json("{\"events\":" + ArrayOf(list) + ",\"storeRevision\":" +
-                       std::to_string(this->revision) + "}");
+        co_return this->WithEra(
+            Json("{\"events\":" + ArrayOf(list) +
+                 ",\"storeRevision\":" + std::to_string(this->revision) + "}"));
       }
     }
     co_await SleepFor(kWatchPollInterval);
@@ -246,6 +303,10 @@
   HttpResponse response = Status(503);
   if (current != StoreMode::kBusy)
     response = co_await this->Respond(exchange.request());
+  {
+    const std::lock_guard lock(this->mutex);
+    response = this->WithEra(std::move(response));
+  }
   co_await exchange.Send(std::move(response));
 }
 
--- a/test/fakes/platform_store.h
+++ b/test/fakes/platform_store.h
@@ -38,6 +38,26 @@
   std::size_t malformed = 0;  ///< Responded to with status 400.
 };
 
+/** A change of an item, as served. */
+struct StoreEvent {
+  std::uint64_t revision;
+  std::string body;
+};
+
+/** What the store held at a moment. */
+struct StoreCopy {
+  std::uint64_t revision;
+  std::uint64_t oldest_revision;
+  std::map<std::string, std::string> items;  ///< As served, by key.
+  std::deque<StoreEvent> events;
+};
+
+/** What becomes of the watches that wait when the store comes back. */
+enum class OpenWatches {
+  kEnd,   ///< Respond with status 410 if the copy lacks their revision.
+  kGoOn,  ///< Respond with the next events whose revisions are greater.
+};
+
 /**
  * Items with revisions; served by range and watch, written by the test. The
  * query of a request is decoded as a form is, and a request that is not sound
@@ -74,20 +94,42 @@
 
   StoreCalls Calls();
 
+  std::uint64_t Era();
+
+  /** @return What the store holds now. */
+  StoreCopy TakeCopy();
+
+  /** Begins a new era with what a copy holds; all written since is lost. */
+  void ComeBackFrom(const StoreCopy& copy,
+                    OpenWatches open_watches = OpenWatches::kEnd);
+
+  /** Comes back from a copy as soon as a page of a list has been served that
+   * others follow. */
+  void ComeBackWithinList(const StoreCopy& copy);
+
+  /** @param sends False: like a store that states no era. */
+  void SetSendsEra(bool sends);
+
  private:
   /** Parameters of a query, decoded. */
   using Parameters = std::map<std::string, std::string>;
 
-  struct Event {
-    std::uint64_t revision;
-    std::string body;
-  };
-
   asio::awaitable<void> Serve(HttpExchange& exchange);
   asio::awaitable<HttpResponse> Respond(const HttpRequest& request);
   asio::awaitable<HttpResponse> Watch(Parameters parameters);
   HttpResponse Range(const Parameters& parameters);
   HttpResponse RefuseMalformed();
+
+  /** Begins a new era. @pre The mutex is locked. */
+  void Replace(const StoreCopy& copy);
+
+  /** @return True if a watch from a revision gets status 410.
+   * @param era Era in which the watch began. */
+  bool LacksHistory(std::uint64_t after, std::uint64_t era) const;
+
+  /** Adds the era to a response, unless it has one.
+   * @pre The mutex is locked. */
+  HttpResponse WithEra(HttpResponse response) const;
   void Write(const std::string& key, std::string body);
 
   std::mutex mutex;
@@ -98,7 +140,11 @@
   std::uint64_t revision = 100;
   std::uint64_t oldest_revision = 0;
   std::map<std::string, std::string> items;  ///< As served, by key.
-  std::deque<Event> events;
+  std::deque<StoreEvent> events;
+  std::uint64_t era = 1;
+  bool sends_era = true;
+  std::optional<StoreCopy> copy_within_list;
+  OpenWatches open_watches = OpenWatches::kEnd;
   WorkerPool pool{1};
   HttpServer server;
   std::thread thread;
--- a/test/stories/gateway_decisions.cc
+++ b/test/stories/gateway_decisions.cc
@@ -123,11 +123,11 @@
 }
 
 PublishedItem Item(const std::string& key, std::uint64_t revision) {
-  return {key, "v" + std::to_string(revision), revision, false};
+  return {key, "v" + std::to_string(revision), {0, revision}, false};
 }
 
 PublishedItem Removal(const std::string& key, std::uint64_t revision) {
-  return {key, "", revision, true};
+  return {key, "", {0, revision}, true};
 }
 
 /** Keys that begin with "op" are not renewed by an owner. */
@@ -147,13 +147,14 @@
     const auto revision = static_cast<std::uint64_t>(number);
     const bool removes = revision % 3 == 0;
     PublishedItems changes{
-        revision, {removes ? Removal("k", revision) : Item("k", revision)}};
+        {0, revision},
+        {removes ? Removal("k", revision) : Item("k", revision)}};
     state.MergeChanges(changes, kStart);
     if (revision > newest) {
       newest = revision;
       is_held = !removes;
     }
-    const std::uint64_t held = state.RevisionOf("k");
+    const std::uint64_t held = state.RevisionOf("k").number;
     const std::uint64_t expected = is_held ? newest : 0;
     RC_ASSERT(held == expected);
   }
@@ -161,48 +162,49 @@
 
 void ItemRemovedInOutageMayReturn() {
   PublicationState state(kRemovalGrace, IsRenewed);
-  state.MergeSnapshot({5, {Item("a", 1), Item("b", 2)}}, kStart);
+  state.MergeSnapshot({{0, 5}, {Item("a", 1), Item("b", 2)}}, kStart);
   state.RecordOutage(kStart);
   // Both expired during the outage; "a" is published again, "b" is not.
   CPPUNIT_ASSERT(
-      state.MergeSnapshot({9, {}}, kStart + milliseconds(500)).empty());
+      state.MergeSnapshot({{0, 9}, {}}, kStart + milliseconds(500)).empty());
   CPPUNIT_ASSERT(
       state.ApplyDeferredRemovals(kStart + milliseconds(1500)).empty());
-  state.MergeChanges({10, {Item("a", 10)}}, kStart + milliseconds(1600));
+  state.MergeChanges({{0, 10}, {Item("a", 10)}}, kStart + milliseconds(1600));
   const auto removed = state.ApplyDeferredRemovals(kStart + kRemovalGrace);
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removed.size());
   CPPUNIT_ASSERT_EQUAL(std::string("b"), removed.front().key);
-  CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, state.RevisionOf("a"));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, state.RevisionOf("a").number);
 }
 
 /** A gateway that is cut off from the store hears of the removal from another:
  * its own outage lasts, and must not keep the item. */
 void ItemWithoutOwnerIsRemovedInOutage() {
   PublicationState state(kRemovalGrace, IsRenewed);
-  state.MergeSnapshot({5, {Item("op/a", 1), Item("b", 2)}}, kStart);
+  state.MergeSnapshot({{0, 5}, {Item("op/a", 1), Item("b", 2)}}, kStart);
   state.RecordOutage(kStart);
-  const auto removed = state.MergeSnapshot({9, {}}, kStart + milliseconds(500));
+  const auto removed =
+      state.MergeSnapshot({{0, 9}, {}}, kStart + milliseconds(500));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removed.size());
   CPPUNIT_ASSERT_EQUAL(std::string("op/a"), removed.front().key);
   // A lagging peer does not bring it back; a new one does.
-  state.MergeSnapshot({7, {Item("op/a", 1)}}, kStart + milliseconds(600));
-  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("op/a"));
-  state.MergeChanges({12, {Item("op/a", 12)}}, kStart + milliseconds(700));
-  CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, state.RevisionOf("op/a"));
+  state.MergeSnapshot({{0, 7}, {Item("op/a", 1)}}, kStart + milliseconds(600));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("op/a").number);
+  state.MergeChanges({{0, 12}, {Item("op/a", 12)}}, kStart + milliseconds(700));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, state.RevisionOf("op/a").number);
   // Nor does a lagging one that has not heard of it remove it.
-  state.MergeSnapshot({11, {}}, kStart + milliseconds(800));
-  CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, state.RevisionOf("op/a"));
+  state.MergeSnapshot({{0, 11}, {}}, kStart + milliseconds(800));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, state.RevisionOf("op/a").number);
 }
 
 void RemovalWithoutOutageIsImmediate() {
   PublicationState state(kRemovalGrace, IsRenewed);
-  state.MergeSnapshot({5, {Item("a", 1)}}, kStart);
+  state.MergeSnapshot({{0, 5}, {Item("a", 1)}}, kStart);
   CPPUNIT_ASSERT_EQUAL(
       std::size_t{1},
-      state.MergeChanges({6, {Removal("a", 6)}}, kStart).size());
+      state.MergeChanges({{0, 6}, {Removal("a", 6)}}, kStart).size());
   // A peer that has not received the removal yet sends the old entry.
-  CPPUNIT_ASSERT(state.MergeSnapshot({5, {Item("a", 1)}}, kStart).empty());
-  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("a"));
+  CPPUNIT_ASSERT(state.MergeSnapshot({{0, 5}, {Item("a", 1)}}, kStart).empty());
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("a").number);
 }
 
 const Story kStory("gateway_decisions", [] {
--- a/test/stories/gateway_hubs.cc
+++ b/test/stories/gateway_hubs.cc
@@ -254,11 +254,11 @@
   record.is_fresh = true;
   record.is_snapshot = true;
   record.position = {77, 3};
-  record.items.revision = 12;
+  record.items.revision = {3, 12};
   record.items.items = {
-      {"op/config", std::string(100000, 'x') + "end", 11, false},
-      {"servers/e", std::string("\0\xff", 2), 12, false},
-      {"servers/gone", "", 10, true}};
+      {"op/config", std::string(100000, 'x') + "end", {2, 11}, false},
+      {"servers/e", std::string("\0\xff", 2), {3, 12}, false},
+      {"servers/gone", "", {0, 10}, true}};
   return record;
 }
 
@@ -266,13 +266,15 @@
   const FeedRecord expected = SampleRecord();
   CPPUNIT_ASSERT(decoded.is_fresh && decoded.is_snapshot);
   CPPUNIT_ASSERT(decoded.position == expected.position);
-  CPPUNIT_ASSERT_EQUAL(expected.items.revision, decoded.items.revision);
+  CPPUNIT_ASSERT(expected.items.revision == decoded.items.revision);
   CPPUNIT_ASSERT_EQUAL(expected.items.items.size(), decoded.items.items.size());
   for (std::size_t i = 0; i < expected.items.items.size(); ++i) {
     CPPUNIT_ASSERT_EQUAL(expected.items.items[i].key,
                          decoded.items.items[i].key);
     CPPUNIT_ASSERT_EQUAL(expected.items.items[i].value,
                          decoded.items.items[i].value);
+    CPPUNIT_ASSERT(expected.items.items[i].revision ==
+                   decoded.items.items[i].revision);
     CPPUNIT_ASSERT_EQUAL(expected.items.items[i].removed,
                          decoded.items.items[i].removed);
   }
@@ -324,7 +326,7 @@
   message.leader = AddressOf(3);
   message.sequence = 5;
   message.acknowledged = 4;
-  message.revision = 9;
+  message.revision = {2, 9};
   message.gateway_count = 103;
   message.roster = {{MemberOf(2), milliseconds(150)}};
   message.uses = UseOf(3);
@@ -338,6 +340,7 @@
   CPPUNIT_ASSERT_EQUAL(AddressOf(3), decoded.leader);
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, decoded.acknowledged);
   CPPUNIT_ASSERT_EQUAL(std::size_t{103}, decoded.gateway_count);
+  CPPUNIT_ASSERT(decoded.revision == message.revision);
   CPPUNIT_ASSERT(decoded.roster.at(0).age == milliseconds(150));
   CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, decoded.uses->at(kEndpoint).requests);
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{0xffffffffffffffffULL},
--- a/test/stories/peer_answers.cc
+++ b/test/stories/peer_answers.cc
@@ -29,8 +29,8 @@
 
 PublishedItems SampleItems() {
   PublishedItems items;
-  items.revision = 12;
-  items.items = {{"servers/e", "{}", 12, false}};
+  items.revision = {0, 12};
+  items.items = {{"servers/e", "{}", {0, 12}, false}};
   return items;
 }
 
@@ -49,7 +49,7 @@
     RunBlocking([&]() -> asio::awaitable<void> {
       items = co_await FetchSnapshot(address, kTimeout);
     }());
-    return items.revision;
+    return items.revision.number;
   };
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, fetch(200));
   for (const unsigned status : {201U, 404U, 500U, 503U}) {
@@ -87,7 +87,7 @@
       std::this_thread::yield();
     }
     CPPUNIT_ASSERT(this->Asked() >= 2);
-    return this->follower.Published().Revision();
+    return this->follower.Published().Revision().number;
   }
 
   /** @return True if a hub has confirmed the items. */
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -32,7 +32,7 @@
 /** A later answer would be given up. */
 constexpr milliseconds kHubDelay{100};
 
-constexpr std::uint64_t kRevision = 20;
+constexpr StoreRevision kRevision{0, 20};
 
 const char* const kConfiguration = R"({"version":1,"routes":[],"services":[]})";
 
@@ -43,9 +43,9 @@
 PublishedItems ListWith(const std::vector<std::string>& endpoints) {
   PublishedItems all;
   all.revision = kRevision;
-  all.items.push_back({"op/config", kConfiguration, 1, false});
+  all.items.push_back({"op/config", kConfiguration, {0, 1}, false});
   for (const std::string& endpoint : endpoints)
-    all.items.push_back({"servers/" + endpoint, kEntry, 2, false});
+    all.items.push_back({"servers/" + endpoint, kEntry, {0, 2}, false});
   return all;
 }
 
@@ -59,7 +59,7 @@
   }
 
   asio::awaitable<PublishedItems> ReadChanges(
-      std::uint64_t after,
+      StoreRevision after,
       milliseconds wait,
       milliseconds /*timeout*/) override {
     co_await SleepFor(wait);
@@ -265,7 +265,8 @@
   // What a later list that ends early lacks has not been removed.
   const auto changed = published.MergeSnapshot(part, Clock::now());
   CPPUNIT_ASSERT(changed.empty());
-  CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, published.RevisionOf("servers/b"));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                       published.RevisionOf("servers/b").number);
   CPPUNIT_ASSERT(FirstRecordOf(published).is_snapshot);
 }
 
