Published items: no older item takes a deferred removal back

Callers: requests reach an endpoint for good after its removal, or an endpoint that is back is not used.

Cause: MergeItem() dropped the deferral before it looked whether the item is newer, so that any list or feed of a gateway that lags behind took the removal back; the store does not repeat it. And the removal was recorded with the replica's present revision, so that an item that was published again meanwhile could count as older.

Evidence: with the old code both new tests of gateway_decisions fail: the removal is not applied at the end of the grace period (0 items, 1 expected), and is recorded with revision 20 instead of 9.

A deferral now holds the revision of its removal, which alone decides: an item with a greater one ends it, and the removal is recorded with its own.

--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -20,9 +20,12 @@
   if (removal != this->removals.end() && removal->second >= item.revision)
     return false;
   PublishedItem& held = this->items[item.key];
-  this->deferred_removals.erase(item.key);
   if (held.revision >= item.revision)
     return false;
+  const auto deferred = this->deferred_removals.find(item.key);
+  if (deferred != this->deferred_removals.end() &&
+      deferred->second.revision < item.revision)
+    this->deferred_removals.erase(deferred);
   const bool is_known = held.revision != StoreRevision{} &&
                         held.revision.era < item.revision.era &&
                         held.value == item.value;
@@ -62,11 +65,26 @@
   const bool is_near_outage = this->last_outage != TimePoint{} &&
                               now - this->last_outage < this->removal_grace;
   if (is_near_outage && this->is_renewed(key)) {
-    this->deferred_removals.try_emplace(
-        key, this->last_outage + this->removal_grace);
+    this->Defer(key, at_revision, this->last_outage + this->removal_grace);
     return;
   }
-  this->items.erase(held);
+  this->Erase(key, at_revision, changed);
+}
+
+void PublicationState::Defer(const std::string& key,
+                             const StoreRevision& at_revision,
+                             TimePoint until) {
+  StoreRevision& newest =
+      this->deferred_removals
+          .try_emplace(key, DeferredRemoval{at_revision, until})
+          .first->second.revision;
+  newest = std::max(newest, at_revision);
+}
+
+void PublicationState::Erase(const std::string& key,
+                             const StoreRevision& at_revision,
+                             std::vector<PublishedItem>& changed) {
+  this->items.erase(key);
   this->deferred_removals.erase(key);
   this->RecordRemoval(key, at_revision);
   this->changed_at[key] = ++this->change_count;
@@ -81,7 +99,7 @@
   // from.
   const TimePoint end = this->era_known_at + this->removal_grace;
   if (this->RevisionOf(key).era < list.era && now < end) {
-    this->deferred_removals.try_emplace(key, end);
+    this->Defer(key, list, end);
     return;
   }
   this->Remove(key, list, now, changed);
@@ -143,13 +161,13 @@
 std::vector<PublishedItem> PublicationState::ApplyDeferredRemovals(
     TimePoint now) {
   std::vector<PublishedItem> changed;
-  std::vector<std::string> due;
-  for (const auto& [key, time] : this->deferred_removals) {
-    if (time <= now && now - this->last_outage >= this->removal_grace)
-      due.push_back(key);
+  std::vector<std::pair<std::string, StoreRevision>> due;
+  for (const auto& [key, deferred] : this->deferred_removals) {
+    if (deferred.until <= now && now - this->last_outage >= this->removal_grace)
+      due.emplace_back(key, deferred.revision);
   }
-  for (const std::string& key : due)
-    this->Remove(key, this->revision, now, changed);
+  for (const auto& [key, at_revision] : due)
+    this->Erase(key, at_revision, changed);
   return changed;
 }
 
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -101,6 +101,12 @@
   }
 
  private:
+  /** Removal of an item that is still in its grace period. */
+  struct DeferredRemoval {
+    StoreRevision revision;
+    TimePoint until{};
+  };
+
   bool MergeItem(const PublishedItem& item);
 
   /** Moves to a position, unless it is an earlier one. */
@@ -116,6 +122,12 @@
               const StoreRevision& at_revision,
               TimePoint now,
               std::vector<PublishedItem>& changed);
+  void Defer(const std::string& key,
+             const StoreRevision& at_revision,
+             TimePoint until);
+  void Erase(const std::string& key,
+             const StoreRevision& at_revision,
+             std::vector<PublishedItem>& changed);
 
   std::chrono::milliseconds removal_grace;
   KeyPredicate is_renewed;
@@ -131,8 +143,7 @@
   std::map<std::string, std::uint64_t> changed_at;
   /** Changes up to this count may lack removals. */
   std::uint64_t oldest_known_change = 0;
-  /** Removed items in their grace period, with the end of it. */
-  std::map<std::string, TimePoint> deferred_removals;
+  std::map<std::string, DeferredRemoval> deferred_removals;
   TimePoint last_outage{};
 };
 
--- a/test/stories/gateway_decisions.cc
+++ b/test/stories/gateway_decisions.cc
@@ -207,6 +207,36 @@
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.RevisionOf("a").number);
 }
 
+/** Guards against an endpoint that stays in use for good after its removal. */
+void OldListTakesNoRemovalBack() {
+  PublicationState state(kRemovalGrace, IsRenewed);
+  state.MergeSnapshot({{0, 5}, {Item("a", 4), Item("b", 2)}}, kStart);
+  state.RecordOutage(kStart);
+  state.MergeSnapshot({{0, 9}, {Item("a", 4)}}, kStart + milliseconds(500));
+  // A peer that has not heard of the removal yet.
+  state.MergeSnapshot({{0, 8}, {Item("a", 4), Item("b", 2)}},
+                      kStart + milliseconds(600));
+  state.MergeChanges({{0, 8}, {Item("b", 2)}}, kStart + milliseconds(700));
+  const auto removed = state.ApplyDeferredRemovals(kStart + kRemovalGrace);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removed.size());
+  CPPUNIT_ASSERT_EQUAL(std::string("b"), removed.front().key);
+}
+
+/** Guards against an endpoint that is not used though it is back: its removal
+ * would count as newer. */
+void DeferredRemovalKeepsItsRevision() {
+  PublicationState state(kRemovalGrace, IsRenewed);
+  state.MergeSnapshot({{0, 5}, {Item("a", 4), Item("b", 2)}}, kStart);
+  state.RecordOutage(kStart);
+  state.MergeChanges({{0, 9}, {Removal("b", 9)}}, kStart + milliseconds(500));
+  state.MergeChanges({{0, 20}, {Item("a", 20)}}, kStart + milliseconds(600));
+  const auto removed = state.ApplyDeferredRemovals(kStart + kRemovalGrace);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, removed.size());
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, removed.front().revision.number);
+  state.MergeChanges({{0, 15}, {Item("b", 15)}}, kStart + kRemovalGrace);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, state.RevisionOf("b").number);
+}
+
 const Story kStory("gateway_decisions", [] {
   return Section(
       "given the decisions of a gateway",
@@ -228,7 +258,11 @@
                 Then("an item that nobody renews is removed in an outage",
                      ItemWithoutOwnerIsRemovedInOutage),
                 Then("a removal without an outage takes effect at once",
-                     RemovalWithoutOutageIsImmediate)})});
+                     RemovalWithoutOutageIsImmediate),
+                Then("an old list takes no deferred removal back",
+                     OldListTakesNoRemovalBack),
+                Then("a deferred removal keeps its revision",
+                     DeferredRemovalKeepsItsRevision)})});
 });
 
 }  // namespace
