Published items: the reader of the store decides how long a removal waits

Callers: requests reach an endpoint that has left for as long as this gateway alone, or the store now and then, fails to answer reads.

Only what was read from the store is kept back, until a time that is fixed when the removal is read; what another gateway tells applies at once. The new event removal_deferred states the key and the time.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -336,7 +336,9 @@
     const PublishedItems& items,
     const std::string& source) {
   const StoreRevision held = this->published.Revision();
-  auto changed = (this->published.*merge)(items, Clock::now());
+  const ItemSource kind =
+      source == kStoreSource ? ItemSource::kStore : ItemSource::kGateway;
+  auto changed = (this->published.*merge)(items, Clock::now(), kind);
   if (held != StoreRevision{} && items.revision.era > held.era) {
     LogLine(LogLevel::kNotice, "store_era_began",
             {{"source", source},
@@ -361,6 +363,12 @@
     std::vector<PublishedItem> changed,
     PublicationOrigin origin) {
   const ScopedCount mark(this->applying);
+  for (const auto& [key, until] : this->published.TakeDeferred()) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(until - Clock::now());
+    LogLine(LogLevel::kNotice, "removal_deferred",
+            {{"key", key}, {"for_ms", left.count()}});
+  }
   for (const PublishedItem& item : changed) {
     origin.revision = item.revision;
     std::string fault;
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -75,7 +75,8 @@
    * @return The items that changed. */
   using Merge = std::vector<PublishedItem> (PublicationState::*)(
       const PublishedItems& items,
-      PublicationState::TimePoint now);
+      PublicationState::TimePoint now,
+      ItemSource source);
   std::vector<PublishedItem> MergeItems(Merge merge,
                                         const PublishedItems& items,
                                         const std::string& source);
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -54,6 +54,7 @@
 void PublicationState::Remove(const std::string& key,
                               const StoreRevision& at_revision,
                               TimePoint now,
+                              ItemSource source,
                               std::vector<PublishedItem>& changed) {
   const auto held = this->items.find(key);
   if (held == this->items.end()) {
@@ -64,7 +65,7 @@
     return;
   const bool is_near_outage = this->last_outage != TimePoint{} &&
                               now - this->last_outage < this->removal_grace;
-  if (is_near_outage && this->is_renewed(key)) {
+  if (source == ItemSource::kStore && is_near_outage && this->is_renewed(key)) {
     this->Defer(key, at_revision, this->last_outage + this->removal_grace);
     return;
   }
@@ -74,11 +75,11 @@
 void PublicationState::Defer(const std::string& key,
                              const StoreRevision& at_revision,
                              TimePoint until) {
-  StoreRevision& newest =
-      this->deferred_removals
-          .try_emplace(key, DeferredRemoval{at_revision, until})
-          .first->second.revision;
-  newest = std::max(newest, at_revision);
+  const auto [deferred, is_new] = this->deferred_removals.try_emplace(
+      key, DeferredRemoval{at_revision, until});
+  deferred->second.revision = std::max(deferred->second.revision, at_revision);
+  if (is_new)
+    this->newly_deferred.emplace_back(key, deferred->second.until);
 }
 
 void PublicationState::Erase(const std::string& key,
@@ -94,6 +95,7 @@
 void PublicationState::RemoveUnlisted(const std::string& key,
                                       const StoreRevision& list,
                                       TimePoint now,
+                                      ItemSource source,
                                       std::vector<PublishedItem>& changed) {
   // It may have been written after the copy was made that the store came back
   // from.
@@ -102,7 +104,7 @@
     this->Defer(key, list, end);
     return;
   }
-  this->Remove(key, list, now, changed);
+  this->Remove(key, list, now, source, changed);
 }
 
 void PublicationState::MoveTo(const StoreRevision& position, TimePoint now) {
@@ -113,7 +115,8 @@
 
 std::vector<PublishedItem> PublicationState::MergeSnapshot(
     const PublishedItems& all,
-    TimePoint now) {
+    TimePoint now,
+    ItemSource source) {
   std::vector<PublishedItem> changed;
   if (all.revision.era < this->revision.era)
     return changed;
@@ -133,20 +136,21 @@
       missing.push_back(key);
   }
   for (const std::string& key : missing)
-    this->RemoveUnlisted(key, all.revision, now, changed);
+    this->RemoveUnlisted(key, all.revision, now, source, changed);
   return changed;
 }
 
 std::vector<PublishedItem> PublicationState::MergeChanges(
     const PublishedItems& changes,
-    TimePoint now) {
+    TimePoint now,
+    ItemSource source) {
   std::vector<PublishedItem> changed;
   if (changes.revision.era < this->revision.era)
     return changed;
   this->MoveTo(changes.revision, now);
   for (const PublishedItem& item : changes.items) {
     if (item.removed) {
-      this->Remove(item.key, item.revision, now, changed);
+      this->Remove(item.key, item.revision, now, source, changed);
     } else if (this->MergeItem(item)) {
       changed.push_back(item);
     }
@@ -163,7 +167,7 @@
   std::vector<PublishedItem> changed;
   std::vector<std::pair<std::string, StoreRevision>> due;
   for (const auto& [key, deferred] : this->deferred_removals) {
-    if (deferred.until <= now && now - this->last_outage >= this->removal_grace)
+    if (deferred.until <= now)
       due.emplace_back(key, deferred.revision);
   }
   for (const auto& [key, at_revision] : due)
@@ -171,6 +175,11 @@
   return changed;
 }
 
+std::vector<std::pair<std::string, PublicationState::TimePoint>>
+PublicationState::TakeDeferred() {
+  return std::exchange(this->newly_deferred, {});
+}
+
 std::optional<PublishedItems> PublicationState::ChangesSince(
     std::uint64_t count) const {
   if (count < this->oldest_known_change || count > this->change_count)
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -16,6 +16,12 @@
 
 namespace buckthornpath {
 
+/** Where items were read. */
+enum class ItemSource {
+  kStore,
+  kGateway,  ///< Decides for its readers how long a removed item is kept.
+};
+
 /**
  * Replica of the published items. Merges snapshots and changes from the store
  * and from peers, which may arrive late, twice or out of order. An item never
@@ -47,19 +53,28 @@
    * is complete.
    * @return Items that changed; a removed one has no value.
    */
-  std::vector<PublishedItem> MergeSnapshot(const PublishedItems& all,
-                                           TimePoint now);
+  std::vector<PublishedItem> MergeSnapshot(
+      const PublishedItems& all,
+      TimePoint now,
+      ItemSource source = ItemSource::kStore);
 
   /** Merges changes. @return As MergeSnapshot(). */
-  std::vector<PublishedItem> MergeChanges(const PublishedItems& changes,
-                                          TimePoint now);
+  std::vector<PublishedItem> MergeChanges(
+      const PublishedItems& changes,
+      TimePoint now,
+      ItemSource source = ItemSource::kStore);
 
   /** Records that the store could not be read. */
   void RecordOutage(TimePoint now);
 
-  /** Removes items whose grace period is over. @return The removed items. */
+  /** Removes items whose grace period is over; later outages do not prolong
+   * it. @return The removed items. */
   std::vector<PublishedItem> ApplyDeferredRemovals(TimePoint now);
 
+  /** @return Items whose removal has been deferred since the last call, with
+   * the end of their grace period. */
+  std::vector<std::pair<std::string, TimePoint>> TakeDeferred();
+
   /** @return All items, for peers. */
   PublishedItems All() const;
 
@@ -116,11 +131,13 @@
   void RemoveUnlisted(const std::string& key,
                       const StoreRevision& list,
                       TimePoint now,
+                      ItemSource source,
                       std::vector<PublishedItem>& changed);
   void RecordRemoval(const std::string& key, const StoreRevision& at_revision);
   void Remove(const std::string& key,
               const StoreRevision& at_revision,
               TimePoint now,
+              ItemSource source,
               std::vector<PublishedItem>& changed);
   void Defer(const std::string& key,
              const StoreRevision& at_revision,
@@ -144,6 +161,7 @@
   /** Changes up to this count may lack removals. */
   std::uint64_t oldest_known_change = 0;
   std::map<std::string, DeferredRemoval> deferred_removals;
+  std::vector<std::pair<std::string, TimePoint>> newly_deferred;
   TimePoint last_outage{};
 };
 
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -51,6 +51,7 @@
     {"list_incomplete", "items key", "The list of published items could not be read on after a key; no item counts as removed for not being listed. Changes are followed"},
     {"store_lost", "reason read_ms", "The store does not respond; the failed read took read_ms"},
     {"store_regained", "", "The store responds again"},
+    {"removal_deferred", "key for_ms", "The removal of an item is kept back for this time, as its owner may publish it again: this process could not read the store just before, or the store has come back from a copy"},
     {"store_history_lost", "reason", "Changes of the store were missed; all items are read again"},
     {"store_era_began", "source era revision held_era held_revision", "The store has come back from a copy; what it held only after that is lost, or is written again"},
     {"published_by_peer", "era revision", "A peer had a newer revision of the published items"},
--- a/test/stories/gateway_decisions.cc
+++ b/test/stories/gateway_decisions.cc
@@ -237,6 +237,21 @@
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, state.RevisionOf("b").number);
 }
 
+/** Guards against an endpoint that stays in use for as long as reads of the
+ * store keep failing now and then. */
+void DeferralIsNotProlonged() {
+  PublicationState state(kRemovalGrace, IsRenewed);
+  state.MergeSnapshot({{0, 5}, {Item("a", 4), Item("b", 2)}}, kStart);
+  state.RecordOutage(kStart);
+  state.MergeSnapshot({{0, 9}, {Item("a", 4)}}, kStart + milliseconds(500));
+  state.RecordOutage(kStart + milliseconds(1500));
+  state.MergeSnapshot({{0, 10}, {Item("a", 4)}}, kStart + milliseconds(1900));
+  state.RecordOutage(kStart + milliseconds(2200));
+  CPPUNIT_ASSERT_EQUAL(
+      std::size_t{1},
+      state.ApplyDeferredRemovals(kStart + kRemovalGrace).size());
+}
+
 const Story kStory("gateway_decisions", [] {
   return Section(
       "given the decisions of a gateway",
@@ -262,7 +277,9 @@
                 Then("an old list takes no deferred removal back",
                      OldListTakesNoRemovalBack),
                 Then("a deferred removal keeps its revision",
-                     DeferredRemovalKeepsItsRevision)})});
+                     DeferredRemovalKeepsItsRevision),
+                Then("later faults do not prolong a deferral",
+                     DeferralIsNotProlonged)})});
 });
 
 }  // namespace
