Published items: a gateway that begins to read the store reads all of it

Callers: an endpoint that has left is used for good.

Cause: a follower took the revision that a hub stated as read, and watched the store from there if the hub died. A hub that keeps a removal back states later revisions meanwhile, so that the watch began after the removal, which nobody repeats. A process that becomes a hub did the same.

The revision up to which the store was read is now that of this process's own reads without a gap; it is forgotten when the process stops to read, and the first read after that is of the whole list. A word of a hub no longer sets it back either: it says nothing of what this process has read.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -153,6 +153,8 @@
   if (!this->is_reading_store)
     return;
   this->is_reading_store = false;
+  // What others tell meanwhile may lack removals that they keep back.
+  this->read_revision = {};
   this->PublishToFeed();
 }
 
@@ -219,8 +221,6 @@
     FeedRecord record) {
   const bool is_loaded = record.position.process != 0;
   if (is_loaded && !record.is_fresh) {
-    // Changes that the hub has missed may include removals without an event.
-    this->read_revision = {};
     this->upstream.RecordFault(address, Clock::now());
     if (!this->MayUseStaleItems())
       co_return;
@@ -241,12 +241,8 @@
     co_return;
   if (record.is_fresh || record.is_snapshot)
     this->state.confirmed_at = Clock::now();
-  if (record.is_fresh) {
-    // If the hub dies, a watch of the store continues from here.
-    if (!this->is_reading_store)
-      this->read_revision = this->published.PositionToContinue();
+  if (record.is_fresh)
     this->upstream.RecordFresh(address, Clock::now());
-  }
 }
 
 asio::awaitable<void> PublicationFollower::ReadNext() {
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -106,7 +106,8 @@
   std::string hub;             ///< The hub that is followed, if any.
   FeedPosition feed_position;  ///< Read from the feeds of hubs so far.
   Clock::time_point hub_expected_until{};
-  StoreRevision read_revision;  ///< Read from the store; default: read all.
+  /** Read from the store by this process without a gap; default: read all. */
+  StoreRevision read_revision;
   std::chrono::milliseconds read_timeout;
   ReportedItems reported;
   int applying = 0;  ///< Calls of ApplyItems() that have not ended.
--- a/test/stories/publication_removals.cc
+++ b/test/stories/publication_removals.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "harness/caller.h"
@@ -24,6 +25,11 @@
 /** Time for hubs to be elected. */
 constexpr milliseconds kElectionTimeout{5000};
 
+/** Time after a fault for which its hub is not followed. */
+constexpr milliseconds kHubBackoff{1100};
+
+constexpr std::size_t kGateways = 4;
+
 /** A fleet of one failure domain; the gateways reach the store by proxies. */
 class ProxiedFleet {
  public:
@@ -51,6 +57,18 @@
                               : json::object();
   }
 
+  /** Lets a gateway's reads fail until it has logged that. */
+  void Interrupt(std::size_t gateway) {
+    const std::size_t log_size = this->fleet.Log(gateway).size();
+    this->CutOff(gateway);
+    CPPUNIT_ASSERT(WaitUntil(
+        [&] { return this->HasLogged(gateway, "\"store_lost\"", log_size); }));
+    this->fleet.StoreProxy(gateway).RefuseNew(false);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return this->HasLogged(gateway, "\"store_regained\"", log_size);
+    }));
+  }
+
   void CutOff(std::size_t gateway) {
     this->fleet.StoreProxy(gateway).RefuseNew(true);
     this->fleet.StoreProxy(gateway).CutAll();
@@ -81,6 +99,27 @@
   }
 };
 
+/** Guards against an endpoint that stays in use for good: both hubs still keep
+ * it when they die, but have stated a revision after its removal. */
+void RemovalThatHubsKeepBackIsReadAgain() {
+  ProxiedFleet all(kGateways);
+  all.Interrupt(all.hubs[0]);
+  std::this_thread::sleep_for(kHubBackoff);
+  all.Interrupt(all.hubs[1]);
+  all.fleet.Store().Remove("servers/ledger-0");
+  all.fleet.Store().Put("servers/mark", std::string("no entry"));
+  for (const std::size_t member : all.members) {
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return all.HasLogged(member, "servers/mark"); }));
+  }
+  for (const std::size_t hub : all.hubs)
+    all.fleet.Gateway(hub).Kill();
+  for (const std::size_t member : all.members) {
+    CPPUNIT_ASSERT(
+        WaitUntil([&] { return all.HasRemovedLedger(member); }, kDrainLimit));
+  }
+}
+
 /** Guards against an endpoint that stays in use for as long as this gateway
  * alone is cut off from the store. */
 void RemovalOfAnotherGatewayAppliesAtOnce() {
@@ -94,7 +133,10 @@
 
 const Story kStory("publication_removals", [] {
   return Section("given an endpoint that is removed from the store",
-                 {Section("when a gateway is cut off from the store",
+                 {Section("when the hubs keep it for a while and die",
+                          {Then("the other gateways hear of it",
+                                RemovalThatHubsKeepBackIsReadAgain)}),
+                  Section("when a gateway is cut off from the store",
                           {Then("the word of another gateway applies at once",
                                 RemovalOfAnotherGatewayAppliesAtOnce)})});
 });
