Published items: a hub confirms them by the age of the store's last answer

Callers: a change is not in force in time at followers of hubs whose watches hang, or a process that starts takes old items of a hub that was paused.

Cause: a hub confirmed its items as long as no read had failed: for up to 2.3 s while a watch hung, and without bound when its process was paused.

A feed now confirms items until 1.3 s after the store's last answer, by a clock that counts pauses, and tells its readers at that moment. An answer counts from the time at which the event loop last ran before it, as one that was received before a pause is as old as the pause. Watches last 0.8 s. A record states the age (optional; older programs skip it), and a follower logs hub_stale.

--- a/src/gateway/feed_record.cc
+++ b/src/gateway/feed_record.cc
@@ -108,6 +108,8 @@
   record.is_snapshot = value.at("snapshot").get<bool>();
   record.position.process = value.at("process").get<std::uint64_t>();
   record.position.change_count = value.at("changes").get<std::uint64_t>();
+  if (const auto age = value.find("age_ms"); age != value.end())
+    record.age = std::chrono::milliseconds(age->get<std::int64_t>());
   record.items.revision = {value.value("era", std::uint64_t{0}),
                            value.at("revision").get<std::uint64_t>()};
   for (const json& item : value.at("items"))
@@ -121,13 +123,15 @@
   json items = json::array();
   for (const PublishedItem& item : record.items.items)
     items.push_back(EncodeItem(item));
-  const json value = {{"fresh", record.is_fresh},
-                      {"snapshot", record.is_snapshot},
-                      {"process", record.position.process},
-                      {"changes", record.position.change_count},
-                      {"era", record.items.revision.era},
-                      {"revision", record.items.revision.number},
-                      {"items", std::move(items)}};
+  json value = {{"fresh", record.is_fresh},
+                {"snapshot", record.is_snapshot},
+                {"process", record.position.process},
+                {"changes", record.position.change_count},
+                {"era", record.items.revision.era},
+                {"revision", record.items.revision.number},
+                {"items", std::move(items)}};
+  if (record.age)
+    value["age_ms"] = record.age->count();
   std::string frame(kLengthBytes, '\0');
   json::to_cbor(value, frame);
   boost::endian::endian_store<std::uint32_t, kLengthBytes,
--- a/src/gateway/feed_record.h
+++ b/src/gateway/feed_record.h
@@ -3,6 +3,7 @@
 #ifndef SRC_GATEWAY_FEED_RECORD_H_
 #define SRC_GATEWAY_FEED_RECORD_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <stdexcept>
@@ -29,9 +30,12 @@
 
 /** One record of a feed. */
 struct FeedRecord {
-  bool is_fresh = false;     ///< The sender reads the store successfully.
+  /** The sender has read the store a short time ago. */
+  bool is_fresh = false;
   bool is_snapshot = false;  ///< All items; otherwise those that changed.
   FeedPosition position;     ///< After this record.
+  /** Time since the store's last answer, if the sender states it. */
+  std::optional<std::chrono::milliseconds> age;
   PublishedItems items;
 };
 
--- a/src/gateway/publication_feed.cc
+++ b/src/gateway/publication_feed.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/publication_feed.h"
 
+#include <algorithm>
 #include <charconv>
 #include <random>
 #include <utility>
@@ -18,6 +19,10 @@
  * a reader considers its items stale. */
 constexpr milliseconds kConfirmInterval{200};
 
+/** Age of the store's last answer up to which it confirms the items: a watch
+ * waits for 800 ms at most, and its answer may be late on a slow machine. */
+constexpr milliseconds kConfirmedTime{1300};
+
 /** @return A number of the query; 0 if it is missing or malformed. */
 std::uint64_t NumberOf(const HttpRequest& request, std::string_view name) {
   const std::string text = request.QueryParameter(name).value_or("");
@@ -56,19 +61,29 @@
                      {"changes", std::to_string(position.change_count)}});
 }
 
-void PublicationFeed::Publish(bool is_fresh) {
-  if (this->is_fresh != is_fresh)
-    this->last_frame.reset();
-  this->is_fresh = is_fresh;
+void PublicationFeed::Publish(
+    std::optional<BootClock::time_point> store_answered_at) {
+  this->store_answered_at = store_answered_at;
   for (WakeSignal* reader : this->readers)
     reader->Set();
 }
 
-FeedRecord PublicationFeed::NextRecord(FeedPosition reader) const {
-  FeedRecord record;
+bool PublicationFeed::IsFresh(BootClock::time_point now) const {
   // Before the first read there is no state that a reader could rely on.
+  return this->published.Revision() != StoreRevision{} &&
+         this->store_answered_at &&
+         now - *this->store_answered_at < kConfirmedTime;
+}
+
+FeedRecord PublicationFeed::NextRecord(FeedPosition reader,
+                                       BootClock::time_point now) const {
+  FeedRecord record;
   const bool is_loaded = this->published.Revision() != StoreRevision{};
-  record.is_fresh = this->is_fresh && is_loaded;
+  record.is_fresh = this->IsFresh(now);
+  if (this->store_answered_at) {
+    record.age = std::chrono::duration_cast<milliseconds>(
+        now - *this->store_answered_at);
+  }
   record.position = {this->process, this->published.ChangeCount()};
   std::optional<PublishedItems> changes;
   if (reader.process == this->process)
@@ -91,21 +106,34 @@
   const FeedPosition from =
       reader.process == this->process ? reader : FeedPosition{};
   const FeedPosition to{this->process, this->published.ChangeCount()};
+  const auto now = BootClock::now();
   const bool is_shared = this->last_frame && this->last_from == from &&
                          this->last_to == to &&
-                         this->last_revision == this->published.Revision();
+                         this->last_revision == this->published.Revision() &&
+                         this->last_is_fresh == this->IsFresh(now);
   if (!is_shared) {
-    const FeedRecord record = this->NextRecord(from);
+    const FeedRecord record = this->NextRecord(from, now);
     this->last_frame =
         std::make_shared<const std::string>(EncodeFeedFrame(record));
     this->last_from = from;
     this->last_to = record.position;
     this->last_revision = record.items.revision;
+    this->last_is_fresh = record.is_fresh;
   }
   reader = this->last_to;
   return this->last_frame;
 }
 
+milliseconds PublicationFeed::TimeToNextRecord() const {
+  const auto now = BootClock::now();
+  if (!this->IsFresh(now))
+    return kConfirmInterval;
+  // Readers hear at once that the items are no longer confirmed.
+  const auto left = std::chrono::ceil<milliseconds>(*this->store_answered_at +
+                                                    kConfirmedTime - now);
+  return std::min(kConfirmInterval, left);
+}
+
 asio::awaitable<void> PublicationFeed::Serve(HttpExchange& exchange) {
   FeedPosition reader{NumberOf(exchange.request(), "process"),
                       NumberOf(exchange.request(), "changes")};
@@ -119,7 +147,7 @@
     co_await exchange.WriteChunk(*frame);
     // Changes that were applied meanwhile have set the signal.
     co_await signal.WaitUntil(std::chrono::steady_clock::now() +
-                              kConfirmInterval);
+                              this->TimeToNextRecord());
   }
 }
 
--- a/src/gateway/publication_feed.h
+++ b/src/gateway/publication_feed.h
@@ -3,14 +3,17 @@
 #ifndef SRC_GATEWAY_PUBLICATION_FEED_H_
 #define SRC_GATEWAY_PUBLICATION_FEED_H_
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "gateway/feed_record.h"
 #include "gateway/publication_state.h"
 #include "gateway/wake_signal.h"
+#include "kernel/boot_clock.h"
 #include "kernel/http_server.h"
 
 namespace buckthornpath {
@@ -26,9 +29,12 @@
   PublicationFeed(const PublicationState& published,
                   asio::any_io_executor executor);
 
-  /** Sends the state to all readers if items or freshness have changed.
-   * @param is_fresh This process reads the store successfully. */
-  void Publish(bool is_fresh);
+  /**
+   * Sends the state to all readers.
+   * @param store_answered_at When the store last answered this process, which
+   * confirms its items for a short time; nothing if it does not read the store.
+   */
+  void Publish(std::optional<BootClock::time_point> store_answered_at);
 
   /** Serves one reader until its connection fails. */
   asio::awaitable<void> Serve(HttpExchange& exchange);
@@ -37,20 +43,26 @@
   static std::string TargetOf(const FeedPosition& position);
 
  private:
-  FeedRecord NextRecord(FeedPosition reader) const;
+  /** @return True if the items count as current at this time. */
+  bool IsFresh(BootClock::time_point now) const;
+
+  FeedRecord NextRecord(FeedPosition reader, BootClock::time_point now) const;
 
   /** @return The next frame of a reader, which moves to its end. Readers at
    * the same position share one frame. */
   std::shared_ptr<const std::string> NextFrame(FeedPosition& reader);
 
+  std::chrono::milliseconds TimeToNextRecord() const;
+
   const PublicationState& published;
   asio::any_io_executor executor;
   std::uint64_t process;  ///< Identifies this process in positions.
-  bool is_fresh = false;
+  std::optional<BootClock::time_point> store_answered_at;
   std::set<WakeSignal*> readers;
   FeedPosition last_from;       ///< Position before `last_frame`.
   FeedPosition last_to;         ///< Position after `last_frame`.
   StoreRevision last_revision;  ///< Stated in `last_frame`.
+  bool last_is_fresh = false;
   std::shared_ptr<const std::string> last_frame;
 };
 
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -23,7 +23,7 @@
 constexpr milliseconds kRemovalGrace{2300};
 
 /** Interval of the checks for items whose grace period is over. */
-constexpr milliseconds kRemovalCheckInterval{200};
+constexpr milliseconds kRemovalCheckInterval{50};
 
 /** Delay after a batch of changes, so that the changes that follow arrive with
  * one call. A tenth of the platform's limit for applying a change. */
@@ -35,10 +35,12 @@
 constexpr milliseconds kMinReadTimeout{400};
 constexpr milliseconds kMaxReadTimeout{1600};
 
-/** Limits of a watch. The answer of a watch that is open during an outage may
- * be lost without a trace, and nothing that is published after the outage is
- * seen until then: the platform allows three seconds for that. */
-constexpr milliseconds kMaxWatchWait{1500};
+/** Limits of a watch. Its answer may be lost without a trace, and nothing that
+ * is published after it began is seen until then: the platform allows two
+ * seconds for a change. Followers of a hub need some of them to read the store
+ * for themselves; see kConfirmedTime of the feed. */
+constexpr milliseconds kMinWatchWait{400};
+constexpr milliseconds kMaxWatchWait{800};
 constexpr milliseconds kWatchTimeout{800};
 
 /** Wait of a watch that is repeated: its answer tells whether the store can be
@@ -162,13 +164,15 @@
   this->is_reading_store = false;
   // What others tell meanwhile may lack removals that they keep back.
   this->read_revision = {};
+  this->store_answered_at.reset();
   this->PublishToFeed();
 }
 
 void PublicationFollower::PublishToFeed() {
   // A follower's word that its items are current would not count: two
   // gateways could confirm each other's.
-  this->feed.Publish(this->is_reading_store && this->is_store_reachable);
+  const bool is_confirmed = this->is_reading_store && this->is_store_reachable;
+  this->feed.Publish(is_confirmed ? this->store_answered_at : std::nullopt);
 }
 
 std::optional<std::string> PublicationFollower::HubToFollow() const {
@@ -229,6 +233,9 @@
   const bool is_loaded = record.position.process != 0;
   if (is_loaded && !record.is_fresh) {
     this->upstream.RecordFault(address, Clock::now());
+    LogLine(LogLevel::kNotice, "hub_stale",
+            {{"peer", address},
+             {"age_ms", record.age.value_or(milliseconds(-1)).count()}});
     if (!this->MayUseStaleItems())
       co_return;
   }
@@ -254,12 +261,14 @@
 
 asio::awaitable<void> PublicationFollower::ReadNext() {
   const StoreRevision known = this->published.Revision();
+  const auto started_at = BootClock::now();
   if (this->read_revision == StoreRevision{}) {
     const PublishedItems all =
         co_await this->source->ReadAll(this->read_timeout);
     CheckNotBehind(known, all.revision);
     // Another gateway may have told of a new era meanwhile.
     CheckNoLaterEra(all.revision, this->published.Revision().era);
+    this->store_answered_at = started_at;
     co_await this->ApplyAll(all, kStoreSource);
     if (!this->state.is_loaded && !all.is_complete)
       throw StoreUnavailable(
@@ -270,7 +279,7 @@
   }
   const StoreRevision after = this->read_revision;
   milliseconds wait =
-      std::min(this->state.settings.configuration_wait, kMaxWatchWait);
+      std::min(this->state.settings.configuration_wait, this->WatchWait());
   milliseconds timeout = kWatchTimeout;
   if (this->is_watch_cut) {
     wait = kRepeatedWatchWait;
@@ -280,6 +289,9 @@
       co_await this->source->ReadChanges(after, wait, timeout);
   CheckNotBehind(after, changes.revision);
   CheckNoLaterEra(changes.revision, this->published.Revision().era);
+  // The process may have been paused after the answer: it came after the event
+  // loop last ran.
+  this->store_answered_at = std::max(started_at, this->ran_before);
   PublicationOrigin origin = this->OriginOf(kStoreSource);
   this->state.confirmed_at = Clock::now();
   auto changed =
@@ -290,6 +302,13 @@
     co_await SleepFor(kBatchDelay);
 }
 
+milliseconds PublicationFollower::WatchWait() const {
+  // The answer is due before the one before it is too old for followers.
+  const auto age = std::chrono::duration_cast<milliseconds>(
+      BootClock::now() - this->store_answered_at.value_or(BootClock::now()));
+  return std::max(kMaxWatchWait - age, kMinWatchWait);
+}
+
 bool PublicationFollower::MayRepeatWatch(Clock::time_point started_at,
                                          const std::string& fault) {
   if (fault.empty() || this->read_revision == StoreRevision{} ||
@@ -331,6 +350,7 @@
 asio::awaitable<void> PublicationFollower::RunDeferredRemovals() {
   while (true) {
     co_await SleepFor(kRemovalCheckInterval);
+    this->ran_before = std::exchange(this->ran_at, BootClock::now());
     auto removed = this->published.ApplyDeferredRemovals(Clock::now());
     if (removed.empty())
       continue;
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/publication_feed.h"
 #include "gateway/publication_state.h"
+#include "kernel/boot_clock.h"
 #include "kernel/reported_items.h"
 
 namespace buckthornpath {
@@ -54,6 +55,7 @@
  private:
   asio::awaitable<void> FollowStore();
   asio::awaitable<void> ReadNext();
+  std::chrono::milliseconds WatchWait() const;
   asio::awaitable<void> FollowHubs();
 
   /** Applies the records of a hub until another one is to be followed.
@@ -115,6 +117,12 @@
   std::chrono::milliseconds read_timeout;
   ReportedItems reported;
   int applying = 0;  ///< Calls of ApplyItems() that have not ended.
+  /** The store has answered at this time or later; nothing if this process has
+   * not read it since it began to. */
+  std::optional<BootClock::time_point> store_answered_at;
+  /** Times of two checks for removals; the event loop has run between them. */
+  BootClock::time_point ran_at{};
+  BootClock::time_point ran_before{};
   bool is_watch_cut = false;  ///< The last watch failed; it is repeated.
   bool is_reading_store = false;
   bool is_store_reachable = true;
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -60,6 +60,7 @@
     {"peer_lost", "peer", "Nothing was received from a gateway for too long"},
     {"hub_role", "role hubs", "This gateway has become leader, hub or member of its failure domain"},
     {"hub_followed", "peer", "The published items are read from a hub"},
+    {"hub_stale", "peer age_ms", "The hub that was followed does not confirm its items; age_ms is the time since the store's last answer to it, -1 if it does not read the store"},
     {"hub_lost", "peer reason", "The hub that was followed failed"},
     {"peer_unread", "peer reason", "The published items of a peer could not be read"},
     {"peer_message_unreadable", "reason", "A datagram from a peer could not be decoded and was dropped"},
--- a/test/stories/gateway_hub_fleet.cc
+++ b/test/stories/gateway_hub_fleet.cc
@@ -2,7 +2,9 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <algorithm>
 #include <csignal>
+#include <functional>
 #include <thread>
 #include <vector>
 
@@ -43,7 +45,8 @@
 
 /** A fleet of one failure domain whose members follow its hubs. */
 struct HubFleet {
-  HubFleet() : fleet(PlanOf()) {
+  explicit HubFleet(const json& settings = json::object())
+      : fleet(PlanOf(settings)) {
     CPPUNIT_ASSERT(
         WaitUntil([this] { return this->IsSettled(); }, kElectionTimeout));
     this->leader = GatewaysWithRole(this->fleet, "leader").front();
@@ -51,8 +54,9 @@
     this->members = GatewaysWithRole(this->fleet, "member");
   }
 
-  static GatewayPlan PlanOf() {
+  static GatewayPlan PlanOf(const json& settings) {
     GatewayPlan plan;
+    plan.settings = settings;
     plan.gateways = kGateways;
     plan.store_proxied = true;
     return plan;
@@ -170,6 +174,64 @@
       WaitUntil([&] { return hubs.IsSettled(); }, 2 * kElectionTimeout));
 }
 
+/** Watches are as long as the gateways allow. */
+const json kLongWatches = {{"configuration_wait", 10000}};
+
+/** Loses the answers to watches that these gateways have just begun. */
+void HangNewWatches(GatewayFleet& fleet,
+                    const std::vector<std::size_t>& gateways) {
+  const auto accepted = [&] {
+    std::vector<std::size_t> calls;
+    for (const std::size_t gateway : gateways)
+      calls.push_back(fleet.StoreProxy(gateway).Accepted());
+    return calls;
+  };
+  const std::vector<std::size_t> before = accepted();
+  // Ends the watches of all gateways at once.
+  fleet.Store().Put("servers/mark", std::string("no entry"));
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    const std::vector<std::size_t> calls = accepted();
+    return std::equal(calls.begin(), calls.end(), before.begin(),
+                      std::greater<>());
+  }));
+  for (const std::size_t gateway : gateways)
+    fleet.StoreProxy(gateway).SilenceOpen();
+}
+
+void OneWatchHangsWithAChange() {
+  HubFleet hubs(kLongWatches);
+  std::uint64_t version = 1;
+  for (const std::size_t hub : {hubs.leader, hubs.second_hub}) {
+    HangNewWatches(hubs.fleet, {hub});
+    CPPUNIT_ASSERT(hubs.ReachesInTime(++version, {0, 1, 2, 3, 4}));
+  }
+}
+
+/** As when both are cut off at once: the members can read the store. */
+void BothWatchesHangWithAChange() {
+  HubFleet hubs(kLongWatches);
+  HangNewWatches(hubs.fleet, {hubs.leader, hubs.second_hub});
+  CPPUNIT_ASSERT(hubs.ReachesInTime(2, hubs.members));
+}
+
+/** Gateway 0 is alone in its failure domain. @param gateways Of the fleet. */
+void WatchOfALoneGatewayHangsWithAChange(std::size_t gateways) {
+  GatewayPlan plan;
+  plan.gateways = gateways;
+  plan.failure_domains = {"a", "b"};
+  plan.store_proxied = true;
+  plan.settings = kLongWatches;
+  GatewayFleet fleet(plan);
+  HangNewWatches(fleet, {0});
+  fleet.Store().Put("op/config", StandardConfiguration(2));
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] {
+        return LocalFleet::StatusOf(fleet.Operator(0))
+                   .value("configuration", std::uint64_t{0}) == 2;
+      },
+      kApplyLimit));
+}
+
 json WithoutParish(std::uint64_t version) {
   json configuration = StandardConfiguration(version);
   configuration["tenants"].erase(0);
@@ -289,6 +351,14 @@
                      BothHubsFreezeWithAChange),
                 Then("all apply it though the hubs are cut off from the store",
                      HubsAreCutFromTheStore),
+                Then("all apply it in time though the watch of a hub hangs",
+                     OneWatchHangsWithAChange),
+                Then("all apply it in time though the watches of both hang",
+                     BothWatchesHangWithAChange),
+                Then("so does a gateway that is alone in its failure domain",
+                     [] { WatchOfALoneGatewayHangsWithAChange(2); }),
+                Then("and one that is alone",
+                     [] { WatchOfALoneGatewayHangsWithAChange(1); }),
                 Then("followers return to a hub that reads the store again",
                      FollowersReturnToTheirHub)}),
        Section("when a gateway restarts",
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -49,12 +49,20 @@
   return all;
 }
 
+/** How a ListSource responds. */
+struct SourceScript {
+  milliseconds list_delay{};
+  bool answers_watches = true;
+};
+
 /** Returns one list, and no changes. */
 class ListSource final : public PublicationSource {
  public:
-  explicit ListSource(PublishedItems all) : all(std::move(all)) {}
+  ListSource(PublishedItems all, SourceScript script)
+      : all(std::move(all)), script(script) {}
 
   asio::awaitable<PublishedItems> ReadAll(milliseconds /*timeout*/) override {
+    co_await SleepFor(this->script.list_delay);
     co_return this->all;
   }
 
@@ -62,12 +70,13 @@
       StoreRevision after,
       milliseconds wait,
       milliseconds /*timeout*/) override {
-    co_await SleepFor(wait);
+    co_await SleepFor(this->script.answers_watches ? wait : kTimeout);
     co_return PublishedItems{after, {}};
   }
 
  private:
   PublishedItems all;
+  SourceScript script;
 };
 
 /** @return The adapter that was linked before a FaultyAdapter was made. */
@@ -79,8 +88,8 @@
 /** The platform's adapter, but for items with certain keys. */
 class FaultyAdapter final : public PlatformAdapter {
  public:
-  explicit FaultyAdapter(PublishedItems all)
-      : platform(LinkedPlatform()), all(std::move(all)) {
+  FaultyAdapter(PublishedItems all, SourceScript script)
+      : platform(LinkedPlatform()), all(std::move(all)), script(script) {
     this->Register();
   }
 
@@ -124,19 +133,49 @@
 
   std::unique_ptr<PublicationSource> MakeSource(
       const Settings& /*settings*/) const override {
-    return std::make_unique<ListSource>(this->all);
+    return std::make_unique<ListSource>(this->all, this->script);
   }
 
  private:
   const PlatformAdapter& platform;
   PublishedItems all;
+  SourceScript script;
+};
+
+/** Takes the first record that a feed sends. */
+class FeedReader final : public HttpExchange {
+ public:
+  const HttpRequest& request() const override { return this->asked; }
+
+  asio::awaitable<void> Send(HttpResponse /*response*/) override { co_return; }
+
+  asio::awaitable<void> BeginStream(HttpResponse /*head*/) override {
+    co_return;
+  }
+
+  asio::awaitable<void> WriteChunk(std::string_view data) override {
+    FeedFrameReader frames;
+    frames.Append(data);
+    this->record = frames.Next();
+    throw HttpError("reader has closed the connection");
+    co_return;
+  }
+
+  asio::awaitable<void> EndStream() override { co_return; }
+
+  bool HasStartedResponse() const override { return true; }
+
+  HttpRequest asked;
+  std::optional<FeedRecord> record;
 };
 
 /** A gateway that reads a list; its failure domain may have two hubs. */
 class Reader {
  public:
-  Reader(const PublishedItems& all, const EndpointScript& hub_script)
-      : adapter(all),
+  Reader(const PublishedItems& all,
+         const EndpointScript& hub_script,
+         SourceScript script = {})
+      : adapter(all, script),
         settings(SettingsOf(this->claim)),
         first_hub(ParseSocketAddress(this->Address(2)), hub_script),
         second_hub(ParseSocketAddress(this->Address(3)), hub_script),
@@ -165,6 +204,21 @@
     return this->state.selector.All().size();
   }
 
+  void RunFor(milliseconds time) {
+    this->io.run_for(time);
+    this->io.restart();
+  }
+
+  /** @return True if the gateway's feed confirms its items at this moment. */
+  bool Confirms() {
+    FeedReader reader;
+    asio::co_spawn(this->io, this->follower.Feed().Serve(reader),
+                   [](const std::exception_ptr& /*closed*/) {});
+    while (!reader.record)
+      this->io.poll_one();
+    return reader.record->is_fresh;
+  }
+
  private:
   static Settings SettingsOf(const NetworkClaim& claim) {
     Settings settings;
@@ -211,33 +265,6 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{3}, reader.RunUntilReady());
 }
 
-/** Takes the first record that a feed sends. */
-class FeedReader final : public HttpExchange {
- public:
-  const HttpRequest& request() const override { return this->asked; }
-
-  asio::awaitable<void> Send(HttpResponse /*response*/) override { co_return; }
-
-  asio::awaitable<void> BeginStream(HttpResponse /*head*/) override {
-    co_return;
-  }
-
-  asio::awaitable<void> WriteChunk(std::string_view data) override {
-    FeedFrameReader frames;
-    frames.Append(data);
-    this->record = frames.Next();
-    throw HttpError("reader has closed the connection");
-    co_return;
-  }
-
-  asio::awaitable<void> EndStream() override { co_return; }
-
-  bool HasStartedResponse() const override { return true; }
-
-  HttpRequest asked;
-  std::optional<FeedRecord> record;
-};
-
 /** @return What a feed tells a reader that it does not know. */
 FeedRecord FirstRecordOf(const PublicationState& published) {
   asio::io_context io;
@@ -270,6 +297,37 @@
   CPPUNIT_ASSERT(FirstRecordOf(published).is_snapshot);
 }
 
+/** Longer than a hub may confirm its items after an answer of the store. */
+constexpr milliseconds kLongSilence{1900};
+
+/** Guards against followers that are told of nothing while a watch hangs. */
+void HubWhoseWatchHangsConfirmsNothing() {
+  Reader reader(ListWith({"a"}), nullptr, {{}, false});
+  reader.RunUntilReady();
+  CPPUNIT_ASSERT(reader.Confirms());
+  reader.RunFor(kLongSilence);
+  CPPUNIT_ASSERT(!reader.Confirms());
+}
+
+void HubWhoseWatchesAreAnsweredConfirms() {
+  Reader reader(ListWith({"a"}), nullptr);
+  reader.RunUntilReady();
+  for (milliseconds time{}; time < 2 * kLongSilence; time += milliseconds(50)) {
+    reader.RunFor(milliseconds(50));
+    CPPUNIT_ASSERT(reader.Confirms());
+  }
+}
+
+/** Guards against a process that starts with old items: a hub that was paused
+ * confirms them as soon as it runs again. */
+void HubThatWasPausedConfirmsNothing() {
+  Reader reader(ListWith({"a"}), nullptr);
+  reader.RunUntilReady();
+  CPPUNIT_ASSERT(reader.Confirms());
+  std::this_thread::sleep_for(kLongSilence);
+  CPPUNIT_ASSERT(!reader.Confirms());
+}
+
 const Story kStory("publication_faults", [] {
   return Section(
       "given a list of published items",
@@ -281,7 +339,14 @@
                      ReadyOnceAllItemsAreApplied)}),
        Section("when it could not be read to its end",
                {Then("it takes nothing away, here or from followers",
-                     IncompleteListIsNoSnapshot)})});
+                     IncompleteListIsNoSnapshot)}),
+       Section("when a hub has read it",
+               {Then("it confirms it while its watches are answered",
+                     HubWhoseWatchesAreAnsweredConfirms),
+                Then("it does not while its watch hangs",
+                     HubWhoseWatchHangsConfirmsNothing),
+                Then("nor after a pause of its process",
+                     HubThatWasPausedConfirmsNothing)})});
 });
 
 }  // namespace
