Feed: changes after items that were too old to use are no list

Callers: a process that starts serves a part of the endpoints, or none.

Cause: a process that starts skips a record of a hub that does not read the store. A record after it in the same bytes has only the changes since, and was applied as if the process held what they change.

Evidence: with the old code "the changes are not taken for the whole list" fails: the gateway is ready with 0 endpoints of 2.

The process now leaves the feed with the record that it skips.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -222,12 +222,16 @@
     if (!bytes)
       throw HttpError("feed ended");
     frames.Append(*bytes);
-    while (std::optional<FeedRecord> record = frames.Next())
-      co_await this->ApplyRecord(address, std::move(*record));
+    while (std::optional<FeedRecord> record = frames.Next()) {
+      const bool is_used =
+          co_await this->ApplyRecord(address, std::move(*record));
+      if (!is_used)
+        co_return;
+    }
   }
 }
 
-asio::awaitable<void> PublicationFollower::ApplyRecord(
+asio::awaitable<bool> PublicationFollower::ApplyRecord(
     const std::string& address,
     FeedRecord record) {
   const bool is_loaded = record.position.process != 0;
@@ -237,7 +241,7 @@
             {{"peer", address},
              {"age_ms", record.age.value_or(milliseconds(-1)).count()}});
     if (!this->MayUseStaleItems())
-      co_return;
+      co_return false;
   }
   const StoreRevision known = this->published.Revision();
   const bool is_behind = record.items.revision < known;
@@ -252,11 +256,12 @@
   }
   this->feed_position = record.position;
   if (is_behind)
-    co_return;
+    co_return true;
   if (record.is_fresh || record.is_snapshot)
     this->state.confirmed_at = Clock::now();
   if (record.is_fresh)
     this->upstream.RecordFresh(address, Clock::now());
+  co_return true;
 }
 
 asio::awaitable<void> PublicationFollower::ReadNext() {
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -61,7 +61,10 @@
   /** Applies the records of a hub until another one is to be followed.
    * @throws std::exception If the hub fails or falls silent. */
   asio::awaitable<void> ReadFeed(std::string address);
-  asio::awaitable<void> ApplyRecord(const std::string& address,
+
+  /** @return False if the items are too old to be used; the records after it
+   * have only changes to them. */
+  asio::awaitable<bool> ApplyRecord(const std::string& address,
                                     FeedRecord record);
   std::optional<std::string> HubToFollow() const;
   bool MustReadStore() const;
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -297,6 +297,26 @@
   CPPUNIT_ASSERT(FirstRecordOf(published).is_snapshot);
 }
 
+/** Guards against a process that takes a part of the items for all of them: a
+ * hub sends stale items, and in the same bytes what has changed since. */
+void ChangesAfterSkippedItemsAreNoList() {
+  constexpr milliseconds kListDelay{500};
+  const PublishedItems all = ListWith({"a", "b"});
+  FeedRecord stale;
+  stale.is_snapshot = true;
+  stale.position = {77, 3};
+  stale.items = all;
+  FeedRecord changes;
+  changes.is_fresh = true;
+  changes.position = {77, 4};
+  changes.items = ListWith({});
+  const std::string frames = EncodeFeedFrame(stale) + EncodeFeedFrame(changes);
+  Reader reader(all, [frames](ScriptedCall& call) { call.Answer(200, frames); },
+                {kListDelay, true});
+  reader.AddHubs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader.RunUntilReady());
+}
+
 /** Longer than a hub may confirm its items after an answer of the store. */
 constexpr milliseconds kLongSilence{1900};
 
@@ -340,6 +360,9 @@
        Section("when it could not be read to its end",
                {Then("it takes nothing away, here or from followers",
                      IncompleteListIsNoSnapshot)}),
+       Section("when a hub sends stale items and changes at once",
+               {Then("the changes are not taken for the whole list",
+                     ChangesAfterSkippedItemsAreNoList)}),
        Section("when a hub has read it",
                {Then("it confirms it while its watches are answered",
                      HubWhoseWatchesAreAnsweredConfirms),
