Feed: a reader of an incomplete list gets the whole list later

Callers: an endpoint that has left is used for good by followers of a hub that could not read the list of items to its end at first.

Cause: such a hub sends the part as changes, which take nothing away, and goes on with changes from there.

Evidence: with the old code "a reader of it gets the whole list later" fails.

Result: the test passes.

--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -127,7 +127,11 @@
     if (this->MergeItem(item))
       changed.push_back(item);
   }
-  this->is_complete = this->is_complete || all.is_complete;
+  if (all.is_complete && !this->is_complete) {
+    this->is_complete = true;
+    // Readers of a part need the whole list once.
+    this->oldest_known_change = ++this->change_count;
+  }
   if (all.is_complete)
     this->listed_era = all.revision.era;
   std::vector<std::string> missing;
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -297,6 +297,20 @@
   CPPUNIT_ASSERT(FirstRecordOf(published).is_snapshot);
 }
 
+/** Guards against a follower that gets no part of the list for good: it was
+ * told of a part by a process that had not read the rest yet. */
+void ReaderOfAPartGetsTheWholeListLater() {
+  PublicationState published(milliseconds(3000),
+                             [](const std::string&) { return true; });
+  PublishedItems part = ListWith({"a"});
+  part.is_complete = false;
+  published.MergeSnapshot(part, Clock::now());
+  const std::uint64_t told = published.ChangeCount();
+  CPPUNIT_ASSERT(published.ChangesSince(told).has_value());
+  published.MergeSnapshot(ListWith({"a", "b"}), Clock::now());
+  CPPUNIT_ASSERT(!published.ChangesSince(told).has_value());
+}
+
 /** Guards against a process that takes a part of the items for all of them: a
  * hub sends stale items, and in the same bytes what has changed since. */
 void ChangesAfterSkippedItemsAreNoList() {
@@ -359,7 +373,9 @@
                      ReadyOnceAllItemsAreApplied)}),
        Section("when it could not be read to its end",
                {Then("it takes nothing away, here or from followers",
-                     IncompleteListIsNoSnapshot)}),
+                     IncompleteListIsNoSnapshot),
+                Then("a reader of it gets the whole list later",
+                     ReaderOfAPartGetsTheWholeListLater)}),
        Section("when a hub sends stale items and changes at once",
                {Then("the changes are not taken for the whole list",
                      ChangesAfterSkippedItemsAreNoList)}),
