Endpoints: a kept connection leads to the address that is published

Callers: a request reaches the process at an endpoint's former address, which has left or belongs to another endpoint by then.

Cause: idle connections are kept under the endpoint's id alone. An endpoint that is published at another address, without a removal that was seen in between, was still sent requests over connections to the old address; so was one whose connection was in use at that moment.

Evidence: with the old code both tests of endpoint_moves on a move fail: the process at the old address gets a second request (2 received, 1 expected).

A connection knows the address that it was opened to, and the pool hands out and keeps only those to the present address.

The tests on requests that wait or are tried again while their endpoint leaves pass on the old code as well: it is checked again right before the sending.

--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -35,6 +35,7 @@
 asio::awaitable<EndpointConnection::ErrorCode> EndpointConnection::Connect(
     SocketAddress address,
     std::chrono::milliseconds timeout) {
+  this->address = address;
   CancellableTimer timer(this->executor);
   timer.Set(Clock::now() + timeout, [this] { this->Close(); });
   const auto [error] =
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -67,6 +67,9 @@
 
   void Close();
 
+  /** @return The address that Connect() was given last. */
+  const SocketAddress& Address() const { return this->address; }
+
   Clock::time_point idle_since{};
   /** Idle time after which the endpoint closes the connection, if stated. */
   std::optional<std::chrono::milliseconds> idle_timeout;
@@ -85,6 +88,7 @@
   asio::awaitable<ErrorCode> ReadFromSocket();
   std::string_view Buffered() const;
 
+  SocketAddress address;
   asio::ip::tcp::socket socket;
   asio::any_io_executor executor;
   boost::beast::flat_buffer buffer;
--- a/src/gateway/endpoint_connection_pool.cc
+++ b/src/gateway/endpoint_connection_pool.cc
@@ -32,6 +32,7 @@
 
 std::unique_ptr<EndpointConnection> EndpointConnectionPool::TakeIdle(
     const EndpointId& endpoint,
+    const SocketAddress& address,
     std::chrono::milliseconds max_idle_time,
     Clock::time_point now) {
   const auto found = this->entries.find(endpoint);
@@ -45,7 +46,8 @@
         std::move(entry.idle.back());
     entry.idle.pop_back();
     // Input on an idle connection belongs to no request of this gateway.
-    if (!IsExpired(*connection, now) && connection->IsIdle())
+    if (connection->Address() == address && !IsExpired(*connection, now) &&
+        connection->IsIdle())
       return connection;
     --entry.open;
   }
--- a/src/gateway/endpoint_connection_pool.h
+++ b/src/gateway/endpoint_connection_pool.h
@@ -30,11 +30,14 @@
 
   /**
    * Takes an idle connection out of the pool.
+   * @param address Present address of the endpoint; connections to another one
+   *     are closed.
    * @param max_idle_time Connections idle for longer stay in the pool.
    * @return A connection that is still open, or null if there is none.
    */
   std::unique_ptr<EndpointConnection> TakeIdle(
       const EndpointId& endpoint,
+      const SocketAddress& address,
       std::chrono::milliseconds max_idle_time,
       Clock::time_point now);
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -228,12 +228,13 @@
 asio::awaitable<bool> ForwardSession::OpenConnection(
     const EndpointState& endpoint) {
   const EndpointId& id = endpoint.Entry().id;
+  const SocketAddress address = ParseSocketAddress(endpoint.Entry().address);
   const milliseconds max_idle_time =
       this->request.route->IsRetryable()
           ? EndpointConnectionPool::kUnlimitedIdleTime
           : this->state.connection_pool.SafeIdleTime();
-  this->connection =
-      this->state.connection_pool.TakeIdle(id, max_idle_time, Clock::now());
+  this->connection = this->state.connection_pool.TakeIdle(
+      id, address, max_idle_time, Clock::now());
   if (this->connection) {
     this->previous_idle_time =
         Elapsed(this->connection->idle_since, Clock::now());
@@ -243,7 +244,7 @@
   this->connection = this->state.connection_pool.CreateConnection(id);
   ProcessMetrics().Add("endpoint_connections_total");
   const auto error = co_await this->connection->Connect(
-      ParseSocketAddress(endpoint.Entry().address),
+      address,
       std::min(kConnectTimeout, std::max(this->TimeLeft(), kMinTimeLeft)));
   if (error == asio::error::connection_refused)
     this->state.cold_starts.RecordRefusedConnection(endpoint, Clock::now());
--- a/src/gateway/standby_attempt.cc
+++ b/src/gateway/standby_attempt.cc
@@ -91,15 +91,16 @@
   if (this->is_cancelled)
     co_return AttemptResult::kWithheld;
   const EndpointHandle endpoint = this->reservation.Endpoint();
+  const SocketAddress address = ParseSocketAddress(endpoint->Entry().address);
   EndpointConnectionPool& pool = this->state.connection_pool;
   this->connection =
-      pool.TakeIdle(this->endpoint_id,
+      pool.TakeIdle(this->endpoint_id, address,
                     EndpointConnectionPool::kUnlimitedIdleTime, Clock::now());
   if (!this->connection) {
     this->connection = pool.CreateConnection(this->endpoint_id);
     ProcessMetrics().Add("endpoint_connections_total");
-    const auto connect_error = co_await this->connection->Connect(
-        ParseSocketAddress(endpoint->Entry().address), connect_timeout);
+    const auto connect_error =
+        co_await this->connection->Connect(address, connect_timeout);
     if (connect_error == asio::error::connection_refused)
       this->state.cold_starts.RecordRefusedConnection(*endpoint, Clock::now());
     if (connect_error)
