--- a/test/stories/gateway_hub_fleet.cc
+++ b/test/stories/gateway_hub_fleet.cc
@@ -182,6 +182,7 @@
                     const std::vector<std::size_t>& gateways) {
   const auto accepted = [&] {
     std::vector<std::size_t> calls;
+    calls.reserve(gateways.size());
     for (const std::size_t gateway : gateways)
       calls.push_back(fleet.StoreProxy(gateway).Accepted());
     return calls;
--- a/test/stories/publication_eras.cc
+++ b/test/stories/publication_eras.cc
@@ -154,8 +154,14 @@
   CheckEra({2, 50}, 2);
   CPPUNIT_ASSERT_THROW(CheckEra({2, 50}, 3), StoreHistoryCompacted);
   CPPUNIT_ASSERT_THROW(CheckEra({2, 50}, 1), StoreUnavailable);
+}
+
+void LaterEraEndsAContinuation() {
   CheckNoLaterEra({2, 50}, 1);
   CPPUNIT_ASSERT_THROW(CheckNoLaterEra({2, 50}, 3), StoreHistoryCompacted);
+}
+
+void ListBehindWhatIsHeldIsNoAnswer() {
   CheckNotBehind({2, 50}, {2, 50});
   CheckNotBehind({2, 50}, {3, 1});
   CPPUNIT_ASSERT_THROW(CheckNotBehind({2, 50}, {2, 49}), StoreUnavailable);
@@ -185,7 +191,11 @@
                {Then("a list of the new era is read first",
                      ChangesOfANewEraDoNotStandForItsList),
                 Then("an answer of another era is no continuation",
-                     AnswerOfAnotherEraIsNoContinuation)})});
+                     AnswerOfAnotherEraIsNoContinuation),
+                Then("a later era that others know ends a continuation",
+                     LaterEraEndsAContinuation),
+                Then("a list behind what is held is no answer",
+                     ListBehindWhatIsHeldIsNoAnswer)})});
 });
 
 }  // namespace
