Published items: an entry from before its writer leaves is left out

What callers saw (DRAIN): once the store had come back from a copy, requests went to an endpoint that had said that it leaves, as the copy lists it as ready. Cause: the order of two entries was that of their revisions alone. An entry of a new era, or one that is written late, has a greater revision and says something older. Fix: an entry states the start of its process and its sequence there. One that says ready is left out if the same process has said, at that sequence or a later one, that it leaves; also once the entry has been removed. The held entry stays, at the new revision, so that later changes and removals apply. A later sequence or another process is taken at once; so is an entry that states no start, which a new process with its id could not be told from. What remains: an endpoint that never says that it leaves and is removed in the seconds that the copy lacks is in use again until it is removed again.

--- /dev/null
+++ b/src/decision/entry_version.cc
@@ -0,0 +1,13 @@
+/** @file entry_version.cc Order of the entries that an endpoint has written. */
+
+#include "buckthornpath/entry_version.h"
+
+namespace buckthornpath {
+
+bool IsFromBeforeLeaving(const EntryVersion& offered,
+                         const EntryVersion& known) {
+  return known.leaving && !offered.leaving && known.born_ms != 0 &&
+         offered.born_ms == known.born_ms && offered.sequence <= known.sequence;
+}
+
+}  // namespace buckthornpath
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "buckthornpath/endpoint_selector.h"
+#include "buckthornpath/entry_version.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/store_revision.h"
 #include "kernel/settings.h"
@@ -164,6 +165,11 @@
   virtual boost::asio::awaitable<DecodedItem> Decode(
       const PublishedItem& item) const = 0;
 
+  /** @return What an item states of its place among those of its writer;
+   * nothing if it does not, or cannot be read. */
+  virtual std::optional<EntryVersion> VersionOf(
+      const PublishedItem& item) const = 0;
+
   /** @return The endpoint that a key names; empty for other keys, and for names
    * that no endpoint can have. */
   virtual std::optional<EndpointId> EndpointIdFromKey(
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -79,6 +79,9 @@
       published(kRemovalGrace,
                 [this](const std::string& key) {
                   return this->state.adapter.EndpointIdFromKey(key).has_value();
+                },
+                [this](const PublishedItem& item) {
+                  return this->state.adapter.VersionOf(item);
                 }),
       feed(this->published, state.executor),
       upstream(SpreadOf(state.settings.gossip_address)),
@@ -416,6 +419,7 @@
     LogLine(LogLevel::kNotice, "removal_deferred",
             {{"key", key}, {"for_ms", left.count()}});
   }
+  this->ReportOutdated();
   for (const PublishedItem& item : changed) {
     origin.revision = item.revision;
     std::string fault;
@@ -437,6 +441,16 @@
   }
 }
 
+void PublicationFollower::ReportOutdated() {
+  for (const std::string& key : this->published.TakeOutdated()) {
+    if (this->outdated.Add(key)) {
+      LogLine(LogLevel::kNotice, "item_outdated",
+              {{"key", key},
+               {"reason", "its writer has said before that it leaves"}});
+    }
+  }
+}
+
 void PublicationFollower::ApplyRemoval(const PublishedItem& item,
                                        const PublicationOrigin& origin) {
   const PlatformAdapter& adapter = this->state.adapter;
@@ -460,6 +474,7 @@
                                                      PublicationOrigin origin) {
   if (item.removed) {
     this->reported.Remove(item.key);
+    this->outdated.Remove(item.key);
     this->ApplyRemoval(item, origin);
     co_return;
   }
@@ -472,6 +487,7 @@
     co_return;
   }
   this->reported.Remove(item.key);
+  this->outdated.Remove(item.key);
   if (const auto* table =
           std::get_if<std::shared_ptr<const RoutingTable>>(&decoded)) {
     this->ApplyTable(*table);
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -99,6 +99,9 @@
   asio::awaitable<void> ApplyItem(PublishedItem item, PublicationOrigin origin);
   void ApplyRemoval(const PublishedItem& item, const PublicationOrigin& origin);
 
+  /** Logs items that have been left out as older than others. */
+  void ReportOutdated();
+
   /** Leaves an item unused. @param reason Empty if it is not for gateways. */
   void IgnoreItem(const PublishedItem& item, const std::string& reason);
 
@@ -119,6 +122,7 @@
   StoreRevision read_revision;
   std::chrono::milliseconds read_timeout;
   ReportedItems reported;
+  ReportedItems outdated;  ///< Left out, and logged.
   int applying = 0;  ///< Calls of ApplyItems() that have not ended.
   /** The store has answered at this time or later; nothing if this process has
    * not read it since it began to. */
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -13,15 +13,53 @@
  * lag behind. */
 constexpr std::size_t kMaxRemovals = 4096;
 
+/** Limit of remembered writers that leave, apart from those that are listed. */
+constexpr std::size_t kMaxLeaving = 4096;
+
 }  // namespace
 
+bool PublicationState::IsOutdated(const PublishedItem& item) const {
+  const auto known = this->leaving.find(item.key);
+  if (known == this->leaving.end())
+    return false;
+  const auto offered = this->version_of(item);
+  return offered && IsFromBeforeLeaving(*offered, known->second);
+}
+
+void PublicationState::RecordLeaving(const PublishedItem& item) {
+  if (!this->version_of || !this->is_renewed(item.key))
+    return;
+  const auto version = this->version_of(item);
+  if (!version || !version->leaving) {
+    this->leaving.erase(item.key);
+    return;
+  }
+  if (this->leaving.size() >= kMaxLeaving) {
+    std::erase_if(this->leaving, [this](const auto& entry) {
+      return !this->items.contains(entry.first);
+    });
+  }
+  this->leaving[item.key] = *version;
+}
+
+std::vector<std::string> PublicationState::TakeOutdated() {
+  return std::exchange(this->outdated, {});
+}
+
 bool PublicationState::MergeItem(const PublishedItem& item) {
   const auto removal = this->removals.find(item.key);
   if (removal != this->removals.end() && removal->second >= item.revision)
     return false;
-  PublishedItem& held = this->items[item.key];
-  if (held.revision >= item.revision)
+  const auto known = this->items.find(item.key);
+  if (known != this->items.end() && known->second.revision >= item.revision)
+    return false;
+  if (this->IsOutdated(item)) {
+    this->outdated.push_back(item.key);
+    if (known != this->items.end())
+      known->second.revision = item.revision;
     return false;
+  }
+  PublishedItem& held = this->items[item.key];
   const auto deferred = this->deferred_removals.find(item.key);
   if (deferred != this->deferred_removals.end() &&
       deferred->second.revision < item.revision)
@@ -35,6 +73,7 @@
   }
   held = item;
   this->changed_at[item.key] = ++this->change_count;
+  this->RecordLeaving(item);
   return true;
 }
 
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "buckthornpath/entry_version.h"
 #include "gateway/platform_adapter.h"
 
 namespace buckthornpath {
@@ -30,7 +31,8 @@
  * kept for a grace period, as their writers may write them again. Items that
  * expire unless they are renewed, and are removed around an outage of the
  * store, are kept for a grace period, as their owners may only have been unable
- * to renew them. Does no I/O.
+ * to renew them. An entry from before its writer said that it leaves is left
+ * out, however late it is published. Does no I/O.
  */
 class PublicationState {
  public:
@@ -38,15 +40,24 @@
 
   using KeyPredicate = std::function<bool(const std::string& key)>;
 
+  /** @return What an item says of its place among those of its writer; nothing
+   * if it says none. */
+  using VersionReader =
+      std::function<std::optional<EntryVersion>(const PublishedItem& item)>;
+
   /**
    * @param removal_grace Time after an outage of the store during which removed
    *     items are kept.
    * @param is_renewed True for the keys of items that expire unless their
    *     owners renew them. Others are removed on purpose only, and at once.
+   * @param version_of Null if no item states its place.
    */
   PublicationState(std::chrono::milliseconds removal_grace,
-                   KeyPredicate is_renewed)
-      : removal_grace(removal_grace), is_renewed(std::move(is_renewed)) {}
+                   KeyPredicate is_renewed,
+                   VersionReader version_of = nullptr)
+      : removal_grace(removal_grace),
+        is_renewed(std::move(is_renewed)),
+        version_of(std::move(version_of)) {}
 
   /**
    * Merges a snapshot of all items. Items that it lacks count as removed, if it
@@ -75,6 +86,10 @@
    * the end of their grace period. */
   std::vector<std::pair<std::string, TimePoint>> TakeDeferred();
 
+  /** @return Keys of items that have been left out since the last call, as
+   * their writers had said before that they leave. */
+  std::vector<std::string> TakeOutdated();
+
   /** @return All items, for peers. */
   PublishedItems All() const;
 
@@ -124,6 +139,12 @@
 
   bool MergeItem(const PublishedItem& item);
 
+  /** @return True if an item is from before its writer said that it leaves. */
+  bool IsOutdated(const PublishedItem& item) const;
+
+  /** Remembers whether the writer of an item that is used leaves. */
+  void RecordLeaving(const PublishedItem& item);
+
   /** Moves to a position, unless it is an earlier one. */
   void MoveTo(const StoreRevision& position, TimePoint now);
 
@@ -148,6 +169,7 @@
 
   std::chrono::milliseconds removal_grace;
   KeyPredicate is_renewed;
+  VersionReader version_of;
   StoreRevision revision;
   std::optional<std::uint64_t> listed_era;  ///< Of the last complete list.
   TimePoint era_known_at{};  ///< When an earlier era was found to be over.
@@ -163,6 +185,9 @@
   std::map<std::string, DeferredRemoval> deferred_removals;
   std::vector<std::pair<std::string, TimePoint>> newly_deferred;
   TimePoint last_outage{};
+  /** Items whose writers have said that they leave, removed ones included. */
+  std::map<std::string, EntryVersion> leaving;
+  std::vector<std::string> outdated;
 };
 
 }  // namespace buckthornpath
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -46,6 +46,7 @@
     {"quarantine_lifted", "segment", "An operator has ended a quarantine"},
     {"segment_expired", "segments endpoints", "The quarantine of segments is over; they are tried again"},
     {"item_unusable", "key reason", "A published item is ignored because its name or content cannot be used; not logged again until it has been usable or removed"},
+    {"item_outdated", "key reason", "A published item is left out, as its writer has written a later one before; not logged again until another one is used"},
     {"item_unreadable", "key after reason", "An item of the store has no key, one that is too long, or no revision and is left out; logged once for each key, the first time for those without. after is the key before it in the response"},
     {"organisation_unusable", "organisation reason", "The keys of an organisation are not accepted, as its name cannot go into a header field; the rest of the configuration is in force"},
     {"list_incomplete", "items key", "The list of published items could not be read on after a key; no item counts as removed for not being listed. Changes are followed"},
--- a/test/harness/gateway_fleet.cc
+++ b/test/harness/gateway_fleet.cc
@@ -253,23 +253,28 @@
   }
 }
 
-void GatewayFleet::PublishEndpoint(const std::string& kind,
-                                   std::size_t index,
-                                   const std::string& state) {
+json GatewayFleet::EntryOf(const std::string& kind,
+                           std::size_t index,
+                           const std::string& state) const {
   const bool is_engine = kind == "engine";
   const int host = (is_engine ? kFirstEngineHost : kFirstLedgerHost) +
                    static_cast<int>(index);
+  const int port = this->plan.proxied ? kProxyPort : kEndpointPort;
+  return {{"service", is_engine ? "llm" : "ledger"},
+          {"address", this->Address(host, port)},
+          {"zone", this->FailureDomainOf(index)},
+          {"version", "v1"},
+          {"slots", this->plan.slots},
+          {"state", state},
+          {"coldRemainingMs", 0},
+          {"sequence", 1}};
+}
+
+void GatewayFleet::PublishEndpoint(const std::string& kind,
+                                   std::size_t index,
+                                   const std::string& state) {
   this->store->Put("servers/" + kind + "-" + std::to_string(index),
-                   json({{"service", is_engine ? "llm" : "ledger"},
-                         {"address", this->Address(host, this->plan.proxied
-                                                             ? kProxyPort
-                                                             : kEndpointPort)},
-                         {"zone", this->FailureDomainOf(index)},
-                         {"version", "v1"},
-                         {"slots", this->plan.slots},
-                         {"state", state},
-                         {"coldRemainingMs", 0},
-                         {"sequence", 1}}));
+                   this->EntryOf(kind, index, state));
 }
 
 RawAnswer GatewayFleet::Call(std::size_t gateway,
--- a/test/harness/gateway_fleet.h
+++ b/test/harness/gateway_fleet.h
@@ -90,6 +90,11 @@
    * @throws std::runtime_error if it is not in time. */
   void PublishLongTimeouts();
 
+  /** @return The entry of an endpoint, for a test that changes it. */
+  nlohmann::json EntryOf(const std::string& kind,
+                         std::size_t index,
+                         const std::string& state) const;
+
   /** Publishes an endpoint's state. @param kind "engine" or "ledger". */
   void PublishEndpoint(const std::string& kind,
                        std::size_t index,
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -121,6 +121,11 @@
     co_return co_await this->platform.Decode(item);
   }
 
+  std::optional<EntryVersion> VersionOf(
+      const PublishedItem& item) const override {
+    return this->platform.VersionOf(item);
+  }
+
   std::optional<EndpointId> EndpointIdFromKey(
       const std::string& key) const override {
     return this->platform.EndpointIdFromKey(key);
--- a/test/stories/restored_store.cc
+++ b/test/stories/restored_store.cc
@@ -3,6 +3,7 @@
 #include <cppunit/TestAssert.h>
 
 #include <csignal>
+#include <cstdint>
 #include <thread>
 #include <vector>
 
@@ -179,6 +180,56 @@
   CPPUNIT_ASSERT_EQUAL(before, store.fleet.Ledger(0).Received().size());
 }
 
+constexpr std::int64_t kBornMs = 1'790'000'000'000;
+
+void WriteEntry(RestoredStore& store,
+                const std::string& state,
+                std::int64_t born_ms,
+                std::int64_t sequence) {
+  json entry = store.fleet.EntryOf("ledger", 0, state);
+  entry["born"] = born_ms;
+  entry["sequence"] = sequence;
+  store.fleet.Store().Put("servers/ledger-0", entry);
+}
+
+/** Sends requests by all gateways. @return Those that ledger 0 has got. */
+std::size_t CountAtLedger(RestoredStore& store) {
+  constexpr int kCallsPerGateway = 10;
+  const std::size_t before = store.fleet.Ledger(0).Received().size();
+  for (const std::size_t gateway : store.all) {
+    for (int i = 0; i < kCallsPerGateway; ++i) {
+      CallerText text;
+      CPPUNIT_ASSERT_EQUAL(200U,
+                           store.fleet.Call(gateway, TextOf(text)).status);
+    }
+  }
+  return store.fleet.Ledger(0).Received().size() - before;
+}
+
+/** Guards against requests to an endpoint that leaves, as the copy lists it as
+ * it was before.
+ * @param removed True if its entry has been removed since. */
+void EndpointThatHasLeftStaysOut(bool removed) {
+  RestoredStore store(PlanOf(5));
+  WriteEntry(store, "ready", kBornMs, 5);
+  CPPUNIT_ASSERT(CountAtLedger(store) > 0);
+  store.copy = store.fleet.Store().TakeCopy();
+  WriteEntry(store, "draining", kBornMs, 6);
+  for (const std::size_t gateway : store.all)
+    CPPUNIT_ASSERT(store.HasLogged(gateway, "endpoint_leaving"));
+  if (removed) {
+    store.fleet.Store().Remove("servers/ledger-0");
+    for (const std::size_t gateway : store.all)
+      CPPUNIT_ASSERT(store.HasLogged(gateway, "endpoint_gone"));
+  }
+  store.ComeBack();
+  store.CheckFollows(2, store.all);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountAtLedger(store));
+  // A new process with its id.
+  WriteEntry(store, "ready", kBornMs + 1, 1);
+  CPPUNIT_ASSERT(WaitUntil([&] { return CountAtLedger(store) > 0; }));
+}
+
 /** The peer of the new process is cut off from the store, and holds greater
  * revisions than the store. */
 void NewProcessIsNotHeldBackByPeers() {
@@ -310,6 +361,11 @@
                  [] { EndpointThatLeavesIsSeen(false); }),
             Then("an endpoint that is removed is left alone",
                  [] { EndpointThatLeavesIsSeen(true); })}),
+       Section("when it lists an endpoint that has said that it leaves",
+               {Then("the endpoint is left alone",
+                     [] { EndpointThatHasLeftStaysOut(false); }),
+                Then("one that was removed since is left alone",
+                     [] { EndpointThatHasLeftStaysOut(true); })}),
        Section("when other faults come with it",
                {Then("peers with old revisions hold no new process back",
                      NewProcessIsNotHeldBackByPeers),
