Streams: they go on only at the software version that began them

Cause: the version in an endpoint's entry was not read, so that retries, standby attempts and streams that callers take up went to any endpoint of the service; nothing was kept that could tell another request what began a stream. Fix: the version of the endpoint that sends the first event is the stream's; further attempts are chosen, and looked at a last time before they are sent, by that. The origin of each resumable stream is recorded before its first event is passed on. A caller that takes a stream up is served at that version, or, without a record, at the only version that the service has had for longer than a stream may last. What nothing proves is refused at once (503, version_unknown, not run). A standby attempt that began before the present endpoint's first event replaces it, so that no event of the one follows the other's. A request no longer waits for endpoints that it must not use any more: with one endpoint of a version left, that wait was in vain.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -33,6 +33,7 @@
   FailureDomainId failure_domain;
   std::size_t slots = 0;  ///< Concurrent requests; 0 if unknown.
   bool leaving = false;   ///< Draining: accepts no new requests.
+  std::string version{};  ///< Of its software; empty if unknown.
   /** Start of its process, in milliseconds of Unix time; 0 if unknown. */
   std::int64_t born_ms = 0;
   /** Remaining warm-up time after a start; updated while it lasts. */
@@ -67,15 +68,20 @@
 /** Properties of a request that decide the choice of its endpoint. */
 struct EndpointQuery {
   ServiceName service;
-  std::span<const PromptSegment> segments;  ///< In prompt order.
-  int priority = 0;                         ///< 0 is the most urgent.
+  std::span<const PromptSegment> segments{};  ///< In prompt order.
+  int priority = 0;                           ///< 0 is the most urgent.
   /** Endpoints at which this request has failed already. */
-  std::span<const EndpointId> excluded;
+  std::span<const EndpointId> excluded{};
   /** The service takes no prompts: its requests are short, and its few
    * endpoints queue those beyond their slots. */
   bool is_plain = false;
   /** Time within which the first token is wanted; 0 if none is stated. */
   std::chrono::milliseconds target_latency{};
+  /** The only software version that may serve it; null if any may. */
+  const std::string* version = nullptr;
+
+  /** @return True if nothing about the request itself rules an endpoint out. */
+  bool Allows(const EndpointEntry& entry) const;
 };
 
 /** Endpoint with its estimated load and health. */
@@ -196,9 +202,9 @@
     return this->endpoints;
   }
 
-  /** @return True if any endpoint of the service accepts new requests, or is
-   * expected to at a later time. */
-  bool HasAvailableEndpoint(const ServiceName& service,
+  /** @return True if any endpoint that a request may go to accepts new
+   * requests, or is expected to at a later time. */
+  bool HasAvailableEndpoint(const EndpointQuery& query,
                             TimePoint now,
                             TimePoint later) const;
 
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -86,6 +86,12 @@
 
 }  // namespace
 
+bool EndpointQuery::Allows(const EndpointEntry& entry) const {
+  return std::find(this->excluded.begin(), this->excluded.end(), entry.id) ==
+             this->excluded.end() &&
+         (this->version == nullptr || entry.version == *this->version);
+}
+
 std::int64_t EndpointState::EstimatedRequests() const {
   return this->OwnRequests() + this->peer_requests;
 }
@@ -144,7 +150,7 @@
 bool EndpointSelector::IsEvacuated(const ServiceName& service,
                                    TimePoint now) const {
   const auto& all = this->EndpointsOf(service);
-  return !this->HasAvailableEndpoint(service, now, now) &&
+  return !this->HasAvailableEndpoint({.service = service}, now, now) &&
          std::any_of(all.begin(), all.end(), [](const auto& endpoint) {
            return endpoint->availability.IsEvacuated();
          });
@@ -175,14 +181,15 @@
   return found == this->endpoints_by_service.end() ? kNone : found->second;
 }
 
-bool EndpointSelector::HasAvailableEndpoint(const ServiceName& service,
+bool EndpointSelector::HasAvailableEndpoint(const EndpointQuery& query,
                                             TimePoint now,
                                             TimePoint later) const {
-  const auto& all = this->EndpointsOf(service);
+  const auto& all = this->EndpointsOf(query.service);
   return std::any_of(all.begin(), all.end(), [&](const auto& endpoint) {
     const EndpointAvailability& availability = endpoint->availability;
-    return availability.StateAt(now).use != EndpointUse::kNever ||
-           availability.StateAt(later).use != EndpointUse::kNever;
+    return query.Allows(endpoint->entry) &&
+           (availability.StateAt(now).use != EndpointUse::kNever ||
+            availability.StateAt(later).use != EndpointUse::kNever);
   });
 }
 
@@ -306,10 +313,8 @@
                                   const EndpointQuery& query,
                                   const PeerBasis& basis,
                                   TimePoint now) const {
-  if (std::find(query.excluded.begin(), query.excluded.end(),
-                endpoint.entry.id) != query.excluded.end()) {
+  if (!query.Allows(endpoint.entry))
     return false;
-  }
   const auto slots = static_cast<double>(SlotsOf(endpoint));
   double limit = slots;
   if (query.is_plain)
--- a/src/gateway/endpoint_reservation.h
+++ b/src/gateway/endpoint_reservation.h
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "buckthornpath/endpoint_selector.h"
 
@@ -30,6 +32,7 @@
                       TimePoint now)
       : selector(&selector),
         endpoint(std::move(endpoint)),
+        version(this->endpoint->Entry().version),
         time(now),
         is_away_from_cache(
             selector.IsCachedOnlyElsewhere(*this->endpoint, prompt, now)),
@@ -41,6 +44,7 @@
   EndpointReservation(EndpointReservation&& other) noexcept
       : selector(other.selector),
         endpoint(std::exchange(other.endpoint, nullptr)),
+        version(std::move(other.version)),
         time(other.time),
         is_away_from_cache(other.is_away_from_cache),
         prefill_tokens(std::exchange(other.prefill_tokens, 0)),
@@ -53,6 +57,7 @@
     this->Release();
     this->selector = other.selector;
     this->endpoint = std::exchange(other.endpoint, nullptr);
+    this->version = std::move(other.version);
     this->time = other.time;
     this->is_away_from_cache = other.is_away_from_cache;
     this->uncached_tokens = other.uncached_tokens;
@@ -67,6 +72,9 @@
   const EndpointHandle& Endpoint() const { return this->endpoint; }
   TimePoint Time() const { return this->time; }
 
+  /** @return Software version of the endpoint when it was reserved. */
+  const std::string& Version() const { return this->version; }
+
   /** @return Prompt tokens that waited at the endpoint when the request was
    * sent, its own included. */
   std::int64_t PrefillBacklog() const { return this->prefill_backlog; }
@@ -97,6 +105,7 @@
  private:
   EndpointSelector* selector = nullptr;
   EndpointHandle endpoint;
+  std::string version;
   TimePoint time{};
   bool is_away_from_cache = false;
   std::int64_t prefill_tokens = 0;  ///< Those that wait for prefill.
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -106,7 +106,12 @@
       const Refusal overloaded{kUnavailable, "overloaded"};
       co_await this->Refuse(overloaded);
     } else {
-      co_await this->RunAttempts();
+      const std::optional<Refusal> unproven =
+          co_await this->FindStreamVersion();
+      if (unproven)
+        co_await this->Refuse(*unproven);
+      else
+        co_await this->RunAttempts();
     }
     this->deadline_timer.Cancel();
   }
@@ -191,10 +196,7 @@
 
 EndpointReservation ForwardSession::TryReserve(
     const std::vector<EndpointId>& excluded) {
-  const EndpointQuery query{
-      this->request.service,   this->request.metadata.segments,
-      this->request.priority,  excluded,
-      this->request.IsPlain(), this->request.route->target_latency};
+  const EndpointQuery query = this->MakeQuery(excluded);
   const auto now = Clock::now();
   EndpointHandle chosen = this->state.selector.Choose(
       query, now, [this, now](const EndpointState& endpoint) {
@@ -210,6 +212,17 @@
   return reserved;
 }
 
+EndpointQuery ForwardSession::MakeQuery(
+    const std::vector<EndpointId>& excluded) const {
+  return {.service = this->request.service,
+          .segments = this->request.metadata.segments,
+          .priority = this->request.priority,
+          .excluded = excluded,
+          .is_plain = this->request.IsPlain(),
+          .target_latency = this->request.route->target_latency,
+          .version = this->stream_version ? &*this->stream_version : nullptr};
+}
+
 bool ForwardSession::IsQuarantined() const {
   return this->state.quarantine.Find(this->request.signature, Clock::now())
       .has_value();
@@ -270,11 +283,14 @@
   co_return result;
 }
 
-bool ForwardSession::MaySendTo(const EndpointState& endpoint,
-                               Clock::time_point reserved_at) {
+bool ForwardSession::MaySendTo(const EndpointReservation& reserved) {
+  const EndpointState& endpoint = *reserved.Endpoint();
+  const std::string& version = endpoint.Entry().version;
   const auto now = Clock::now();
   return endpoint.Availability().StateAt(now).use != EndpointUse::kNever &&
-         this->state.cold_starts.IsGranted(endpoint, reserved_at, now) &&
+         version == reserved.Version() &&
+         version == this->stream_version.value_or(version) &&
+         this->state.cold_starts.IsGranted(endpoint, reserved.Time(), now) &&
          !this->exchange.HasCallerLeft();
 }
 
@@ -293,7 +309,7 @@
       result = co_await this->ReadResponse(endpoint);
     else if (is_open && ruled_out)
       result = *ruled_out;
-    else if (is_open && !this->MaySendTo(endpoint, this->reservation.Time()))
+    else if (is_open && !this->MaySendTo(this->reservation))
       result = AttemptResult::kWithheld;
     else if (is_open && !this->is_aborted)
       result = co_await this->SendTo(endpoint);
@@ -500,6 +516,9 @@
 asio::awaitable<void> ForwardSession::FinishExchange(AttemptResult result) {
   if (result == AttemptResult::kAnswered)
     co_return;
+  // The caller may take it up, long after it has begun.
+  if (this->is_head_sent && this->stream_version)
+    this->RecordStreamOrigin();
   if (this->exchange.IsDisconnected()) {
     this->record.RecordReason("caller_left");
     this->exchange.Abort();
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -78,7 +78,7 @@
 
   /** @return True if nothing has kept a request from an endpoint since it was
    * reserved: the last look before it is sent. */
-  bool MaySendTo(const EndpointState& endpoint, Clock::time_point reserved_at);
+  bool MaySendTo(const EndpointReservation& reserved);
 
   /** @return True if endpoints crash under the request. */
   bool IsQuarantined() const;
@@ -101,6 +101,10 @@
   asio::awaitable<bool> OpenConnection(const EndpointState& endpoint);
   ForwardRequest MakeRequest(const EndpointState& endpoint) const;
 
+  /** @return What the choice of an endpoint depends on. The result refers to
+   * this object and to the excluded endpoints. */
+  EndpointQuery MakeQuery(const std::vector<EndpointId>& excluded) const;
+
   asio::awaitable<AttemptResult> SendTo(EndpointState& endpoint);
   asio::awaitable<AttemptResult> ReadResponse(EndpointState& endpoint);
 
@@ -143,6 +147,21 @@
   /** @return Time after which the refused caller should return. */
   std::chrono::milliseconds RetryAfter();
 
+  // The software version that has begun the stream: forward_version.cc.
+
+  /** Finds the version at which a stream that the caller takes up has to go on.
+   * @return The refusal if nothing proves it. */
+  asio::awaitable<std::optional<Refusal>> FindStreamVersion();
+
+  /** @return What began the stream that the caller takes up, if it is known. */
+  asio::awaitable<std::optional<StreamOrigin>> FindOrigin();
+
+  /** Records the version of the present endpoint as that of the stream. */
+  void RecordStreamBegin();
+
+  /** Records the stream for callers that take it up. */
+  void RecordStreamOrigin();
+
   // Relaying a stream: forward_stream.cc.
 
   asio::awaitable<AttemptResult> RelayStream(unsigned status);
@@ -243,6 +262,9 @@
   int attempts = 0;           ///< Times that the request was sent.
   int connect_failures = 0;
   std::vector<EndpointId> excluded_endpoints;
+  /** Version of the endpoints that may go on with the stream; empty if it has
+   * not begun. */
+  std::optional<std::string> stream_version;
   std::unique_ptr<EndpointConnection> connection;
   /** Idle time of the connection before this request; empty if it is new. */
   std::optional<std::chrono::milliseconds> previous_idle_time;
--- a/src/gateway/forward_standby.cc
+++ b/src/gateway/forward_standby.cc
@@ -61,8 +61,7 @@
 }
 
 bool ForwardSession::MaySendStandby() {
-  return !this->RuledOut() && this->MaySendTo(*this->standby->Endpoint(),
-                                              this->standby->StartedAt());
+  return !this->RuledOut() && this->MaySendTo(this->standby->Reservation());
 }
 
 void ForwardSession::HandleStandbyEnd() {
--- a/src/gateway/forward_stream.cc
+++ b/src/gateway/forward_stream.cc
@@ -95,8 +95,10 @@
     chunk = std::move(events);
   // Comments and parts of events are no progress.
   const bool has_progress = this->relay.EventCount() != events_before;
-  if (has_progress)
+  if (has_progress) {
     this->RecordProgress(Phase::kStreaming);
+    this->RecordStreamBegin();
+  }
   // An endpoint that has begun has replaced this one already.
   const bool is_watched =
       may_resume && has_progress && !this->HasStandbyBegun();
@@ -120,6 +122,10 @@
   do {
     if (co_await this->connection->ReadBody(chunk))
       co_return co_await this->HandleStreamBreak();
+    // The endpoint that takes over may be of another version, so that nothing
+    // of this one may follow.
+    if (!this->stream_version && this->HasStandbyBegun())
+      co_return AttemptResult::kStalled;
     const bool is_relayed = co_await this->RelayEvents(status, chunk);
     if (!is_relayed)
       co_return AttemptResult::kBroken;
--- /dev/null
+++ b/src/gateway/forward_version.cc
@@ -0,0 +1,77 @@
+/** @file forward_version.cc Finds the software version that has begun the
+ * stream of a request. */
+
+#include "gateway/forward_session.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned kUnavailable = 503;
+
+/** Limits of a route for which the tries of one caller last at most: it waits
+ * until the limit of the first, and that of one that takes the stream up. */
+constexpr int kStreamLimits = 2;
+
+/** Time for which gateways may differ in what is published. */
+constexpr milliseconds kPublicationMargin{5000};
+
+}  // namespace
+
+asio::awaitable<std::optional<StreamOrigin>> ForwardSession::FindOrigin() {
+  const std::string& request_id = this->request.metadata.resumes;
+  if (request_id.empty())
+    co_return std::nullopt;
+  const StreamKey stream = StreamKeyOf(request_id);
+  std::optional<StreamOrigin> origin =
+      this->state.stream_origins.Find(stream, Clock::now());
+  if (!origin && this->state.ask_stream_origin)
+    origin = co_await this->state.ask_stream_origin(stream);
+  co_return origin;
+}
+
+asio::awaitable<std::optional<Refusal>> ForwardSession::FindStreamVersion() {
+  const Route& route = *this->request.route;
+  if (route.kind != RouteKind::kStream || !route.resumable ||
+      !this->request.metadata.is_taken_up)
+    co_return std::nullopt;
+  const std::optional<StreamOrigin> origin = co_await this->FindOrigin();
+  if (origin && origin->service == this->request.service) {
+    this->stream_version = origin->version;
+  } else if (!origin) {
+    this->stream_version = this->state.version_history.SoleVersion(
+        this->request.service,
+        route.timeout * kStreamLimits + kPublicationMargin, Clock::now());
+  }
+  if (!this->stream_version) {
+    const Refusal unproven{kUnavailable, "version_unknown"};
+    co_return unproven;
+  }
+  this->record.RecordStreamVersion(*this->stream_version);
+  this->RecordStreamOrigin();
+  co_return std::nullopt;
+}
+
+void ForwardSession::RecordStreamBegin() {
+  if (this->stream_version)
+    return;
+  this->stream_version = this->reservation.Version();
+  this->RecordStreamOrigin();
+}
+
+void ForwardSession::RecordStreamOrigin() {
+  const CallerMetadata& metadata = this->request.metadata;
+  if (!this->request.route->resumable)
+    return;
+  const std::string& begun_by =
+      metadata.is_taken_up ? metadata.resumes : metadata.request_id;
+  if (begun_by.empty())
+    return;
+  this->state.stream_origins.RecordOwn(
+      {StreamKeyOf(begun_by), {this->request.service, *this->stream_version}},
+      Clock::now());
+}
+
+}  // namespace buckthornpath
--- a/src/gateway/forward_wait.cc
+++ b/src/gateway/forward_wait.cc
@@ -48,8 +48,8 @@
 }
 
 bool ForwardSession::HasEndpointBy(Clock::time_point time) const {
-  return this->state.selector.HasAvailableEndpoint(this->request.service,
-                                                   Clock::now(), time);
+  return this->state.selector.HasAvailableEndpoint(
+      this->MakeQuery(this->excluded_endpoints), Clock::now(), time);
 }
 
 WaitingRequest ForwardSession::MakeWaitingRequest() const {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -20,6 +20,8 @@
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/segment_quarantine.h"
 #include "buckthornpath/store_revision.h"
+#include "buckthornpath/stream_origins.h"
+#include "buckthornpath/version_history.h"
 #include "buckthornpath/waiting_queue.h"
 #include "gateway/byte_budget.h"
 #include "gateway/cold_start_guard.h"
@@ -140,6 +142,11 @@
   std::function<void()> announce_crashes;
   std::unordered_map<ServiceName, ServiceQueue> queues;
   std::list<const ForwardSession*> sessions;  ///< Requests in progress.
+  StreamOrigins stream_origins;
+  VersionHistory version_history;
+  /** Asks other gateways what began a stream; set by the gossip. */
+  std::function<asio::awaitable<std::optional<StreamOrigin>>(StreamKey)>
+      ask_stream_origin;
   GatewayRoster roster;
   std::size_t gateway_count = 1;  ///< Live gateways, this one included.
   /** Bytes of requests, and of responses that are buffered until they are
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -38,6 +38,10 @@
   std::optional<std::chrono::milliseconds> deadline;  ///< Set by the caller.
   std::vector<PromptSegment> segments;                ///< In prompt order.
   std::uint32_t output_tokens = 0;  ///< Most that it may generate; 0: unknown.
+  /** The caller has events of the stream already. */
+  bool is_taken_up = false;
+  /** Id of the request that brought the first of them; empty if not stated. */
+  std::string resumes;
 };
 
 /** Values that the gateway sets in the header of a forwarded request. */
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -76,13 +76,14 @@
 PublicationFollower::PublicationFollower(GatewayState& state)
     : state(state),
       source(state.adapter.MakeSource(state.settings)),
-      published(kRemovalGrace,
-                [this](const std::string& key) {
-                  return this->state.adapter.EndpointIdFromKey(key).has_value();
-                },
-                [this](const PublishedItem& item) {
-                  return this->state.adapter.VersionOf(item);
-                }),
+      published(
+          kRemovalGrace,
+          [this](const std::string& key) {
+            return this->state.adapter.EndpointIdFromKey(key).has_value();
+          },
+          [this](const PublishedItem& item) {
+            return this->state.adapter.VersionOf(item);
+          }),
       feed(this->published, state.executor),
       upstream(SpreadOf(state.settings.gossip_address)),
       read_timeout(kMinReadTimeout) {}
@@ -262,8 +263,10 @@
     co_return true;
   if (record.is_fresh || record.is_snapshot)
     this->state.confirmed_at = Clock::now();
-  if (record.is_fresh)
+  if (record.is_fresh) {
     this->upstream.RecordFresh(address, Clock::now());
+    this->state.version_history.RecordConfirmation(Clock::now());
+  }
   co_return true;
 }
 
@@ -278,6 +281,8 @@
     CheckNoLaterEra(all.revision, this->published.Revision().era);
     this->store_answered_at = started_at;
     co_await this->ApplyAll(all, kStoreSource);
+    if (all.is_complete)
+      this->state.version_history.RecordConfirmation(Clock::now());
     if (!this->state.is_loaded && !all.is_complete)
       throw StoreUnavailable(
           "the list of items ends before the configuration and cannot be read "
@@ -305,6 +310,7 @@
   auto changed =
       this->MergeItems(&PublicationState::MergeChanges, changes, kStoreSource);
   co_await this->ApplyItems(std::move(changed), std::move(origin));
+  this->state.version_history.RecordConfirmation(Clock::now());
   this->read_revision = std::max(this->read_revision, changes.revision);
   if (!changes.items.empty() || changes.unreadable > 0)
     co_await SleepFor(kBatchDelay);
@@ -390,6 +396,8 @@
       source == kStoreSource ? ItemSource::kStore : ItemSource::kGateway;
   auto changed = (this->published.*merge)(items, Clock::now(), kind);
   if (held != StoreRevision{} && items.revision.era > held.era) {
+    // The copy lacks entries that other gateways may have used.
+    this->state.version_history.RecordGap(Clock::now());
     LogLine(LogLevel::kNotice, "store_era_began",
             {{"source", source},
              {"era", items.revision.era},
@@ -463,6 +471,7 @@
              {"era", item.revision.era},
              {"revision", item.revision.number}});
     this->state.selector.Withdraw(*endpoint);
+    this->state.version_history.RecordWithdrawn(*endpoint, Clock::now());
     this->state.cold_starts.RecordWithdrawn(*endpoint);
     this->state.connection_pool.CloseIdle(*endpoint);
   } else if (const auto domain = adapter.EvacuatedDomainFromKey(item.key)) {
@@ -505,8 +514,10 @@
             {{"key", item.key}, {"reason", reason}});
   }
   // An endpoint whose entry cannot be used must not be used.
-  if (const auto endpoint = this->state.adapter.EndpointIdFromKey(item.key))
+  if (const auto endpoint = this->state.adapter.EndpointIdFromKey(item.key)) {
     this->state.selector.Withdraw(*endpoint);
+    this->state.version_history.RecordWithdrawn(*endpoint, Clock::now());
+  }
 }
 
 void PublicationFollower::ApplyTable(
@@ -538,6 +549,8 @@
   this->state.cold_starts.RecordPublished(entry, !this->state.is_loaded,
                                           Clock::now());
   this->state.selector.Publish(entry);
+  this->state.version_history.RecordPublished(entry.id, entry.service,
+                                              entry.version, Clock::now());
   if (entry.leaving)
     this->state.connection_pool.CloseIdle(entry.id);
 }
--- a/src/gateway/request_record.cc
+++ b/src/gateway/request_record.cc
@@ -53,6 +53,7 @@
                               std::string_view(end) == kStalledAttempt;
   this->attempts.push_back(
       {{"endpoint", endpoint.Entry().id},
+       {"version", endpoint.Entry().version},
        {"end", end},
        {"running", endpoint.EstimatedRequests()},
        {"events", events},
@@ -108,6 +109,8 @@
     line.push_back(
         {"unusable", state.selector.CountUnusable(request.service, now)});
   }
+  if (!this->stream_version.empty())
+    line.push_back({"stream_version", this->stream_version});
   if (this->estimated_wait)
     line.push_back({"wait_ms", this->estimated_wait->count()});
   if (this->sent_at != Clock::time_point{}) {
--- a/src/gateway/request_record.h
+++ b/src/gateway/request_record.h
@@ -81,6 +81,11 @@
     this->quarantined_segments = found.segments;
   }
 
+  /** Records the version at which a stream that the caller takes up goes on. */
+  void RecordStreamVersion(const std::string& version) {
+    this->stream_version = version;
+  }
+
   /** Records why the request was not served. */
   void RecordReason(const char* why) { this->reason = why; }
 
@@ -106,6 +111,7 @@
   const char* reason = "served";
   nlohmann::json attempts = nlohmann::json::array();
   std::optional<std::chrono::milliseconds> estimated_wait;
+  std::string stream_version;  ///< Empty if it is not taken up.
   bool has_broken_attempt = false;
   SegmentSet quarantined_segments;
 };
--- a/src/gateway/standby_attempt.h
+++ b/src/gateway/standby_attempt.h
@@ -60,6 +60,7 @@
     return this->reservation.Endpoint();
   }
   Clock::time_point StartedAt() const { return this->reservation.Time(); }
+  const EndpointReservation& Reservation() const { return this->reservation; }
 
   /** @return What the head of the response says. */
   const ResponseMetadata& Response() const { return this->response; }
--- a/src/table/log_table.h
+++ b/src/table/log_table.h
@@ -23,7 +23,7 @@
 // clang-format off
 inline constexpr std::array kLogEvents = std::to_array<LogEventRow>({
     // Requests through a gateway
-    {"request", "request route organisation service configuration priority reason status total_ms attempts segments fingerprint quarantined published_age_ms taken_share unusable wait_ms sent_ms first_byte_ms", "A request has ended; lists the decisions made for it. Attempts state uncached_tokens, the prompt tokens that the endpoint had to prefill; refused requests wait_ms, the wait that the queue then estimated"},
+    {"request", "request route organisation service configuration priority reason status total_ms attempts segments fingerprint quarantined stream_version published_age_ms taken_share unusable wait_ms sent_ms first_byte_ms", "A request has ended; lists the decisions made for it. Attempts state the software version of the endpoint, and uncached_tokens, the prompt tokens that it had to prefill; refused requests wait_ms, the wait that the queue then estimated"},
     {"stream_silent", "request endpoint silent_ms events choice reason", "An endpoint has paused a stream; it stays there, or another endpoint is asked to take it over (standby)"},
     {"attempt_failed", "endpoint reason", "An attempt to forward a request ended with an exception"},
     {"request_malformed", "reason", "The header of a request is invalid"},
--- a/test/stories/domain_evacuation.cc
+++ b/test/stories/domain_evacuation.cc
@@ -62,7 +62,7 @@
 
   bool HasEndpoint() const {
     return this->selector.HasAvailableEndpoint(
-        kService, this->now, this->now + std::chrono::hours(1));
+        {.service = kService}, this->now, this->now + std::chrono::hours(1));
   }
 
   EndpointSelector selector;
--- a/test/stories/endpoint_selector.cc
+++ b/test/stories/endpoint_selector.cc
@@ -215,8 +215,8 @@
   CPPUNIT_ASSERT(view.Choose({})->Entry().id == Entry(2).id);
   CPPUNIT_ASSERT(view.Choose({}, 0, {Entry(2).id}) == nullptr);
   view.selector.Withdraw(Entry(2).id);
-  CPPUNIT_ASSERT(
-      !view.selector.HasAvailableEndpoint(kService, view.now, view.now));
+  CPPUNIT_ASSERT(!view.selector.HasAvailableEndpoint({.service = kService},
+                                                     view.now, view.now));
 }
 
 std::string StateOf(const View& view, const EndpointHandle& endpoint) {
