Feed: the first list of a new era goes to each reader whole

Cause: a reader that goes on from its position gets what has changed at the hub. What it has read elsewhere, of the store, of another hub or of a peer, the hub cannot name as removed. Evidence: before, with these tests, publication_faults: 8 passed, 2 failed ("a reader of the feed gets all of it, once", Expression: !reader.Has("b"); "a part of it takes nothing away from followers", Expression: !hub.IsComplete()) publication_eras: 9 passed, 2 failed Fix: the first complete list of an era ends the known changes, as the first one of all did. IsComplete() speaks of the present era. PositionToContinue() and its story are gone: since the reader of the store decides itself where it goes on, nothing else called it. ChangesOfANewEraDoNotStandForItsList asks IsComplete() and ChangesSince() the same in its place. ValueThatStaysIsNoChange counts one change more, exactly: the list itself. That the value is not decoded again is asserted as before. Result: publication_faults 10, publication_eras 11, publication_removals 3, gateway_publication 13, gateway_hubs 22, restored_store 15, gateway_hub_fleet 14 passed. Not measured: the bytes of a whole list for each reader once an era; readers at one position share the frame.

--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -166,13 +166,11 @@
     if (this->MergeItem(item))
       changed.push_back(item);
   }
-  if (all.is_complete && !this->is_complete) {
-    this->is_complete = true;
-    // Readers of a part need the whole list once.
+  if (all.is_complete && !this->IsComplete()) {
+    this->listed_era = this->revision.era;
+    // Readers of a part, or of an earlier era, need the whole list once.
     this->oldest_known_change = ++this->change_count;
   }
-  if (all.is_complete)
-    this->listed_era = all.revision.era;
   std::vector<std::string> missing;
   for (const auto& [key, item] : this->items) {
     if (all.is_complete && !listed.contains(key))
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -99,21 +99,17 @@
   /**
    * @param count A value that ChangeCount() has returned.
    * @return The items changed since then, removed ones included; nothing if
-   * older removals are no longer known.
+   * they do not tell all that is to be removed: older removals are no longer
+   * known, or an era has been listed whose readers may hold other items of
+   * earlier ones.
    */
   std::optional<PublishedItems> ChangesSince(std::uint64_t count) const;
 
   StoreRevision Revision() const { return this->revision; }
 
-  /** @return Position from which the store's changes are to be read; the
-   * default one if all items have to be read first. */
-  StoreRevision PositionToContinue() const {
-    return this->listed_era == this->revision.era ? this->revision
-                                                  : StoreRevision{};
-  }
-
-  /** @return True once a complete snapshot has been merged. */
-  bool IsComplete() const { return this->is_complete; }
+  /** @return True once a complete snapshot of the present era has been merged.
+   */
+  bool IsComplete() const { return this->listed_era == this->revision.era; }
 
   /** @return Revision of an item's last change; the default one if there is no
    * such item. */
@@ -171,9 +167,8 @@
   KeyPredicate is_renewed;
   VersionReader version_of;
   StoreRevision revision;
-  std::optional<std::uint64_t> listed_era;  ///< Of the last complete list.
+  std::optional<std::uint64_t> listed_era;  ///< Of the last complete snapshot.
   TimePoint era_known_at{};  ///< When an earlier era was found to be over.
-  bool is_complete = false;
   std::map<std::string, PublishedItem> items;
   /** Revision of the latest removal of each removed key. */
   std::map<std::string, StoreRevision> removals;
--- a/test/stories/publication_eras.cc
+++ b/test/stories/publication_eras.cc
@@ -83,7 +83,8 @@
   const auto changed = state.MergeCopy();
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
   CPPUNIT_ASSERT_EQUAL(std::string("a"), changed.front().key);
-  CPPUNIT_ASSERT_EQUAL(count + 1, state.ChangeCount());
+  // The change of "a" and the list itself, which readers get whole.
+  CPPUNIT_ASSERT_EQUAL(count + 2, state.ChangeCount());
   CPPUNIT_ASSERT(state.RevisionOf("b") == StoreRevision(2, 40));
   // Its decoding may have begun before.
   CPPUNIT_ASSERT(state.Holds(Item("b", {1, 85}, "b")));
@@ -142,12 +143,15 @@
 /** What a hub says of a new era lacks the removals that it has made before. */
 void ChangesOfANewEraDoNotStandForItsList() {
   FirstEra state;
-  CPPUNIT_ASSERT(state.PositionToContinue() == StoreRevision(1, 90));
+  CPPUNIT_ASSERT(state.IsComplete());
   state.MergeChanges({{2, 50}, {}}, kStart);
   CPPUNIT_ASSERT(state.Revision() == StoreRevision(2, 50));
-  CPPUNIT_ASSERT(state.PositionToContinue() == StoreRevision{});
+  CPPUNIT_ASSERT(!state.IsComplete());
+  CPPUNIT_ASSERT(state.ChangesSince(state.ChangeCount()).has_value());
+  const std::uint64_t told = state.ChangeCount();
   state.MergeCopy();
-  CPPUNIT_ASSERT(state.PositionToContinue() == StoreRevision(2, 50));
+  CPPUNIT_ASSERT(state.IsComplete());
+  CPPUNIT_ASSERT(!state.ChangesSince(told).has_value());
 }
 
 void AnswerOfAnotherEraIsNoContinuation() {
@@ -188,7 +192,7 @@
             Then("a removal in the new era is immediate",
                  RemovalInTheNewEraIsImmediate)}),
        Section("when changes are read on",
-               {Then("a list of the new era is read first",
+               {Then("a list of the new era stays necessary",
                      ChangesOfANewEraDoNotStandForItsList),
                 Then("an answer of another era is no continuation",
                      AnswerOfAnotherEraIsNoContinuation),
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -270,16 +270,32 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{3}, reader.RunUntilReady());
 }
 
+/** The feed of a process that has these items. */
+class Feed {
+ public:
+  explicit Feed(const PublicationState& published)
+      : feed(published, this->io.get_executor()) {}
+
+  /** @return What a reader at a position is told first. */
+  FeedRecord RecordAfter(const FeedPosition& position) {
+    FeedReader reader;
+    reader.asked.target = PublicationFeed::TargetOf(position);
+    asio::co_spawn(this->io, this->feed.Serve(reader),
+                   [](const std::exception_ptr& /*closed*/) {});
+    this->io.run();
+    this->io.restart();
+    CPPUNIT_ASSERT(reader.record.has_value());
+    return *reader.record;
+  }
+
+ private:
+  asio::io_context io;
+  PublicationFeed feed;
+};
+
 /** @return What a feed tells a reader that it does not know. */
 FeedRecord FirstRecordOf(const PublicationState& published) {
-  asio::io_context io;
-  PublicationFeed feed(published, io.get_executor());
-  FeedReader reader;
-  asio::co_spawn(io, feed.Serve(reader),
-                 [](const std::exception_ptr& /*closed*/) {});
-  io.run();
-  CPPUNIT_ASSERT(reader.record.has_value());
-  return *reader.record;
+  return Feed(published).RecordAfter({});
 }
 
 /** A reader removes all that a snapshot lacks. */
@@ -316,6 +332,80 @@
   CPPUNIT_ASSERT(!published.ChangesSince(told).has_value());
 }
 
+constexpr milliseconds kGrace{3000};
+
+/** Items of gateways that read them apart from each other. */
+class Items : public PublicationState {
+ public:
+  Items() : PublicationState(kGrace, [](const std::string&) { return true; }) {}
+
+  /** Merges a list of an era. @param number Of the list's revision. */
+  void Read(std::uint64_t era,
+            std::uint64_t number,
+            const std::vector<std::string>& endpoints,
+            bool is_complete = true) {
+    PublishedItems list = ListWith(endpoints);
+    list.is_complete = is_complete;
+    list.revision = {era, number};
+    for (PublishedItem& item : list.items)
+      item.revision.era = era;
+    this->MergeSnapshot(list, Clock::now());
+  }
+
+  /** Merges what a hub has sent, and waits for the end of the grace. */
+  void Follow(const FeedRecord& record) {
+    if (record.is_snapshot) {
+      this->MergeSnapshot(record.items, Clock::now(), ItemSource::kGateway);
+    } else {
+      this->MergeChanges(record.items, Clock::now(), ItemSource::kGateway);
+    }
+    this->ApplyDeferredRemovals(Clock::now() + 2 * kGrace);
+  }
+
+  bool Has(const std::string& endpoint) const {
+    return this->RevisionOf("servers/" + endpoint) != StoreRevision{};
+  }
+};
+
+/** Guards against endpoints that are used for good: the reader has read of them
+ * elsewhere, and the hub, which has never known them, cannot name them. */
+void ListOfANewEraIsGivenWhole() {
+  Items hub;
+  hub.Read(1, 20, {"a"});
+  Feed feed(hub);
+  const FeedPosition told = feed.RecordAfter({}).position;
+  Items reader;
+  reader.Read(1, 25, {"a", "b"});
+  hub.Read(2, 15, {"a"});
+  const FeedRecord record = feed.RecordAfter(told);
+  reader.Follow(record);
+  CPPUNIT_ASSERT(reader.Has("a"));
+  CPPUNIT_ASSERT(!reader.Has("b"));
+  // Once: another list of that era is no news for its reader.
+  hub.Read(2, 16, {"a"});
+  const FeedRecord next = feed.RecordAfter(record.position);
+  CPPUNIT_ASSERT(!next.is_snapshot);
+  CPPUNIT_ASSERT(next.items.items.empty());
+  // It still holds items of the first one.
+  CPPUNIT_ASSERT(feed.RecordAfter(told).is_snapshot);
+}
+
+/** Guards against endpoints that are taken from a reader of the whole list. */
+void PartOfANewEraIsNoSnapshot() {
+  Items hub;
+  hub.Read(1, 20, {"a"});
+  Items reader;
+  reader.Read(2, 15, {"a", "b"});
+  hub.Read(2, 15, {"a"}, false);
+  CPPUNIT_ASSERT(!hub.IsComplete());
+  reader.Follow(FirstRecordOf(hub));
+  CPPUNIT_ASSERT(reader.Has("b"));
+  hub.Read(2, 16, {"a"});
+  CPPUNIT_ASSERT(hub.IsComplete());
+  reader.Follow(FirstRecordOf(hub));
+  CPPUNIT_ASSERT(!reader.Has("b"));
+}
+
 /** Guards against a process that takes a part of the items for all of them: a
  * hub sends stale items, and in the same bytes what has changed since. */
 void ChangesAfterSkippedItemsAreNoList() {
@@ -381,6 +471,11 @@
                      IncompleteListIsNoSnapshot),
                 Then("a reader of it gets the whole list later",
                      ReaderOfAPartGetsTheWholeListLater)}),
+       Section("when it is the first one of a new era",
+               {Then("a reader of the feed gets all of it, once",
+                     ListOfANewEraIsGivenWhole),
+                Then("a part of it takes nothing away from followers",
+                     PartOfANewEraIsNoSnapshot)}),
        Section("when a hub sends stale items and changes at once",
                {Then("the changes are not taken for the whole list",
                      ChangesAfterSkippedItemsAreNoList)}),
