Store: reads that fail in a row are repeated with pauses

What callers saw: nothing yet (found by review). A store or something before it that cuts each long watch, answers it at once without changes, or answers each with status 410, was asked without any pause, by each hub: what it serves of others' reads suffers. Cause: a watch that was cut is repeated at once, a list follows a lost history at once, and any answer in between ended the backoff. Fix: ReadPauses. The time of the read is a part of the pause, so that a hung watch delays nothing further.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -47,9 +47,9 @@
  * read. */
 constexpr milliseconds kRepeatedWatchWait{1};
 
-/** Initial and maximum backoff after a failed call. */
-constexpr milliseconds kInitialBackoff{100};
-constexpr milliseconds kMaxBackoff{800};
+/** Time after which a watch counts as one that waited. An answer without
+ * changes that comes earlier is repeated with a pause, as a cut one is. */
+constexpr milliseconds kMinWatchTime{50};
 
 /** Interval of the checks whether this process has become a hub, or needs
  * one. */
@@ -86,7 +86,8 @@
           }),
       feed(this->published, state.executor),
       upstream(SpreadOf(state.settings.gossip_address)),
-      read_timeout(kMinReadTimeout) {}
+      read_timeout(kMinReadTimeout),
+      pauses(std::random_device{}()) {}
 
 void PublicationFollower::Start() {
   const std::vector<std::string> seeds =
@@ -113,8 +114,6 @@
 }
 
 asio::awaitable<void> PublicationFollower::FollowStore() {
-  std::mt19937_64 random{std::random_device{}()};
-  milliseconds backoff = kInitialBackoff;
   while (true) {
     if (!this->MustReadStore()) {
       this->StopReadingStore();
@@ -122,32 +121,40 @@
       continue;
     }
     this->is_reading_store = true;
+    const bool is_watch =
+        this->read_revision != StoreRevision{} && !this->is_watch_cut;
     const auto started_at = Clock::now();
     std::string fault;
+    bool is_history_lost = false;
     try {
       co_await this->ReadNext();
     } catch (const StoreHistoryCompacted& error) {
       this->read_revision = {};
+      is_history_lost = true;
       LogLine(LogLevel::kNotice, "store_history_lost",
               {{"reason", error.what()}});
-      continue;
     } catch (const std::exception& error) {
       fault = error.what();
     }
-    if (this->MayRepeatWatch(started_at, fault))
+    const auto read_time =
+        std::chrono::duration_cast<milliseconds>(Clock::now() - started_at);
+    if (is_history_lost || this->MayRepeatWatch(read_time, fault)) {
+      co_await SleepFor(this->pauses.AfterFault(read_time));
       continue;
+    }
     this->is_watch_cut = false;
-    this->RecordStoreResult(started_at, fault);
-    if (fault.empty()) {
-      backoff = kInitialBackoff;
-      this->read_timeout = kMinReadTimeout;
+    this->RecordStoreResult(read_time, fault);
+    if (!fault.empty()) {
+      this->read_timeout = std::min(this->read_timeout * 2, kMaxReadTimeout);
+      co_await SleepFor(this->pauses.AfterOutage());
       continue;
     }
-    this->read_timeout = std::min(this->read_timeout * 2, kMaxReadTimeout);
-    std::uniform_int_distribution<std::int64_t> jitter(backoff.count() / 2,
-                                                       backoff.count());
-    co_await SleepFor(milliseconds(jitter(random)));
-    backoff = std::min(backoff * 2, kMaxBackoff);
+    this->read_timeout = kMinReadTimeout;
+    if (is_watch && read_time >= kMinWatchTime) {
+      this->pauses.Reset();
+    } else if (is_watch) {
+      co_await SleepFor(this->pauses.AfterFault(read_time));
+    }
   }
 }
 
@@ -323,20 +330,18 @@
   return std::max(kMaxWatchWait - age, kMinWatchWait);
 }
 
-bool PublicationFollower::MayRepeatWatch(Clock::time_point started_at,
+bool PublicationFollower::MayRepeatWatch(milliseconds read_time,
                                          const std::string& fault) {
   if (fault.empty() || this->read_revision == StoreRevision{} ||
       this->is_watch_cut)
     return false;
   this->is_watch_cut = true;
-  const auto age =
-      std::chrono::duration_cast<milliseconds>(Clock::now() - started_at);
   LogLine(LogLevel::kNotice, "watch_cut",
-          {{"reason", fault}, {"read_ms", age.count()}});
+          {{"reason", fault}, {"read_ms", read_time.count()}});
   return true;
 }
 
-void PublicationFollower::RecordStoreResult(Clock::time_point started_at,
+void PublicationFollower::RecordStoreResult(milliseconds read_time,
                                             const std::string& fault) {
   const bool is_reachable = fault.empty();
   if (!is_reachable) {
@@ -355,10 +360,8 @@
     LogLine(LogLevel::kNotice, "store_regained");
     return;
   }
-  const auto age =
-      std::chrono::duration_cast<milliseconds>(Clock::now() - started_at);
   LogLine(LogLevel::kWarning, "store_lost",
-          {{"reason", fault}, {"read_ms", age.count()}});
+          {{"reason", fault}, {"read_ms", read_time.count()}});
 }
 
 asio::awaitable<void> PublicationFollower::RunDeferredRemovals() {
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/publication_feed.h"
 #include "gateway/publication_state.h"
+#include "gateway/read_pauses.h"
 #include "kernel/boot_clock.h"
 #include "kernel/reported_items.h"
 
@@ -87,10 +88,11 @@
                                         const std::string& source);
   asio::awaitable<void> RunDeferredRemovals();
 
-  /** @return True if a watch has failed that may be repeated at once: only a
-   * read that fails then as well is an outage. */
-  bool MayRepeatWatch(Clock::time_point started_at, const std::string& fault);
-  void RecordStoreResult(Clock::time_point started_at,
+  /** @return True if a watch has failed that may be repeated: only a read that
+   * fails then as well is an outage. */
+  bool MayRepeatWatch(std::chrono::milliseconds read_time,
+                      const std::string& fault);
+  void RecordStoreResult(std::chrono::milliseconds read_time,
                          const std::string& fault);
   /** @param source Where the items were read, for the log. */
   asio::awaitable<void> ApplyAll(const PublishedItems& all, std::string source);
@@ -121,9 +123,10 @@
   /** Read from the store by this process without a gap; default: read all. */
   StoreRevision read_revision;
   std::chrono::milliseconds read_timeout;
+  ReadPauses pauses;
   ReportedItems reported;
   ReportedItems outdated;  ///< Left out, and logged.
-  int applying = 0;  ///< Calls of ApplyItems() that have not ended.
+  int applying = 0;        ///< Calls of ApplyItems() that have not ended.
   /** The store has answered at this time or later; nothing if this process has
    * not read it since it began to. */
   std::optional<BootClock::time_point> store_answered_at;
--- a/test/fakes/platform_store.cc
+++ b/test/fakes/platform_store.cc
@@ -21,6 +21,7 @@
 constexpr std::chrono::seconds kSilentDelay{30};
 constexpr std::size_t kMaxKeyBytes = 200;
 constexpr std::uint64_t kMaxWaitMs = 30000;
+constexpr std::uint64_t kMomentMs = 50;
 constexpr char kEraField[] = "Store-Era";
 
 std::string EncodeBase64(const std::string& bytes) {
@@ -198,6 +199,11 @@
   this->pages = pages;
 }
 
+void PlatformStore::SetWatches(WatchMode watches) {
+  const std::lock_guard lock(this->mutex);
+  this->watches = watches;
+}
+
 void PlatformStore::SetPageSize(std::size_t items) {
   const std::lock_guard lock(this->mutex);
   this->page_size = items;
@@ -262,7 +268,8 @@
   while (true) {
     {
       const std::lock_guard lock(this->mutex);
-      if (this->LacksHistory(*after, first_era))
+      if (this->watches == WatchMode::kGone ||
+          this->LacksHistory(*after, first_era))
         co_return this->WithEra(Status(410));
       std::vector<std::string> list;
       for (const StoreEvent& event : this->events) {
@@ -270,7 +277,8 @@
           list.push_back(event.body);
       }
       if (!list.empty() || std::chrono::steady_clock::now() >= deadline ||
-          this->mode != StoreMode::kServing) {
+          this->mode != StoreMode::kServing ||
+          this->watches == WatchMode::kHasty) {
         co_return this->WithEra(
             Json("{\"events\":" + ArrayOf(list) +
                  ",\"storeRevision\":" + std::to_string(this->revision) + "}"));
@@ -292,6 +300,18 @@
   co_return Status(404);
 }
 
+bool PlatformStore::TakesToCut(const HttpRequest& request) {
+  const std::lock_guard lock(this->mutex);
+  if (this->watches != WatchMode::kCut || this->mode != StoreMode::kServing)
+    return false;
+  const auto wait = request.QueryParameter("waitMs");
+  if (request.Path() != "/kv-watch" || !wait ||
+      ParseInteger(*wait).value_or(0) <= kMomentMs)
+    return false;
+  ++this->calls.watch;
+  return true;
+}
+
 asio::awaitable<void> PlatformStore::Serve(HttpExchange& exchange) {
   StoreMode current = StoreMode::kServing;
   {
@@ -300,6 +320,12 @@
   }
   if (current == StoreMode::kSilent)
     co_await SleepFor(kSilentDelay);
+  if (this->TakesToCut(exchange.request())) {
+    HttpResponse head;
+    head.headers.Append(kEraField, std::to_string(this->Era()));
+    co_await exchange.BeginStream(std::move(head));
+    co_return;
+  }
   HttpResponse response = Status(503);
   if (current != StoreMode::kBusy)
     response = co_await this->Respond(exchange.request());
--- a/test/fakes/platform_store.h
+++ b/test/fakes/platform_store.h
@@ -31,6 +31,14 @@
   kOnlyTheFirst  ///< Responds to reads of later pages with status 503.
 };
 
+/** What becomes of watches. */
+enum class WatchMode {
+  kSound,
+  kCut,   ///< Ends within the response, unless the watch waits for a moment.
+  kGone,  ///< Responds with status 410.
+  kHasty  ///< Responds without changes at once, whatever the time to wait.
+};
+
 /** Calls that the store has received. */
 struct StoreCalls {
   std::size_t range = 0;
@@ -88,6 +96,7 @@
 
   void SetMode(StoreMode mode);
   void SetPages(PageMode pages);
+  void SetWatches(WatchMode watches);
 
   /** @param items Maximum number of items of a page. */
   void SetPageSize(std::size_t items);
@@ -115,6 +124,9 @@
   using Parameters = std::map<std::string, std::string>;
 
   asio::awaitable<void> Serve(HttpExchange& exchange);
+
+  /** @return True if a watch is to be cut; counts it then. */
+  bool TakesToCut(const HttpRequest& request);
   asio::awaitable<HttpResponse> Respond(const HttpRequest& request);
   asio::awaitable<HttpResponse> Watch(Parameters parameters);
   HttpResponse Range(const Parameters& parameters);
@@ -135,6 +147,7 @@
   std::mutex mutex;
   StoreMode mode = StoreMode::kServing;
   PageMode pages = PageMode::kSound;
+  WatchMode watches = WatchMode::kSound;
   std::size_t page_size = std::numeric_limits<std::size_t>::max();
   StoreCalls calls;
   std::uint64_t revision = 100;
