Feed: the stated age of the store's last answer is that of now

What operators saw: hub_stale stated as age_ms what the hub had told another reader at the same position, however long ago; and -1, "does not read the store", for a hub that reads it without an answer. Cause: the frame is shared by readers at one position as long as nothing else changes, and its age with it. Nothing is decided by the age: the reader logs it, and is_fresh, which is compared before a frame is shared, decides. Fix: a frame is shared for 200 ms at most, one interval of records, so that the age is right to that; the feed is told the last answer's time and whether the store can be read apart.

--- a/src/gateway/feed_record.h
+++ b/src/gateway/feed_record.h
@@ -34,7 +34,8 @@
   bool is_fresh = false;
   bool is_snapshot = false;  ///< All items; otherwise those that changed.
   FeedPosition position;     ///< After this record.
-  /** Time since the store's last answer, if the sender states it. */
+  /** Time since the store's last answer, if the sender reads it; up to 200 ms
+   * less than that, as readers share records. For the log only. */
   std::optional<std::chrono::milliseconds> age;
   PublishedItems items;
 };
--- a/src/gateway/publication_feed.cc
+++ b/src/gateway/publication_feed.cc
@@ -19,6 +19,9 @@
  * a reader considers its items stale. */
 constexpr milliseconds kConfirmInterval{200};
 
+/** Time for which a frame is shared: the age that it states grows. */
+constexpr milliseconds kMaxFrameAge{200};
+
 /** Age of the store's last answer up to which it confirms the items: a watch
  * waits for 800 ms at most, and its answer may be late on a slow machine. */
 constexpr milliseconds kConfirmedTime{1300};
@@ -62,8 +65,10 @@
 }
 
 void PublicationFeed::Publish(
-    std::optional<BootClock::time_point> store_answered_at) {
+    std::optional<BootClock::time_point> store_answered_at,
+    bool is_reachable) {
   this->store_answered_at = store_answered_at;
+  this->is_store_reachable = is_reachable;
   for (WakeSignal* reader : this->readers)
     reader->Set();
 }
@@ -71,7 +76,7 @@
 bool PublicationFeed::IsFresh(BootClock::time_point now) const {
   // Before the first read there is no state that a reader could rely on.
   return this->published.Revision() != StoreRevision{} &&
-         this->store_answered_at &&
+         this->is_store_reachable && this->store_answered_at &&
          now - *this->store_answered_at < kConfirmedTime;
 }
 
@@ -110,7 +115,8 @@
   const bool is_shared = this->last_frame && this->last_from == from &&
                          this->last_to == to &&
                          this->last_revision == this->published.Revision() &&
-                         this->last_is_fresh == this->IsFresh(now);
+                         this->last_is_fresh == this->IsFresh(now) &&
+                         now - this->last_made_at < kMaxFrameAge;
   if (!is_shared) {
     const FeedRecord record = this->NextRecord(from, now);
     this->last_frame =
@@ -119,6 +125,7 @@
     this->last_to = record.position;
     this->last_revision = record.items.revision;
     this->last_is_fresh = record.is_fresh;
+    this->last_made_at = now;
   }
   reader = this->last_to;
   return this->last_frame;
--- a/src/gateway/publication_feed.h
+++ b/src/gateway/publication_feed.h
@@ -31,10 +31,13 @@
 
   /**
    * Sends the state to all readers.
-   * @param store_answered_at When the store last answered this process, which
-   * confirms its items for a short time; nothing if it does not read the store.
+   * @param store_answered_at When the store last answered this process; nothing
+   * if it does not read the store.
+   * @param is_reachable True if the last read succeeded; the answer confirms
+   * the items for a short time then.
    */
-  void Publish(std::optional<BootClock::time_point> store_answered_at);
+  void Publish(std::optional<BootClock::time_point> store_answered_at,
+               bool is_reachable);
 
   /** Serves one reader until its connection fails. */
   asio::awaitable<void> Serve(HttpExchange& exchange);
@@ -49,7 +52,7 @@
   FeedRecord NextRecord(FeedPosition reader, BootClock::time_point now) const;
 
   /** @return The next frame of a reader, which moves to its end. Readers at
-   * the same position share one frame. */
+   * the same position share one frame for a short time. */
   std::shared_ptr<const std::string> NextFrame(FeedPosition& reader);
 
   std::chrono::milliseconds TimeToNextRecord() const;
@@ -58,11 +61,13 @@
   asio::any_io_executor executor;
   std::uint64_t process;  ///< Identifies this process in positions.
   std::optional<BootClock::time_point> store_answered_at;
+  bool is_store_reachable = false;
   std::set<WakeSignal*> readers;
   FeedPosition last_from;       ///< Position before `last_frame`.
   FeedPosition last_to;         ///< Position after `last_frame`.
   StoreRevision last_revision;  ///< Stated in `last_frame`.
   bool last_is_fresh = false;
+  BootClock::time_point last_made_at{};
   std::shared_ptr<const std::string> last_frame;
 };
 
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -182,8 +182,9 @@
 void PublicationFollower::PublishToFeed() {
   // A follower's word that its items are current would not count: two
   // gateways could confirm each other's.
-  const bool is_confirmed = this->is_reading_store && this->is_store_reachable;
-  this->feed.Publish(is_confirmed ? this->store_answered_at : std::nullopt);
+  this->feed.Publish(
+      this->is_reading_store ? this->store_answered_at : std::nullopt,
+      this->is_store_reachable);
 }
 
 std::optional<std::string> PublicationFollower::HubToFollow() const {
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -276,6 +276,10 @@
   explicit Feed(const PublicationState& published)
       : feed(published, this->io.get_executor()) {}
 
+  void Publish(BootClock::time_point answered_at, bool is_reachable) {
+    this->feed.Publish(answered_at, is_reachable);
+  }
+
   /** @return What a reader at a position is told first. */
   FeedRecord RecordAfter(const FeedPosition& position) {
     FeedReader reader;
@@ -406,6 +410,27 @@
   CPPUNIT_ASSERT(!reader.Has("b"));
 }
 
+/** Guards against a hub_stale whose age is that of another reader's record. */
+void AgeOfTheLastAnswerGrows() {
+  constexpr milliseconds kSharedTime{200};
+  constexpr milliseconds kTime{600};
+  Items hub;
+  hub.Read(1, 20, {"a"});
+  Feed feed(hub);
+  const auto answered_at = BootClock::now() - std::chrono::seconds(2);
+  for (const bool is_reachable : {true, false}) {
+    feed.Publish(answered_at, is_reachable);
+    const auto first = feed.RecordAfter({});
+    std::this_thread::sleep_for(kTime);
+    const auto second = feed.RecordAfter({});
+    const auto age = BootClock::now() - answered_at;
+    CPPUNIT_ASSERT(!first.is_fresh && !second.is_fresh);
+    CPPUNIT_ASSERT(first.age.has_value() && second.age.has_value());
+    CPPUNIT_ASSERT(*second.age >= *first.age + kTime - kSharedTime);
+    CPPUNIT_ASSERT(*second.age <= age);
+  }
+}
+
 /** Guards against a process that takes a part of the items for all of them: a
  * hub sends stale items, and in the same bytes what has changed since. */
 void ChangesAfterSkippedItemsAreNoList() {
@@ -485,7 +510,9 @@
                 Then("it does not while its watch hangs",
                      HubWhoseWatchHangsConfirmsNothing),
                 Then("nor after a pause of its process",
-                     HubThatWasPausedConfirmsNothing)})});
+                     HubThatWasPausedConfirmsNothing),
+                Then("it states how old the store's last answer is",
+                     AgeOfTheLastAnswerGrows)})});
 });
 
 }  // namespace
