Streams: gateways tell each other what has begun them

Cause: only the gateway that began a stream knew its version. Fix: a gateway tells its witnesses (the hubs of its failure domain; in small fleets a leader of another one) of each new stream, before the first event is passed on if none were told in the last 5 ms, and once more 20 to 60 ms later. One that has no record of a stream asks the hubs of all failure domains, in small fleets all gateways: at once, after 60 ms those that are silent. A record is used 40 ms after it has come, or once all have answered, as one elsewhere may contradict it; a contradiction is recorded and answered as such. Lookups end after 250 ms, lookups and datagrams are bounded. New witnesses are told the newest streams. The datagram is a view without loads with a new member; gateways of the version before skip it. Evidence: with the calls of the exchange taken out of the gateway (trial), all 11 cases of stream_origin_fleet fail (503 for each take-up, no lookup counted); without announcements the five cases fail in which the gateway is killed while its hubs live or die with it; without the hand-over to new witnesses, that of the replaced hubs. Result: stream_origin_fleet 11 of 11, stream_origin_lookups 24 of 24; stream_versions, gateway_hubs, gateway_hub_fleet, gateway_standby, gateway_publication, bad_messages, command_line, settings_template, odd_entries pass.

--- a/include/buckthornpath/stream_origins.h
+++ b/include/buckthornpath/stream_origins.h
@@ -69,11 +69,17 @@
   /** Records what another gateway says. */
   void RecordPeer(const StreamRecord& record, TimePoint now);
 
+  /** Records that records of a stream contradict each other elsewhere. */
+  void RecordContradiction(const StreamKey& stream, TimePoint now);
+
   /** @return What began a stream; nothing if that is not known, or not for
    * certain. */
   std::optional<StreamOrigin> Find(const StreamKey& stream,
                                    TimePoint now) const;
 
+  /** @return True if records of a stream contradict each other. */
+  bool IsContradictory(const StreamKey& stream, TimePoint now) const;
+
   /** @return Streams of this process that have been recorded since the last
    * call, the newest ones if there are too many. */
   std::vector<StreamRecord> TakeUnannounced();
@@ -93,6 +99,7 @@
   };
 
   Entry& Record(const StreamRecord& record, TimePoint now);
+  void ReleaseOrigin(Entry& entry);
   void Expire(TimePoint now);
 
   std::map<StreamKey, Entry> streams;
--- a/src/decision/stream_origins.cc
+++ b/src/decision/stream_origins.cc
@@ -13,17 +13,22 @@
   return {hash.high64, hash.low64};
 }
 
+void StreamOrigins::ReleaseOrigin(Entry& entry) {
+  if (entry.origin == nullptr)
+    return;
+  const auto origin = this->origins.find(*entry.origin);
+  if (--origin->second == 0)
+    this->origins.erase(origin);
+  entry.origin = nullptr;
+}
+
 void StreamOrigins::Expire(TimePoint now) {
   while (!this->by_age.empty()) {
     const auto oldest = this->streams.find(this->by_age.front());
     if (this->streams.size() <= kMaxStreams &&
         now - oldest->second.recorded_at < kLifetime)
       return;
-    if (oldest->second.origin != nullptr) {
-      const auto origin = this->origins.find(*oldest->second.origin);
-      if (--origin->second == 0)
-        this->origins.erase(origin);
-    }
+    this->ReleaseOrigin(oldest->second);
     this->by_age.pop_front();
     this->streams.erase(oldest);
   }
@@ -42,12 +47,8 @@
   } else {
     this->by_age.splice(this->by_age.end(), this->by_age, entry.age);
   }
-  if (entry.origin != nullptr && *entry.origin != record.origin) {
-    const auto origin = this->origins.find(*entry.origin);
-    if (--origin->second == 0)
-      this->origins.erase(origin);
-    entry.origin = nullptr;
-  }
+  if (entry.origin != nullptr && *entry.origin != record.origin)
+    this->ReleaseOrigin(entry);
   entry.recorded_at = now;
   this->Expire(now);
   return entry;
@@ -67,6 +68,18 @@
     this->Record(record, now);
 }
 
+void StreamOrigins::RecordContradiction(const StreamKey& stream,
+                                        TimePoint now) {
+  this->ReleaseOrigin(this->Record({stream, {}}, now));
+}
+
+bool StreamOrigins::IsContradictory(const StreamKey& stream,
+                                    TimePoint now) const {
+  const auto found = this->streams.find(stream);
+  return found != this->streams.end() && found->second.origin == nullptr &&
+         now - found->second.recorded_at < kLifetime;
+}
+
 std::optional<StreamOrigin> StreamOrigins::Find(const StreamKey& stream,
                                                 TimePoint now) const {
   const auto found = this->streams.find(stream);
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -72,6 +72,8 @@
   this->state.stream_origins.RecordOwn(
       {StreamKeyOf(begun_by), {this->request.service, *this->stream_version}},
       Clock::now());
+  if (this->state.announce_streams)
+    this->state.announce_streams();
 }
 
 }  // namespace buckthornpath
--- a/src/gateway/gateway_message.cc
+++ b/src/gateway/gateway_message.cc
@@ -126,6 +126,8 @@
   }
   if (value.contains("quarantine"))
     message.quarantine = DecodeQuarantine(value.at("quarantine"));
+  if (value.contains("streams"))
+    message.streams = DecodeStreamNews(value.at("streams"));
   return message;
 }
 
@@ -153,6 +155,8 @@
     value["uses"] = EncodeUses(*message.uses);
   if (!message.quarantine.IsEmpty())
     value["quarantine"] = EncodeQuarantine(message.quarantine);
+  if (message.streams.Count() != 0)
+    value["streams"] = EncodeStreamNews(message.streams);
   std::string bytes;
   json::to_cbor(value, bytes);
   return message.acknowledged == 0
--- a/src/gateway/gateway_message.h
+++ b/src/gateway/gateway_message.h
@@ -16,6 +16,7 @@
 #include "buckthornpath/peer_loads.h"
 #include "buckthornpath/segment_quarantine.h"
 #include "buckthornpath/store_revision.h"
+#include "gateway/stream_news.h"
 
 namespace buckthornpath {
 
@@ -55,6 +56,7 @@
   std::vector<SegmentLocation> segments;  ///< Newly cached prompt segments.
   /** Prompt segments that crash endpoints. */
   QuarantineReport quarantine;
+  StreamNews streams;
   /** Addresses of other gateways, for and from gateways of version 1. */
   std::vector<std::string> known_addresses;
 };
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -143,6 +143,8 @@
   std::unordered_map<ServiceName, ServiceQueue> queues;
   std::list<const ForwardSession*> sessions;  ///< Requests in progress.
   StreamOrigins stream_origins;
+  /** Tells other gateways of streams that were recorded; set by the gossip. */
+  std::function<void()> announce_streams;
   VersionHistory version_history;
   /** Asks other gateways what began a stream; set by the gossip. */
   std::function<asio::awaitable<std::optional<StreamOrigin>>(StreamKey)>
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -113,7 +113,12 @@
              BodilessPortLimits(),
              [this](HttpExchange& exchange) { return this->Serve(exchange); }),
       seeds(SplitAddresses(state.settings.gossip_seeds)),
-      early_round(state.executor) {
+      early_round(state.executor),
+      streams(state,
+              [this](const std::vector<std::string>& addresses,
+                     const StreamNews& news) {
+                this->SendStreamNews(addresses, news);
+              }) {
   state.announce_crashes = [this] { this->early_round.Set(); };
   std::erase(this->seeds, state.settings.gossip_address);
 }
@@ -126,6 +131,7 @@
                            [this] { return this->Send(); });
   WorkerPool::SpawnService(this->state.executor,
                            [this] { return this->SyncFromPeers(); });
+  this->streams.Start();
 }
 
 std::size_t PeerExchange::PeerCount() const {
@@ -139,7 +145,9 @@
           {"hubs", this->hubs},
           {"loads_age_ms", age.count()},
           {"reads_store", this->follower.IsReadingStore()},
-          {"followed_hub", this->follower.Hub()}};
+          {"followed_hub", this->follower.Hub()},
+          {"stream_witnesses", this->streams.Witnesses()},
+          {"stream_records", this->state.stream_origins.Size()}};
 }
 
 milliseconds PeerExchange::Interval() const {
@@ -211,6 +219,22 @@
   return hello;
 }
 
+void PeerExchange::SendStreamNews(const std::vector<std::string>& addresses,
+                                  const StreamNews& news) {
+  // A view without loads: older gateways take nothing else from it.
+  GatewayMessage message;
+  message.kind = GatewayMessageKind::kView;
+  message.sender = this->state.roster.Self();
+  message.revision = this->follower.Published().Revision();
+  message.gateway_count = this->state.gateway_count;
+  message.streams = news;
+  const std::string bytes = EncodeGatewayMessage(message);
+  for (const std::string& address : addresses)
+    this->SendBytes(address, bytes);
+  ProcessMetrics().Add("stream_news_bytes_total", "",
+                       bytes.size() * addresses.size());
+}
+
 void PeerExchange::SendTo(const std::string& address,
                           const GatewayMessage& message) {
   this->SendBytes(address, EncodeGatewayMessage(message));
@@ -309,6 +333,7 @@
   const auto now = Clock::now();
   this->RemoveSilentPeers(now);
   this->UpdateRole();
+  this->streams.UpdateWitnesses();
   this->state.quarantine.Expire(now);
   this->state.ApplyQuarantineChanges();
   const bool is_leader = this->role == HubRole::kLeader;
@@ -444,6 +469,8 @@
           ? &PeerExchange::HandleVersion1
           : kHandlers.at(static_cast<std::size_t>(message.kind));
   (this->*handler)(message);
+  if (message.streams.Count() != 0)
+    this->streams.Handle(message.sender.address, message.streams);
   // A process that has just started may name the same leader, itself, and know
   // no other gateway.
   if (is_new_sender && message.kind == GatewayMessageKind::kReport &&
@@ -451,6 +478,7 @@
     this->SendRosterTo(message.sender);
   if (this->state.roster.Count() != count_before) {
     this->UpdateRole();
+    this->streams.UpdateWitnesses();
     this->UpdateGatewayCount();
   }
 }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -12,6 +12,7 @@
 #include "gateway/gateway_message.h"
 #include "gateway/gateway_state.h"
 #include "gateway/publication_follower.h"
+#include "gateway/stream_origin_exchange.h"
 #include "kernel/http_server.h"
 
 namespace buckthornpath {
@@ -73,6 +74,8 @@
 
   GatewayMessage MakeMessage(GatewayMessageKind kind) const;
   GatewayMessage MakeHello() const;
+  void SendStreamNews(const std::vector<std::string>& addresses,
+                      const StreamNews& news);
   EndpointUsageMap OwnUses() const;
   std::vector<RosterEntry> RosterFor(const FailureDomainId& domain) const;
   std::vector<std::string> HubsOfOtherDomains() const;
@@ -102,6 +105,7 @@
   SegmentOutbox own_segments;
   SegmentOutbox domain_segments;   ///< Leader: from members and itself.
   SegmentOutbox foreign_segments;  ///< Leader: from other failure domains.
+  StreamOriginExchange streams;
 };
 
 }  // namespace buckthornpath
