--- /dev/null
+++ b/test/stories/gateway_versions.cc
@@ -0,0 +1,698 @@
+/** @file gateway_versions.cc Streams of a service whose endpoints are of two
+ * software versions. */
+
+#include <cppunit/TestAssert.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "harness/caller.h"
+#include "harness/gateway_fleet.h"
+#include "harness/story.h"
+
+namespace buckthornpath {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kLastEvent = 6;
+
+/** Longer than a gateway waits for a silent stream, and shorter than a caller
+ * does. */
+constexpr milliseconds kPause{1500};
+
+/** Limit of what is done at once; the wait for an endpoint may take 2 s. */
+constexpr milliseconds kAtOnce{500};
+
+/** What proves a sole version: see forward_version.cc. */
+constexpr milliseconds kProofMargin{5000};
+
+milliseconds Since(Clock::time_point start) {
+  return std::chrono::duration_cast<milliseconds>(Clock::now() - start);
+}
+
+/** An answer and what of a stream is in it. */
+struct VersionedAnswer {
+  RawAnswer raw;
+  milliseconds took{};
+  std::vector<int> events;
+  std::set<std::string> versions;  ///< Of the endpoints that made them.
+
+  bool IsComplete() const { return this->raw.body.ends_with("0\r\n\r\n"); }
+
+  /** @return True if it has the events from one on, each once and in order. */
+  bool HasEvents(int first, int last) const {
+    std::vector<int> expected;
+    for (int id = first; id <= last; ++id)
+      expected.push_back(id);
+    return this->events == expected;
+  }
+};
+
+VersionedAnswer ReadVersions(RawAnswer raw) {
+  VersionedAnswer answer;
+  answer.raw = std::move(raw);
+  std::istringstream lines(answer.raw.body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("id: "))
+      answer.events.push_back(std::stoi(line.substr(4)));
+    if (line.starts_with("data: "))
+      answer.versions.insert(line.substr(6));
+  }
+  return answer;
+}
+
+/** What a caller asks for. */
+struct StreamCall {
+  std::string id;
+  std::string path = "/talk/x";
+  std::string last_event{};  ///< Empty: not stated.
+  std::string resumes{};     ///< Empty: not stated.
+
+  std::string Text() const {
+    CallerText text;
+    text.path = this->path;
+    text.id = this->id;
+    if (!this->last_event.empty())
+      text.more_fields += "Last-Event-Id: " + this->last_event + "\r\n";
+    if (!this->resumes.empty())
+      text.more_fields += "Resumes: " + this->resumes + "\r\n";
+    return TextOf(text);
+  }
+};
+
+/** A request at an endpoint of some version. */
+struct VersionedCall {
+  ScriptedCall& call;
+  std::size_t engine;
+  std::string version;
+
+  /** @return The id of the first event that is asked for. */
+  int First() const {
+    const std::string last = this->call.Field("Last-Event-Id");
+    return last.empty() ? 1 : std::stoi(last) + 1;
+  }
+
+  void Event(int id) const { this->call.Send(this->EventText(id)); }
+
+  /** Sends a comment and an event at once. */
+  void CommentAndEvent(int id) const {
+    this->call.Send(ChunkOf(": waits\n\n") + this->EventText(id));
+  }
+
+  void Events(int first, int last) const {
+    for (int id = first; id <= last; ++id)
+      this->Event(id);
+  }
+
+  /** Sends all events that are asked for. */
+  void Serve() const {
+    this->call.BeginEvents();
+    this->Events(this->First(), kLastEvent);
+    this->call.EndEvents();
+  }
+
+  /** Sends events up to one and breaks off; none are sent to a request that
+   * has them. */
+  void ServeUntil(int last) const {
+    if (this->First() <= last) {
+      this->call.BeginEvents();
+      this->Events(this->First(), last);
+    }
+    this->call.Close(false);
+  }
+
+ private:
+  static std::string ChunkOf(const std::string& text) {
+    std::ostringstream size;
+    size << std::hex << text.size();
+    return size.str() + "\r\n" + text + "\r\n";
+  }
+
+  std::string EventText(int id) const {
+    return ChunkOf("id: " + std::to_string(id) + "\ndata: " + this->version +
+                   "\n\n");
+  }
+};
+
+using VersionedScript = std::function<void(const VersionedCall&)>;
+
+/** A gateway and engines, each of a version. */
+class VersionedFleet {
+ public:
+  explicit VersionedFleet(std::vector<std::string> engine_versions,
+                          const GatewayPlan& base = {})
+      : max_connections(base.max_connections),
+        versions(std::move(engine_versions)),
+        fleet(PlanOf(base, this->versions.size())) {
+    this->SetScript([](const VersionedCall& call) { call.Serve(); });
+    for (std::size_t i = 0; i < this->versions.size(); ++i)
+      this->Publish(i, this->versions[i]);
+    this->AwaitPublication();
+  }
+
+  /** Sets what all engines do. */
+  void SetScript(const VersionedScript& script) {
+    for (std::size_t i = 0; i < this->versions.size(); ++i) {
+      this->fleet.Engine(i).SetScript([this, i, script](ScriptedCall& call) {
+        script({call, i, this->VersionOf(i)});
+      });
+    }
+  }
+
+  void Publish(std::size_t engine,
+               const std::string& version,
+               const std::string& state = "ready") {
+    const std::lock_guard lock(this->mutex);
+    this->versions[engine] = version;
+    nlohmann::json entry = this->fleet.EntryOf("engine", engine, state);
+    entry["version"] = version;
+    this->fleet.Store().Put("servers/engine-" + std::to_string(engine), entry);
+  }
+
+  void Remove(std::size_t engine) {
+    this->fleet.Store().Remove("servers/engine-" + std::to_string(engine));
+  }
+
+  /** Waits until the gateway has applied all that was published before. */
+  void AwaitPublication() { this->Configure(milliseconds(4000)); }
+
+  /** Publishes the standard configuration with another limit of all routes, and
+   * waits until the gateway uses it. */
+  void Configure(milliseconds limit) {
+    nlohmann::json next = StandardConfiguration(++this->configuration);
+    for (nlohmann::json& route : next["routes"])
+      route["timeoutMs"] = limit.count();
+    for (nlohmann::json& service : next["services"])
+      service["maxConns"] = this->max_connections;
+    this->fleet.Store().Put("op/config", next);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      return LocalFleet::StatusOf(this->fleet.Operator(0))
+                 .value("configuration", std::uint64_t{0}) ==
+             this->configuration;
+    }));
+  }
+
+  VersionedAnswer Call(const StreamCall& call) {
+    const auto start = Clock::now();
+    VersionedAnswer answer = ReadVersions(this->fleet.Call(0, call.Text()));
+    answer.took = Since(start);
+    return answer;
+  }
+
+  std::string VersionOf(std::size_t engine) {
+    const std::lock_guard lock(this->mutex);
+    return this->versions[engine];
+  }
+
+  /** @return Times that the engines have received a request. */
+  std::size_t CountOf(const std::string& id) {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->versions.size(); ++i)
+      count += this->fleet.Engine(i).CountOf(id);
+    return count;
+  }
+
+  /** @return The engine that has received a request first. */
+  std::size_t EngineOf(const std::string& id) {
+    for (std::size_t i = 0; i < this->versions.size(); ++i) {
+      if (this->fleet.Engine(i).CountOf(id) > 0)
+        return i;
+    }
+    CPPUNIT_FAIL("no engine has received " + id);
+    return 0;
+  }
+
+  GatewayFleet& Parts() { return this->fleet; }
+
+ private:
+  static GatewayPlan PlanOf(GatewayPlan plan, std::size_t engines) {
+    plan.engines = engines;
+    return plan;
+  }
+
+  std::size_t max_connections;  ///< Of each engine.
+  std::mutex mutex;
+  std::vector<std::string> versions;
+  std::uint64_t configuration = 1;
+  GatewayFleet fleet;
+};
+
+void AssertUnknown(VersionedFleet& engines, const StreamCall& call) {
+  const VersionedAnswer answer = engines.Call(call);
+  CPPUNIT_ASSERT_EQUAL(503U, answer.raw.status);
+  CPPUNIT_ASSERT(answer.raw.body.find("version_unknown") != std::string::npos);
+  CPPUNIT_ASSERT(answer.took < kAtOnce);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, engines.CountOf(call.id));
+}
+
+void AssertWhole(const VersionedAnswer& answer, int first) {
+  CPPUNIT_ASSERT_EQUAL(200U, answer.raw.status);
+  CPPUNIT_ASSERT(answer.IsComplete());
+  CPPUNIT_ASSERT(answer.HasEvents(first, kLastEvent));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.versions.size());
+}
+
+/** Begins a stream that breaks off for good after two events.
+ * @return The version that began it. */
+std::string BeginBrokenStream(VersionedFleet& engines, const std::string& id) {
+  engines.SetScript([](const VersionedCall& call) { call.ServeUntil(2); });
+  const VersionedAnswer answer =
+      engines.Call({.id = id, .path = "/talk/" + id});
+  engines.SetScript([](const VersionedCall& call) { call.Serve(); });
+  CPPUNIT_ASSERT(!answer.IsComplete());
+  CPPUNIT_ASSERT(answer.HasEvents(1, 2));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.versions.size());
+  return *answer.versions.begin();
+}
+
+StreamCall TakeUp(const std::string& id, const std::string& resumes) {
+  return {.id = id,
+          .path = "/talk/" + resumes,
+          .last_event = "2",
+          .resumes = resumes};
+}
+
+// Within one answer.
+
+void BrokenStreamIsCutAtOnce() {
+  VersionedFleet engines({"v1", "v2"});
+  engines.SetScript([](const VersionedCall& call) {
+    if (call.First() == 1)
+      call.ServeUntil(2);
+    else
+      call.Serve();
+  });
+  const VersionedAnswer answer = engines.Call({.id = "cut"});
+  CPPUNIT_ASSERT_EQUAL(200U, answer.raw.status);
+  CPPUNIT_ASSERT(!answer.IsComplete());
+  CPPUNIT_ASSERT(answer.HasEvents(1, 2));
+  CPPUNIT_ASSERT(answer.took < kAtOnce);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engines.CountOf("cut"));
+}
+
+void BrokenStreamGoesOnAtItsVersion() {
+  constexpr int kStreams = 6;
+  VersionedFleet engines({"v1", "v2", "v1", "v2"});
+  engines.SetScript([](const VersionedCall& call) {
+    if (call.First() == 1)
+      call.ServeUntil(2);
+    else
+      call.Serve();
+  });
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "goes-on-" + std::to_string(i);
+    AssertWhole(engines.Call({.id = id, .path = "/talk/" + id}), 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, engines.CountOf(id));
+  }
+}
+
+void PausedStreamStaysAtItsVersion() {
+  VersionedFleet engines({"v1", "v2"});
+  engines.SetScript([](const VersionedCall& call) {
+    if (call.First() > 1) {
+      call.Serve();
+      return;
+    }
+    call.call.BeginEvents();
+    call.Event(1);
+    std::this_thread::sleep_for(kPause);
+    call.Events(2, kLastEvent);
+    call.call.EndEvents();
+  });
+  AssertWhole(engines.Call({.id = "stays"}), 1);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engines.CountOf("stays"));
+}
+
+void PausedStreamMovesWithinItsVersion() {
+  constexpr int kStreams = 4;
+  VersionedFleet engines({"v1", "v2", "v1", "v2"});
+  engines.SetScript([](const VersionedCall& call) {
+    if (call.First() > 1) {
+      call.Serve();
+      return;
+    }
+    call.call.BeginEvents();
+    call.Event(1);
+    call.call.WaitForClose(milliseconds(3000));
+  });
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "moves-" + std::to_string(i);
+    AssertWhole(engines.Call({.id = id, .path = "/talk/" + id}), 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, engines.CountOf(id));
+  }
+}
+
+/** Before its first event, a stream may go on anywhere. */
+void SilentEndpointIsReplacedByAnyVersion() {
+  std::atomic<int> begun = 0;
+  VersionedFleet engines({"v1", "v2"});
+  engines.SetScript([&](const VersionedCall& call) {
+    if (++begun == 2) {
+      call.Serve();
+      return;
+    }
+    call.call.BeginEvents();
+    call.call.WaitForClose(milliseconds(3000));
+  });
+  AssertWhole(engines.Call({.id = "replaced"}), 1);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, engines.CountOf("replaced"));
+}
+
+/** Streams at two endpoints each that send their first bytes while the gateway
+ * stands still. */
+class Meeting {
+ public:
+  explicit Meeting(std::size_t streams) : arrivals(streams) {}
+
+  /** What an endpoint does with a stream. */
+  void Attend(const VersionedCall& call) {
+    const std::string id = call.call.Id();
+    const std::size_t number = std::stoul(id.substr(id.find('-') + 1));
+    const bool is_second = this->arrivals.at(number)++ > 0;
+    if (!is_second)
+      call.call.BeginEvents();
+    ++this->present;
+    WaitUntil([this] { return this->may_send.load(); });
+    // Whose bytes come first differs.
+    if (is_second == (number % 2 == 0))
+      std::this_thread::sleep_for(kLater);
+    // After a comment, the gateway has bytes left that it has not looked at.
+    if (is_second) {
+      call.call.BeginEvents();
+      call.Event(call.First());
+    } else {
+      call.CommentAndEvent(call.First());
+    }
+    ++this->sent;
+    WaitUntil([this] { return this->may_go_on.load(); });
+    call.Events(call.First() + 1, kLastEvent);
+    call.call.EndEvents();
+  }
+
+  /** Lets all streams send once both endpoints of each have come. */
+  void Hold(ChildProcess& gateway) {
+    const std::size_t all = 2 * this->arrivals.size();
+    CPPUNIT_ASSERT(WaitUntil([&] { return this->present == all; }));
+    gateway.Signal(SIGSTOP);
+    this->may_send = true;
+    const bool has_sent = WaitUntil([&] { return this->sent == all; });
+    gateway.Signal(SIGCONT);
+    std::this_thread::sleep_for(kLater);
+    this->may_go_on = true;
+    CPPUNIT_ASSERT(has_sent);
+  }
+
+ private:
+  static constexpr milliseconds kLater{20};
+
+  std::vector<std::atomic<int>> arrivals;
+  std::atomic<std::size_t> present = 0;
+  std::atomic<std::size_t> sent = 0;
+  std::atomic<bool> may_send = false;
+  std::atomic<bool> may_go_on = false;
+};
+
+/** Guards against events of one endpoint after those of another one that were
+ * passed on at the moment at which it was replaced. */
+void FirstEventsAtTheSameMomentAreOfOneVersion() {
+  constexpr std::size_t kStreams = 200;
+  Meeting meeting(kStreams);
+  GatewayPlan plan;
+  plan.slots = 400;
+  plan.max_connections = 2000;
+  plan.settings = {{"retry_slack", 100000}};
+  VersionedFleet engines({"v1", "v2"}, plan);
+  engines.SetScript([&](const VersionedCall& call) { meeting.Attend(call); });
+  std::vector<VersionedAnswer> answers(kStreams);
+  {
+    std::vector<std::jthread> callers;
+    callers.reserve(kStreams);
+    for (std::size_t i = 0; i < kStreams; ++i) {
+      callers.emplace_back([&, i] {
+        const std::string id = "race-" + std::to_string(i);
+        answers[i] = engines.Call({.id = id, .path = "/talk/" + id});
+      });
+    }
+    meeting.Hold(engines.Parts().Gateway(0));
+  }
+  std::size_t mixed = 0;
+  std::size_t whole = 0;
+  std::set<std::string> winners;
+  for (const VersionedAnswer& answer : answers) {
+    mixed += answer.versions.size() > 1 ? 1 : 0;
+    whole += answer.IsComplete() && answer.HasEvents(1, kLastEvent) ? 1 : 0;
+    winners.insert(answer.versions.begin(), answer.versions.end());
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, mixed);
+  CPPUNIT_ASSERT_EQUAL(kStreams, whole);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, winners.size());
+}
+
+// Taken up by the caller.
+
+/** The caller names the first request each time. */
+void TakeUpsGoOnAtTheVersionThatBegan() {
+  constexpr int kStreams = 6;
+  VersionedFleet engines({"v1", "v2", "v1", "v2"});
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string first = "first-" + std::to_string(i);
+    const std::string version = BeginBrokenStream(engines, first);
+    engines.SetScript([](const VersionedCall& call) {
+      const bool is_last = call.call.Id().starts_with("third-");
+      if (is_last)
+        call.Serve();
+      else
+        call.ServeUntil(4);
+    });
+    const VersionedAnswer second =
+        engines.Call(TakeUp("second-" + std::to_string(i), first));
+    CPPUNIT_ASSERT(second.HasEvents(3, 4));
+    StreamCall again = TakeUp("third-" + std::to_string(i), first);
+    again.last_event = "4";
+    const VersionedAnswer third = engines.Call(again);
+    AssertWhole(third, 5);
+    CPPUNIT_ASSERT_EQUAL(version, *second.versions.begin());
+    CPPUNIT_ASSERT_EQUAL(version, *third.versions.begin());
+  }
+}
+
+void UnprovenTakeUpIsRefused() {
+  VersionedFleet engines({"v1", "v2"});
+  StreamCall nameless = TakeUp("nameless", "");
+  nameless.path = "/talk/x";
+  AssertUnknown(engines, nameless);
+  AssertUnknown(engines, TakeUp("unknown", "never-seen"));
+  const VersionedAnswer fresh = engines.Call({.id = "new"});
+  AssertWhole(fresh, 1);
+  CPPUNIT_ASSERT(fresh.took < kAtOnce);
+}
+
+/** Guards against texts joined from two versions after all gateways were killed
+ * at once. */
+void TakeUpAfterTheDeathOfTheGatewayIsRefused() {
+  VersionedFleet engines({"v1", "v2"});
+  BeginBrokenStream(engines, "before");
+  engines.Parts().Gateway(0).Signal(SIGKILL);
+  engines.Parts().Gateway(0).WaitForExit(kCallerTimeout);
+  engines.Parts().Restart(0);
+  CPPUNIT_ASSERT(WaitUntil([&] { return engines.Parts().IsReady(0); }));
+  AssertUnknown(engines, TakeUp("after", "before"));
+  const VersionedAnswer fresh = engines.Call({.id = "new"});
+  AssertWhole(fresh, 1);
+  CPPUNIT_ASSERT(fresh.took < kAtOnce);
+}
+
+void TakeUpWithoutAnEndpointOfItsVersionIsRefused(
+    const std::function<void(VersionedFleet& engines, std::size_t engine)>&
+        leave) {
+  VersionedFleet engines({"v1", "v2"});
+  BeginBrokenStream(engines, "gone");
+  leave(engines, engines.EngineOf("gone"));
+  engines.AwaitPublication();
+  const VersionedAnswer answer = engines.Call(TakeUp("late", "gone"));
+  CPPUNIT_ASSERT_EQUAL(503U, answer.raw.status);
+  CPPUNIT_ASSERT(answer.took < kAtOnce);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, engines.CountOf("late"));
+}
+
+/** Asks until a stream that nothing is known of is taken up.
+ * @return The answer; its time is that since `start`. */
+VersionedAnswer AwaitSoleVersion(VersionedFleet& engines,
+                                 Clock::time_point start) {
+  VersionedAnswer answer;
+  int tries = 0;
+  CPPUNIT_ASSERT(WaitUntil(
+      [&] {
+        StreamCall call = TakeUp("sole-" + std::to_string(++tries), "unseen");
+        answer = engines.Call(call);
+        answer.took = Since(start);
+        return answer.raw.status == 200;
+      },
+      milliseconds(30000)));
+  return answer;
+}
+
+void SoleVersionProvesItselfWithTime() {
+  const auto start = Clock::now();
+  VersionedFleet engines({"v1", "v1"});
+  AssertUnknown(engines, TakeUp("early", "unseen"));
+  const VersionedAnswer answer = AwaitSoleVersion(engines, start);
+  AssertWhole(answer, 3);
+  CPPUNIT_ASSERT(answer.took >= kProofMargin + 2 * milliseconds(4000));
+}
+
+void QuickChangeProvesNothing() {
+  constexpr milliseconds kLimit{500};
+  constexpr milliseconds kTime = kProofMargin + 2 * kLimit;
+  const auto start = Clock::now();
+  VersionedFleet engines({"v1"});
+  engines.Configure(kLimit);
+  std::this_thread::sleep_until(start + kTime - milliseconds(1000));
+  const auto changed_at = Clock::now();
+  engines.Publish(0, "v2");
+  const VersionedAnswer answer = AwaitSoleVersion(engines, changed_at);
+  AssertWhole(answer, 3);
+  CPPUNIT_ASSERT_EQUAL(std::string("v2"), *answer.versions.begin());
+  CPPUNIT_ASSERT(answer.took >= kTime);
+}
+
+/** Two requests with the same id begin at different versions. */
+void ContradictoryOriginsProveNothing() {
+  VersionedFleet engines({"v1", "v2"});
+  BeginBrokenStream(engines, "twin");
+  const std::size_t first = engines.EngineOf("twin");
+  const std::string version = engines.VersionOf(first);
+  engines.Publish(first, version, "draining");
+  engines.AwaitPublication();
+  AssertWhole(engines.Call({.id = "twin", .path = "/talk/twin"}), 1);
+  engines.Publish(first, version);
+  engines.AwaitPublication();
+  AssertUnknown(engines, TakeUp("take-up", "twin"));
+}
+
+/** The endpoint's process is replaced while a request waits for it. */
+void StreamIsNotSentToAnEndpointThatHasChanged() {
+  std::atomic<bool> may_end = false;
+  GatewayPlan plan;
+  plan.max_connections = 1;
+  VersionedFleet engines({"v1", "v2"}, plan);
+  BeginBrokenStream(engines, "changed");
+  const std::size_t engine = engines.EngineOf("changed");
+  const std::string other = engines.VersionOf(1 - engine);
+  engines.SetScript([&](const VersionedCall& call) {
+    call.call.BeginEvents();
+    call.Event(call.First());
+    WaitUntil([&] { return may_end.load(); });
+    call.Events(call.First() + 1, kLastEvent);
+    call.call.EndEvents();
+  });
+  const auto hold = [&](const std::string& id) {
+    engines.Call({.id = id, .path = "/talk/" + id});
+  };
+  std::jthread holder([&] { hold("hold-1"); });
+  std::jthread other_holder([&] { hold("hold-2"); });
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return engines.CountOf("hold-1") + engines.CountOf("hold-2") == 2;
+  }));
+  VersionedAnswer answer;
+  std::jthread waiter(
+      [&] { answer = engines.Call(TakeUp("waits", "changed")); });
+  // The waiting request has no effect that could be waited for.
+  std::this_thread::sleep_for(milliseconds(200));
+  engines.Publish(engine, other);
+  engines.AwaitPublication();
+  may_end = true;
+  waiter.join();
+  CPPUNIT_ASSERT_EQUAL(503U, answer.raw.status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, engines.CountOf("waits"));
+}
+
+// Other routes.
+
+void OtherRoutesPassTheFieldsOn() {
+  VersionedFleet engines({"v1", "v2"});
+  for (const std::string path : {"/draft/x", "/lookup/x", "/issue/x"}) {
+    const std::string id = "other-" + path.substr(1, 1);
+    const VersionedAnswer answer = engines.Call(
+        {.id = id, .path = path, .last_event = "2", .resumes = "never-seen"});
+    CPPUNIT_ASSERT_EQUAL(200U, answer.raw.status);
+    ScriptedEndpoint& endpoint =
+        path.starts_with("/draft/")
+            ? engines.Parts().Engine(engines.EngineOf(id))
+            : engines.Parts().Ledger(0);
+    const ScriptedCall::Message message = endpoint.Received().back();
+    CPPUNIT_ASSERT_EQUAL(id, std::string(message["Buckthornpath-Request-Id"]));
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         std::string(message["Last-Event-Id"]));
+    CPPUNIT_ASSERT_EQUAL(std::string("never-seen"),
+                         std::string(message["Resumes"]));
+  }
+}
+
+const Story kStory("gateway_versions", [] {
+  return Section(
+      "given endpoints of two software versions",
+      {Section("when the endpoint of a stream breaks off",
+               {Then("it is cut at once if only the other version is left",
+                     BrokenStreamIsCutAtOnce),
+                Then("it goes on at an endpoint of its version",
+                     BrokenStreamGoesOnAtItsVersion)}),
+       Section("when the endpoint of a stream pauses",
+               {Then("it does not move to the other version",
+                     PausedStreamStaysAtItsVersion),
+                Then("it moves to an endpoint of its version",
+                     PausedStreamMovesWithinItsVersion),
+                Then("it begins at any version if it has not begun",
+                     SilentEndpointIsReplacedByAnyVersion),
+                Then("it has the events of one if both begin at once",
+                     FirstEventsAtTheSameMomentAreOfOneVersion)}),
+       Section(
+           "when the caller takes a stream up",
+           {Then("it goes on at the version that began it, each time",
+                 TakeUpsGoOnAtTheVersionThatBegan),
+            Then("it is refused at once if nothing is known of it",
+                 UnprovenTakeUpIsRefused),
+            Then("it is refused at once if its gateway was killed",
+                 TakeUpAfterTheDeathOfTheGatewayIsRefused),
+            Then("it is refused at once if its version was removed",
+                 [] {
+                   TakeUpWithoutAnEndpointOfItsVersionIsRefused(
+                       [](VersionedFleet& engines, std::size_t engine) {
+                         engines.Remove(engine);
+                       });
+                 }),
+            Then("or was replaced",
+                 [] {
+                   TakeUpWithoutAnEndpointOfItsVersionIsRefused(
+                       [](VersionedFleet& engines, std::size_t engine) {
+                         engines.Publish(engine, "v3");
+                       });
+                 }),
+            Then("it is refused if two versions have begun it",
+                 ContradictoryOriginsProveNothing),
+            Then("it does not reach an endpoint that has changed its version",
+                 StreamIsNotSentToAnEndpointThatHasChanged)}),
+       Section("when the service has one version",
+               {Then("that version proves itself with time",
+                     SoleVersionProvesItselfWithTime),
+                Then("one that has just changed proves nothing",
+                     QuickChangeProvesNothing)}),
+       Section("when a request is no resumable stream",
+               {Then("its fields are passed on unchanged",
+                     OtherRoutesPassTheFieldsOn)})});
+});
+
+}  // namespace
+
+}  // namespace buckthornpath
