Queue: a stream that waits for its version is refused when that version goes

What callers saw: a stream that was taken up while all connections of its version were in use waited for half of its time, although the last endpoint of that version had been removed, drained or replaced meanwhile. The same request would have been refused on arrival. Cause: a publication wakes the requests that wait, but does not look whether they still wait for anything; that was done only for evacuations, quarantines and the end of the process. Fix: each time all queues are woken, requests that are bound to a version are looked at. Others wait on as before: endpoints that replace the last ones can serve them. Evidence: the story gateway_version_waits, 3 of its 4 cases failed before (not answered within 6 s of a wait of 15 s; the case of SIGTERM passed before, too).

--- a/src/gateway/forward_wait.cc
+++ b/src/gateway/forward_wait.cc
@@ -105,7 +105,8 @@
       [this, leave_queue] {
         leave_queue();
         this->capacity_signal.Set();
-      }};
+      },
+      this->stream_version.has_value()};
   this->state.WakeWaiting(this->request.service);
   if (!this->reservation && !this->is_aborted &&
       queue.waiters.contains(ticket) &&
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -41,6 +41,8 @@
   std::function<void()> recheck;
   /** Ends the wait, as the request can't start in time any more. */
   std::function<void()> give_up;
+  /** Only endpoints of one software version may serve the request. */
+  bool is_bound = false;
 };
 
 /** Requests of one service that wait for an endpoint with capacity. */
@@ -97,7 +99,8 @@
    * hold those behind it. */
   void WakeWaiting(const ServiceName& service);
 
-  /** Starts waiting requests of all services. */
+  /** Starts waiting requests of all services, and ends the wait of those whose
+   * version has no endpoint left: one that comes is mostly of another. */
   void WakeAllWaiting();
 
   /** Ends the wait of all requests that must not be started any more, then
@@ -128,6 +131,10 @@
    * some of which may have to be refused now. */
   void ApplyQuarantineChanges();
 
+  /** Ends the wait of requests that must not be started any more.
+   * @param is_all False: only of those that are bound to a version. */
+  void RecheckWaiting(bool is_all);
+
   const Settings& settings;
   asio::any_io_executor executor;
   const PlatformAdapter& adapter;
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -52,20 +52,27 @@
   }
 }
 
-void GatewayState::RecheckAllWaiting() {
+void GatewayState::RecheckWaiting(bool is_all) {
   // A request that cannot be started ends a round of WakeWaiting(), so each is
   // looked at here. Copies, as a handler may erase itself from the map.
   std::vector<std::function<void()>> rechecks;
   for (const auto& [service, queue] : this->queues) {
-    for (const auto& [ticket, waiter] : queue.waiters)
-      rechecks.push_back(waiter.recheck);
+    for (const auto& [ticket, waiter] : queue.waiters) {
+      if (is_all || waiter.is_bound)
+        rechecks.push_back(waiter.recheck);
+    }
   }
   for (const std::function<void()>& recheck : rechecks)
     recheck();
+}
+
+void GatewayState::RecheckAllWaiting() {
+  this->RecheckWaiting(true);
   this->WakeAllWaiting();
 }
 
 void GatewayState::WakeAllWaiting() {
+  this->RecheckWaiting(false);
   std::vector<ServiceName> services;
   for (const auto& [service, queue] : this->queues) {
     if (queue.waiting.Size() > 0)
