Endpoints: a stream does not move between endpoints that state no version

What callers saw: with entries that state no version, a stream that broke off went on at any other such endpoint, which may be of another version. Cause: an unknown version was compared like a version, and equals itself. Fix: no endpoint is of the version that is not known. Evidence: the new case of gateway_versions failed before (the answer was whole).

--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -87,9 +87,12 @@
 }  // namespace
 
 bool EndpointQuery::Allows(const EndpointEntry& entry) const {
-  return std::find(this->excluded.begin(), this->excluded.end(), entry.id) ==
-             this->excluded.end() &&
-         (this->version == nullptr || entry.version == *this->version);
+  // Endpoints that state no version may be of different ones.
+  const bool has_version =
+      this->version == nullptr ||
+      (!this->version->empty() && entry.version == *this->version);
+  return has_version && std::find(this->excluded.begin(), this->excluded.end(),
+                                  entry.id) == this->excluded.end();
 }
 
 std::int64_t EndpointState::EstimatedRequests() const {
--- a/test/stories/gateway_versions.cc
+++ b/test/stories/gateway_versions.cc
@@ -53,6 +53,23 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engines.CountOf("cut"));
 }
 
+/** Guards against a stream that moves from one unknown version to another. */
+void StreamOfNoVersionIsCutAtOnce() {
+  VersionedFleet engines({"", ""});
+  engines.SetScript([](const VersionedCall& call) {
+    if (call.First() == 1)
+      call.ServeUntil(2);
+    else
+      call.Serve();
+  });
+  const VersionedAnswer answer = engines.Call({.id = "no-version"});
+  CPPUNIT_ASSERT(!answer.IsComplete());
+  CPPUNIT_ASSERT(answer.HasEvents(1, 2));
+  CPPUNIT_ASSERT(answer.took < kAtOnce);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engines.CountOf("no-version"));
+  AssertUnknown(engines, TakeUp("take-up", "no-version"));
+}
+
 void BrokenStreamGoesOnAtItsVersion() {
   constexpr int kStreams = 6;
   VersionedFleet engines({"v1", "v2", "v1", "v2"});
@@ -399,6 +416,8 @@
       {Section("when the endpoint of a stream breaks off",
                {Then("it is cut at once if only the other version is left",
                      BrokenStreamIsCutAtOnce),
+                Then("or if the versions are not stated",
+                     StreamOfNoVersionIsCutAtOnce),
                 Then("it goes on at an endpoint of its version",
                      BrokenStreamGoesOnAtItsVersion)}),
        Section("when the endpoint of a stream pauses",
