--- a/include/buckthornpath/stream_origins.h
+++ b/include/buckthornpath/stream_origins.h
@@ -53,7 +53,7 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  /** Limit of the records; one takes about 100 bytes. */
+  /** Limit of the records; one takes about 150 bytes. */
   static constexpr std::size_t kMaxStreams = 32768;
 
   /** Time after the last record of a stream for which it is remembered. */
