Refusals: Retry-After of a stream follows its version

What callers saw: a stream whose only endpoint of its version had asked for 1.5 s was refused with a Retry-After of about 0.05 s, as endpoints of the other version were free, so that its caller used up its tries in vain. One that nothing proves was told the same, or the time of a queue that it is not in, though its version was to be proven 0.9 s later. Cause: the time was computed from all endpoints of the service. Fix: only endpoints to which the request may go count. Where the service's only version proves itself within half of the time left, the caller is told that time. Where nothing is known that could help, it is told to come back soon: no wait at this gateway changes anything, another gateway may know more, and a caller that gives up early has time for a new stream. Evidence: two of the three cases of gateway_version_refusals failed before.

--- a/include/buckthornpath/endpoint_selector.h
+++ b/include/buckthornpath/endpoint_selector.h
@@ -191,9 +191,9 @@
 
   const DomainEvacuations& Evacuations() const { return this->evacuations; }
 
-  /** @return True if no endpoint of the service may be used, and one might be
-   * if its failure domain were not evacuated. */
-  bool IsEvacuated(const ServiceName& service, TimePoint now) const;
+  /** @return True if no endpoint that a request may go to may be used, and one
+   * might be if its failure domain were not evacuated. */
+  bool IsEvacuated(const EndpointQuery& query, TimePoint now) const;
 
   /** @return The endpoint with this id, or null. */
   EndpointHandle Find(const EndpointId& id) const;
@@ -208,9 +208,9 @@
                             TimePoint now,
                             TimePoint later) const;
 
-  /** @return When the first endpoint wants requests again, if none of the
-   * service may be used now and one has asked for time. */
-  std::optional<TimePoint> EarliestReturn(const ServiceName& service,
+  /** @return When the first endpoint that a request may go to wants requests
+   * again, if none may be used now and one has asked for time. */
+  std::optional<TimePoint> EarliestReturn(const EndpointQuery& query,
                                           TimePoint now) const;
 
   /** @return Number of the service's endpoints in each state, by the name of
--- a/include/buckthornpath/retry_after.h
+++ b/include/buckthornpath/retry_after.h
@@ -12,6 +12,11 @@
 struct RefusalOutlook {
   /** Rest of the quarantine of its prompt. */
   std::optional<std::chrono::milliseconds> quarantine;
+  /** Time until the version of its stream may be proven; see
+   * version_history.h. */
+  std::optional<std::chrono::milliseconds> proof;
+  /** No endpoint is known that it may ever be sent to. */
+  bool is_in_vain = false;
   /** Time until the first endpoint of the service wants requests again, if
    * none may be used now. */
   std::optional<std::chrono::milliseconds> endpoint_return;
--- a/include/buckthornpath/version_history.h
+++ b/include/buckthornpath/version_history.h
@@ -46,6 +46,11 @@
                                          std::chrono::milliseconds time,
                                          TimePoint now) const;
 
+  /** @return When SoleVersion() proves the present version of a service if
+   * nothing changes; nothing if it has several or none, or an unknown one. */
+  std::optional<TimePoint> ProofDue(const ServiceName& service,
+                                    std::chrono::milliseconds time) const;
+
  private:
   struct Served {
     ServiceName service;
--- a/src/decision/endpoint_selector.cc
+++ b/src/decision/endpoint_selector.cc
@@ -150,12 +150,13 @@
   return lasted;
 }
 
-bool EndpointSelector::IsEvacuated(const ServiceName& service,
+bool EndpointSelector::IsEvacuated(const EndpointQuery& query,
                                    TimePoint now) const {
-  const auto& all = this->EndpointsOf(service);
-  return !this->HasAvailableEndpoint({.service = service}, now, now) &&
-         std::any_of(all.begin(), all.end(), [](const auto& endpoint) {
-           return endpoint->availability.IsEvacuated();
+  const auto& all = this->EndpointsOf(query.service);
+  return !this->HasAvailableEndpoint(query, now, now) &&
+         std::any_of(all.begin(), all.end(), [&](const auto& endpoint) {
+           return query.Allows(endpoint->entry) &&
+                  endpoint->availability.IsEvacuated();
          });
 }
 
@@ -197,10 +198,12 @@
 }
 
 std::optional<EndpointSelector::TimePoint> EndpointSelector::EarliestReturn(
-    const ServiceName& service,
+    const EndpointQuery& query,
     TimePoint now) const {
   std::optional<TimePoint> earliest;
-  for (const EndpointHandle& endpoint : this->EndpointsOf(service)) {
+  for (const EndpointHandle& endpoint : this->EndpointsOf(query.service)) {
+    if (!query.Allows(endpoint->entry))
+      continue;
     const EndpointAvailability& availability = endpoint->availability;
     if (availability.StateAt(now).use != EndpointUse::kNever)
       return std::nullopt;
--- a/src/decision/retry_after.cc
+++ b/src/decision/retry_after.cc
@@ -32,14 +32,22 @@
   // Earlier, the caller would be refused again.
   if (outlook.quarantine)
     return std::max(*outlook.quarantine, kMinRetryAfter);
+  const milliseconds max_time =
+      std::max(kMinRetryAfter, outlook.time_left / kMaxDivisor);
+  // Two tries wait for at most 5/9 of the time left, and the rest is for the
+  // stream.
+  if (outlook.proof && *outlook.proof <= outlook.time_left / 2)
+    return std::clamp(*outlook.proof, kMinRetryAfter, max_time);
+  // A longer wait would change nothing here; the caller is to try another
+  // gateway, or to give up, while it has time left.
+  if (outlook.is_in_vain)
+    return kMinRetryAfter;
   if (outlook.endpoint_return) {
     const milliseconds time = *outlook.endpoint_return;
     const milliseconds range =
         std::max(kMinReturnSpread, time / kReturnSpreadDivisor);
     return std::max(time + PartOf(range, outlook.spread), kMinRetryAfter);
   }
-  const milliseconds max_time =
-      std::max(kMinRetryAfter, outlook.time_left / kMaxDivisor);
   if (outlook.is_evacuated)
     return max_time;
   const milliseconds capacity_in = std::clamp(
--- a/src/decision/version_history.cc
+++ b/src/decision/version_history.cc
@@ -2,6 +2,7 @@
 
 #include "buckthornpath/version_history.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -70,4 +71,22 @@
   return *versions.begin();
 }
 
+std::optional<VersionHistory::TimePoint> VersionHistory::ProofDue(
+    const ServiceName& service,
+    std::chrono::milliseconds time) const {
+  std::set<std::string> versions;
+  for (const auto& [endpoint, served] : this->current) {
+    if (served.service == service)
+      versions.insert(served.version);
+  }
+  if (!this->known_since || versions.size() != 1 || versions.begin()->empty())
+    return std::nullopt;
+  TimePoint since = *this->known_since;
+  for (const auto& [served, end] : this->ended_at) {
+    if (served.service == service && served.version != *versions.begin())
+      since = std::max(since, end);
+  }
+  return since + time;
+}
+
 }  // namespace buckthornpath
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -156,6 +156,14 @@
   /** @return What began the stream that the caller takes up, if it is known. */
   asio::awaitable<std::optional<StreamOrigin>> FindOrigin();
 
+  /** @return Time for which the sole version of the service must have been
+   * that to prove itself. */
+  std::chrono::milliseconds ProofTime() const;
+
+  /** @return When a stream that nothing proves may be proven by its service
+   * having one version; nothing if it is proven, or will not be. */
+  std::optional<Clock::time_point> ProofDue() const;
+
   /** Records the version of the present endpoint as that of the stream. */
   void RecordStreamBegin();
 
@@ -265,6 +273,7 @@
   /** Version of the endpoints that may go on with the stream; empty if it has
    * not begun. */
   std::optional<std::string> stream_version;
+  bool is_unproven = false;  ///< Nothing proves the version of the stream.
   std::unique_ptr<EndpointConnection> connection;
   /** Idle time of the connection before this request; empty if it is new. */
   std::optional<std::chrono::milliseconds> previous_idle_time;
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -42,10 +42,10 @@
     this->stream_version = origin->version;
   } else if (!origin) {
     this->stream_version = this->state.version_history.SoleVersion(
-        this->request.service,
-        route.timeout * kStreamLimits + kPublicationMargin, Clock::now());
+        this->request.service, this->ProofTime(), Clock::now());
   }
   if (!this->stream_version) {
+    this->is_unproven = true;
     const Refusal unproven{kUnavailable, "version_unknown"};
     co_return unproven;
   }
@@ -54,6 +54,18 @@
   co_return std::nullopt;
 }
 
+milliseconds ForwardSession::ProofTime() const {
+  return this->request.route->timeout * kStreamLimits + kPublicationMargin;
+}
+
+std::optional<ForwardSession::Clock::time_point> ForwardSession::ProofDue()
+    const {
+  if (!this->is_unproven)
+    return std::nullopt;
+  return this->state.version_history.ProofDue(this->request.service,
+                                              this->ProofTime());
+}
+
 void ForwardSession::RecordStreamBegin() {
   if (this->stream_version)
     return;
--- a/src/gateway/forward_wait.cc
+++ b/src/gateway/forward_wait.cc
@@ -140,12 +140,19 @@
       this->state.quarantine.Find(this->request.signature, now);
   if (quarantined)
     outlook.quarantine = quarantined->remaining;
-  const auto returns_at =
-      this->state.selector.EarliestReturn(this->request.service, now);
+  const std::vector<EndpointId> none;
+  const EndpointQuery query = this->MakeQuery(none);
+  const auto returns_at = this->state.selector.EarliestReturn(query, now);
   if (returns_at)
     outlook.endpoint_return = Elapsed(now, *returns_at);
-  outlook.is_evacuated =
-      this->state.selector.IsEvacuated(this->request.service, now);
+  outlook.is_evacuated = this->state.selector.IsEvacuated(query, now);
+  const auto proof_due = this->ProofDue();
+  if (proof_due)
+    outlook.proof = std::chrono::ceil<milliseconds>(*proof_due - now);
+  outlook.is_in_vain =
+      this->is_unproven ||
+      (this->stream_version && !returns_at && !outlook.is_evacuated &&
+       !this->state.selector.HasAvailableEndpoint(query, now, now));
   outlook.time_left = this->TimeLeft();
   outlook.spread = SpreadOf(this->request.metadata.request_id);
   const auto queue = this->state.queues.find(this->request.service);
--- a/test/stories/domain_evacuation.cc
+++ b/test/stories/domain_evacuation.cc
@@ -117,11 +117,12 @@
   for (const char* domain : {"a", "b", "c"})
     view.selector.BeginEvacuation(FailureDomainId(domain), view.now);
   CPPUNIT_ASSERT(!view.HasEndpoint());
-  CPPUNIT_ASSERT(view.selector.IsEvacuated(kService, view.now));
-  CPPUNIT_ASSERT(!view.selector.EarliestReturn(kService, view.now));
+  CPPUNIT_ASSERT(view.selector.IsEvacuated({.service = kService}, view.now));
+  CPPUNIT_ASSERT(
+      !view.selector.EarliestReturn({.service = kService}, view.now));
   view.selector.EndEvacuation(FailureDomainId("b"), view.now);
   CPPUNIT_ASSERT(view.HasEndpoint());
-  CPPUNIT_ASSERT(!view.selector.IsEvacuated(kService, view.now));
+  CPPUNIT_ASSERT(!view.selector.IsEvacuated({.service = kService}, view.now));
 }
 
 void UnnamedDomainIsNotEvacuated() {
