--- a/test/stories/stream_origin_fleet.cc
+++ b/test/stories/stream_origin_fleet.cc
@@ -28,6 +28,10 @@
 constexpr int kLastEvent = 4;
 constexpr std::size_t kEngines = 2;
 constexpr std::size_t kStreams = 6;
+constexpr std::size_t kManyStreams = 200;
+
+/** Of an endpoint; gateways share it. */
+constexpr std::size_t kMaxConnections = 4 * kManyStreams;
 
 /** Time in which a gateway tells others of a stream. */
 constexpr milliseconds kAnnouncementTime{20};
@@ -65,14 +69,13 @@
       this->fleet.Store().Put("servers/engine-" + std::to_string(engine),
                               entry);
     }
-    // What is published before it is in force as well then.
-    this->fleet.PublishLongTimeouts();
+    this->PublishConfiguration();
     this->AwaitWitnesses();
   }
 
   /** Begins streams at a gateway and keeps their connections open. */
-  void Begin(std::size_t gateway) {
-    for (std::size_t i = 0; i < kStreams; ++i) {
+  void Begin(std::size_t gateway, std::size_t streams = kStreams) {
+    for (std::size_t i = 0; i < streams; ++i) {
       CallerText text;
       text.path = "/talk/x";
       text.id = IdOf(i);
@@ -108,21 +111,25 @@
   /** Takes all streams up; fails unless each goes on to its end at the version
    * that began it. */
   void AssertTheyGoOn(std::size_t gateway) {
-    for (std::size_t i = 0; i < kStreams; ++i) {
-      const RawAnswer answer = this->TakeUp(gateway, IdOf(i));
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.head + answer.body, 200U,
-                                   answer.status);
-      CPPUNIT_ASSERT(answer.body.ends_with("0\r\n\r\n"));
-      CPPUNIT_ASSERT(answer.body.find("id: 1\n") == std::string::npos);
-      for (int id = 2; id <= kLastEvent; ++id) {
-        CPPUNIT_ASSERT(answer.body.find("id: " + std::to_string(id) + "\n") !=
-                       std::string::npos);
-      }
-      for (std::size_t engine = 0; engine < kEngines; ++engine) {
-        ScriptedEndpoint& endpoint = this->fleet.Engine(engine);
-        CPPUNIT_ASSERT_EQUAL(endpoint.CountOf(IdOf(i)),
-                             endpoint.CountOf(IdOf(i) + "-again"));
-      }
+    for (std::size_t i = 0; i < kStreams; ++i)
+      this->AssertItWentOn(i, this->TakeUp(gateway, IdOf(i)));
+  }
+
+  /** Fails unless the answer holds the rest of a stream, from the version that
+   * began it. */
+  void AssertItWentOn(std::size_t i, const RawAnswer& answer) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.head + answer.body, 200U,
+                                 answer.status);
+    CPPUNIT_ASSERT(answer.body.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(answer.body.find("id: 1\n") == std::string::npos);
+    for (int id = 2; id <= kLastEvent; ++id) {
+      CPPUNIT_ASSERT(answer.body.find("id: " + std::to_string(id) + "\n") !=
+                     std::string::npos);
+    }
+    for (std::size_t engine = 0; engine < kEngines; ++engine) {
+      ScriptedEndpoint& endpoint = this->fleet.Engine(engine);
+      CPPUNIT_ASSERT_EQUAL(endpoint.CountOf(IdOf(i)),
+                           endpoint.CountOf(IdOf(i) + "-again"));
     }
   }
 
@@ -180,12 +187,36 @@
   GatewayFleet& Fleet() { return this->fleet; }
 
  private:
+  /** Publishes room for many streams, and waits until it is in force, as is
+   * what has been published before. */
+  void PublishConfiguration() {
+    constexpr std::uint64_t kVersion = 2;
+    json configuration = StandardConfiguration(kVersion);
+    for (json& route : configuration["routes"])
+      route["timeoutMs"] = 30000;
+    for (json& service : configuration["services"]) {
+      service["maxConns"] = kMaxConnections;
+      if (service.contains("engine"))
+        service["engine"]["slots"] = kManyStreams;
+    }
+    this->fleet.Store().Put("op/config", configuration);
+    CPPUNIT_ASSERT(WaitUntil([&] {
+      for (std::size_t gateway = 0; gateway < this->gateways; ++gateway) {
+        if (LocalFleet::StatusOf(this->fleet.Operator(gateway))
+                .value("configuration", std::uint64_t{0}) != kVersion)
+          return false;
+      }
+      return true;
+    }));
+  }
+
   static GatewayPlan PlanOf(std::size_t gateways,
                             std::vector<std::string> domains) {
     GatewayPlan plan;
     plan.gateways = gateways;
     plan.failure_domains = std::move(domains);
     plan.engines = kEngines;
+    plan.slots = kManyStreams;
     return plan;
   }
 
@@ -243,6 +274,24 @@
     fleet.AssertTheyGoOn(3);
 }
 
+/** All callers come back within some milliseconds. */
+void ManyGoOnAtOnce() {
+  VersionFleet fleet(4, kTwoDomains);
+  fleet.Begin(0, kManyStreams);
+  fleet.KillAfterAnnouncement(0);
+  std::vector<RawAnswer> answers(kManyStreams);
+  std::vector<std::jthread> callers;
+  callers.reserve(kManyStreams);
+  for (std::size_t i = 0; i < kManyStreams; ++i) {
+    callers.emplace_back([&fleet, &answers, i] {
+      answers[i] = fleet.TakeUp(1, VersionFleet::IdOf(i));
+    });
+  }
+  callers.clear();
+  for (std::size_t i = 0; i < kManyStreams; ++i)
+    fleet.AssertItWentOn(i, answers[i]);
+}
+
 /** The records of hubs that are killed are gone; who began the streams tells
  * those that follow. */
 void NewHubsAreTold() {
@@ -327,19 +376,21 @@
                      [] { BrokenConnection(1); }),
                 Then("a silent gateway holds nothing up",
                      SilentGatewayHoldsNothingUp)}),
-       Section("when the gateway is killed after their first events",
-               {Then("they go on at another gateway of the failure domain",
-                     [] { KilledGateway(2); }),
-                Then("they go on in another failure domain",
-                     [] { KilledGateway(1); }),
-                Then("they go on if it was the only one of its domain",
-                     OnlyGatewayOfItsDomainIsKilled),
-                Then("they go on though the leader is killed as well",
-                     [] { KilledWithHubs(1); }),
-                Then("they go on though both hubs are killed as well",
-                     [] { KilledWithHubs(2); }),
-                Then("they go on after the hubs have been replaced",
-                     NewHubsAreTold)}),
+       Section(
+           "when the gateway is killed after their first events",
+           {Then("they go on at another gateway of the failure domain",
+                 [] { KilledGateway(2); }),
+            Then("they go on in another failure domain",
+                 [] { KilledGateway(1); }),
+            Then("hundreds that are taken up at once go on", ManyGoOnAtOnce),
+            Then("they go on if it was the only one of its domain",
+                 OnlyGatewayOfItsDomainIsKilled),
+            Then("they go on though the leader is killed as well",
+                 [] { KilledWithHubs(1); }),
+            Then("they go on though both hubs are killed as well",
+                 [] { KilledWithHubs(2); }),
+            Then("they go on after the hubs have been replaced",
+                 NewHubsAreTold)}),
        Section("when nobody knows a stream",
                {Then("it is refused at once, as all say so",
                      UnknownStreamIsRefusedAtOnce),
