Feed: a reader that has read elsewhere asks its hub for all

A gateway that reads the store while no hub confirms learns of an endpoint; the endpoint is removed before the hub can read the store again, and in a moment in which the gateway does not see it (its way to the store is cut, or it waits between two watches). It sent to the endpoint for good. Cause: it goes on from its position in the hub's changes, and the hub has never had the endpoint. The first list of a new era is sent whole; within an era nothing was. Fix: a gateway remembers up to which revision it has taken items from others than its hub. A hub that confirms its items at that revision or a later one, and sends changes, is asked for all again; what it sends then is newer than what was read, so that what it lacks is gone.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -266,7 +266,10 @@
                          record.items, address);
     co_await this->ApplyItems(std::move(changed), std::move(origin));
   }
+  const bool is_whole = record.is_snapshot ||
+                        record.position.process != this->feed_position.process;
   this->feed_position = record.position;
+  const bool must_ask = this->MustAskForAll(record.items.revision, is_whole);
   if (is_behind)
     co_return true;
   if (record.is_fresh || record.is_snapshot)
@@ -275,7 +278,19 @@
     this->upstream.RecordFresh(address, Clock::now());
     this->state.version_history.RecordConfirmation(Clock::now());
   }
-  co_return true;
+  if (!must_ask || !record.is_fresh)
+    co_return true;
+  this->feed_position = {};
+  co_return false;
+}
+
+bool PublicationFollower::MustAskForAll(const StoreRevision& revision,
+                                        bool is_whole) {
+  if (revision < this->read_elsewhere)
+    return false;
+  if (is_whole)
+    this->read_elsewhere = {};
+  return this->read_elsewhere != StoreRevision{};
 }
 
 asio::awaitable<void> PublicationFollower::ReadNext() {
@@ -399,6 +414,11 @@
   const ItemSource kind =
       source == kStoreSource ? ItemSource::kStore : ItemSource::kGateway;
   auto changed = (this->published.*merge)(items, Clock::now(), kind);
+  const bool has_news =
+      std::any_of(changed.begin(), changed.end(),
+                  [](const PublishedItem& item) { return !item.removed; });
+  if (has_news && source != this->hub)
+    this->read_elsewhere = std::max(this->read_elsewhere, items.revision);
   if (held != StoreRevision{} && items.revision.era > held.era) {
     // The copy lacks entries that other gateways may have used.
     this->state.version_history.RecordGap(Clock::now());
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -63,10 +63,15 @@
    * @throws std::exception If the hub fails or falls silent. */
   asio::awaitable<void> ReadFeed(std::string address);
 
-  /** @return False if the items are too old to be used; the records after it
-   * have only changes to them. */
+  /** @return False if the records after it do not tell all: they have only
+   * changes to items that are too old to be used, or that are not all. */
   asio::awaitable<bool> ApplyRecord(const std::string& address,
                                     FeedRecord record);
+
+  /** @param is_whole True if a hub has sent all that it has, up to a revision.
+   * @return True if its changes do not tell all: this process holds items that
+   * it has read elsewhere, and that may be gone at this revision. */
+  bool MustAskForAll(const StoreRevision& revision, bool is_whole);
   std::optional<std::string> HubToFollow() const;
   bool MustReadStore() const;
 
@@ -119,6 +124,9 @@
   UpstreamSelector upstream;
   std::string hub;             ///< The hub that is followed, if any.
   FeedPosition feed_position;  ///< Read from the feeds of hubs so far.
+  /** Of items that were read elsewhere since the hub sent all; default: none.
+   */
+  StoreRevision read_elsewhere;
   Clock::time_point hub_expected_until{};
   /** Read from the store by this process without a gap; default: read all. */
   StoreRevision read_revision;
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -2,10 +2,12 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -214,6 +216,10 @@
     this->io.restart();
   }
 
+  std::size_t EndpointCount() const {
+    return this->state.selector.All().size();
+  }
+
   /** @return True if the gateway's feed confirms its items at this moment. */
   bool Confirms() {
     FeedReader reader;
@@ -451,6 +457,46 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader.RunUntilReady());
 }
 
+/** Guards against endpoints that are used for good: the store, which has been
+ * read while no hub confirmed, named one that it has not had when the hub could
+ * read it. */
+void ItemReadElsewhereIsGoneOnceTheHubLacksIt() {
+  constexpr StoreRevision kBefore{0, 10};
+  constexpr StoreRevision kLater{0, 30};
+  PublishedItems all = ListWith({"a", "b"});
+  all.items.back().revision = {0, 15};
+  FeedRecord record;
+  record.is_fresh = true;
+  record.position = {77, 3};
+  record.items.revision = kLater;
+  const std::string changes = EncodeFeedFrame(record);
+  record.is_snapshot = true;
+  record.items = ListWith({"a"});
+  record.items.revision = kLater;
+  const std::string later = EncodeFeedFrame(record);
+  record.items.revision = kBefore;
+  const std::string before = EncodeFeedFrame(record);
+  const auto requests_for_all = std::make_shared<std::atomic<int>>(0);
+  Reader reader(all, [=](ScriptedCall& call) {
+    const FeedPosition none;
+    if (std::string(call.Request().target()) !=
+        PublicationFeed::TargetOf(none)) {
+      call.Answer(200, changes);
+      return;
+    }
+    const bool is_first = ++*requests_for_all == 1;
+    // After the list of the store.
+    std::this_thread::sleep_for(kHubDelay);
+    call.Answer(200, is_first ? before : later);
+  });
+  reader.AddHubs();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader.RunUntilReady());
+  reader.RunFor(milliseconds(4000));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reader.EndpointCount());
+  // Once: the stream ends after each answer, and goes on from its position.
+  CPPUNIT_ASSERT_EQUAL(2, requests_for_all->load());
+}
+
 /** Longer than a hub may confirm its items after an answer of the store. */
 constexpr milliseconds kLongSilence{1900};
 
@@ -504,6 +550,9 @@
        Section("when a hub sends stale items and changes at once",
                {Then("the changes are not taken for the whole list",
                      ChangesAfterSkippedItemsAreNoList)}),
+       Section("when a reader has read more of it than its hub",
+               {Then("what the hub lacks later is gone",
+                     ItemReadElsewhereIsGoneOnceTheHubLacksIt)}),
        Section("when a hub has read it",
                {Then("it confirms it while its watches are answered",
                      HubWhoseWatchesAreAnsweredConfirms),
