Published items: a list that ends early ends what is known to be whole

Cause: one complete list counted for good. Fix: a part of a later revision makes the state incomplete; it is sent as changes, which take nothing away, and not given to peers, until a complete list is read. Readers get that whole.

--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -159,6 +159,9 @@
   std::vector<PublishedItem> changed;
   if (all.revision.era < this->revision.era)
     return changed;
+  // What was published between the two may be neither here nor there.
+  if (!all.is_complete && all.revision > this->revision)
+    this->listed_era.reset();
   this->MoveTo(all.revision, now);
   std::set<std::string> listed;
   for (const PublishedItem& item : all.items) {
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -107,8 +107,8 @@
 
   StoreRevision Revision() const { return this->revision; }
 
-  /** @return True once a complete snapshot of the present era has been merged.
-   */
+  /** @return True once a complete snapshot of the present era has been merged,
+   * until a later one lacks a part. */
   bool IsComplete() const { return this->listed_era == this->revision.era; }
 
   /** @return Revision of an item's last change; the default one if there is no
@@ -167,7 +167,8 @@
   KeyPredicate is_renewed;
   VersionReader version_of;
   StoreRevision revision;
-  std::optional<std::uint64_t> listed_era;  ///< Of the last complete snapshot.
+  /** Of the last complete snapshot; none if a later one lacked a part. */
+  std::optional<std::uint64_t> listed_era;
   TimePoint era_known_at{};  ///< When an earlier era was found to be over.
   std::map<std::string, PublishedItem> items;
   /** Revision of the latest removal of each removed key. */
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -400,17 +400,19 @@
   CPPUNIT_ASSERT(feed.RecordAfter(told).is_snapshot);
 }
 
-/** Guards against endpoints that are taken from a reader of the whole list. */
-void PartOfANewEraIsNoSnapshot() {
+/** Guards against endpoints that are taken from a reader of the whole list. The
+ * hub has read the whole of an earlier one.
+ * @param era Of the part. */
+void PartOfALaterListIsNoSnapshot(std::uint64_t era) {
   Items hub;
   hub.Read(1, 20, {"a"});
   Items reader;
-  reader.Read(2, 15, {"a", "b"});
-  hub.Read(2, 15, {"a"}, false);
+  reader.Read(era, 30, {"a", "b"});
+  hub.Read(era, 40, {"a"}, false);
   CPPUNIT_ASSERT(!hub.IsComplete());
   reader.Follow(FirstRecordOf(hub));
   CPPUNIT_ASSERT(reader.Has("b"));
-  hub.Read(2, 16, {"a"});
+  hub.Read(era, 50, {"a"});
   CPPUNIT_ASSERT(hub.IsComplete());
   reader.Follow(FirstRecordOf(hub));
   CPPUNIT_ASSERT(!reader.Has("b"));
@@ -546,7 +548,9 @@
                {Then("a reader of the feed gets all of it, once",
                      ListOfANewEraIsGivenWhole),
                 Then("a part of it takes nothing away from followers",
-                     PartOfANewEraIsNoSnapshot)}),
+                     [] { PartOfALaterListIsNoSnapshot(2); }),
+                Then("nor does a part of a later one of the same era",
+                     [] { PartOfALaterListIsNoSnapshot(1); })}),
        Section("when a hub sends stale items and changes at once",
                {Then("the changes are not taken for the whole list",
                      ChangesAfterSkippedItemsAreNoList)}),
