--- a/test/stories/restored_store.cc
+++ b/test/stories/restored_store.cc
@@ -273,6 +273,103 @@
   store.CheckFollows(4, store.all);
 }
 
+/** Guards against a follower that goes on with what the process before had told
+ * it, and against a hub that confirms before it has read anything. */
+void HubRestartsQuicklyDuringTheReturn() {
+  constexpr milliseconds kDownTime{300};
+  RestoredStore store(PlanOf(5));
+  store.AwaitHubs();
+  std::uint64_t version = 2;
+  for (const std::string role : {"leader", "hub"}) {
+    const std::size_t hub = store.WithRole(role).front();
+    Gateways others = store.all;
+    std::erase(others, hub);
+    store.WriteLost(version);
+    store.fleet.Gateway(hub).Kill();
+    store.ComeBack();
+    std::this_thread::sleep_for(kDownTime);
+    store.fleet.Restart(hub);
+    store.fleet.PublishEndpoint("ledger", 0, "draining");
+    store.CheckFollows(version + 1, others);
+    CPPUNIT_ASSERT(WaitUntil([&] { return store.fleet.IsReady(hub); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountAtLedger(store));
+    store.CheckFollows(version + 2, store.all);
+    store.fleet.PublishEndpoint("ledger", 0, "ready");
+    store.copy = store.fleet.Store().TakeCopy();
+    store.AwaitHubs();
+    version += 3;
+  }
+}
+
+/** Guards against what a hub believes that was paused, and whose readers are
+ * connected as before for the moment when it goes on.
+ * @param pause Shorter than the readers wait for a record, or longer. */
+void HubsArePausedDuringTheReturn(milliseconds pause) {
+  RestoredStore store(PlanOf(5));
+  store.AwaitHubs();
+  const Gateways hubs = {store.WithRole("leader").front(),
+                         store.WithRole("hub").front()};
+  store.WriteLost(2);
+  for (const std::size_t hub : hubs)
+    store.fleet.Gateway(hub).Signal(SIGSTOP);
+  store.ComeBack();
+  store.fleet.PublishEndpoint("ledger", 0, "draining");
+  std::this_thread::sleep_for(pause);
+  for (const std::size_t hub : hubs)
+    store.fleet.Gateway(hub).Signal(SIGCONT);
+  store.CheckFollows(3, store.all);
+  for (const std::size_t gateway : store.all)
+    CPPUNIT_ASSERT(store.HasLogged(gateway, "endpoint_leaving"));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountAtLedger(store));
+  store.CheckFollows(4, store.all);
+}
+
+/** The peer holds greater revisions and endpoints that the store lacks; it is
+ * paused during the return, and cut off from the store afterwards. */
+void PeerOfTheEarlierEraGoesOn() {
+  RestoredStore store(PlanOf(3, {"a", "b", "c"}));
+  constexpr std::size_t kPeer = 0;
+  const Gateways others = {1, 2};
+  store.WriteLost(2);
+  store.fleet.Gateway(kPeer).Signal(SIGSTOP);
+  store.CutFromStore(kPeer);
+  store.ComeBack();
+  store.fleet.PublishEndpoint("ledger", 0, "draining");
+  store.CheckFollows(3, others);
+  store.fleet.Gateway(kPeer).Signal(SIGCONT);
+  std::this_thread::sleep_for(kStableTime);
+  // It takes the items of another one.
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return store.VersionAt(kPeer) == 3; }, kPeerTimeout));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountAtLedger(store));
+  store.CheckFollows(4, others);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return store.VersionAt(kPeer) == 4; }, kPeerTimeout));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountAtLedger(store));
+}
+
+/** Each answer of the store to one gateway takes long; the answer of the era
+ * before arrives when others have told it of the new one. */
+void AnswerOfTheEarlierEraArrivesLate(std::size_t gateways) {
+  constexpr milliseconds kDelay{300};
+  RestoredStore store(PlanOf(gateways));
+  store.WriteLost(2);
+  FrameFaults slow;
+  slow.delay = kDelay;
+  store.fleet.StoreProxy(0).SetFrameFaults(slow);
+  // It reads the list now.
+  store.fleet.Store().Compact();
+  std::this_thread::sleep_for(kDelay);
+  store.ComeBack();
+  store.fleet.PublishEndpoint("ledger", 0, "draining");
+  std::this_thread::sleep_for(2 * kDelay);
+  store.fleet.StoreProxy(0).SetFrameFaults({});
+  store.CheckFollows(3, store.all);
+  for (const std::size_t gateway : store.all)
+    CPPUNIT_ASSERT(store.HasLogged(gateway, "endpoint_leaving"));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountAtLedger(store));
+}
+
 void ReturnsTwice() {
   RestoredStore store(PlanOf(3));
   store.WriteLost(2);
@@ -373,6 +470,18 @@
                      [] { HubFailsDuringTheReturn(false); }),
                 Then("changes are applied though a hub is paused",
                      [] { HubFailsDuringTheReturn(true); }),
+                Then("changes are applied though a hub restarts at once",
+                     HubRestartsQuicklyDuringTheReturn),
+                Then("changes are applied though both hubs are paused",
+                     [] { HubsArePausedDuringTheReturn(milliseconds(3000)); }),
+                Then("also if their followers do not notice it",
+                     [] { HubsArePausedDuringTheReturn(milliseconds(500)); }),
+                Then("a peer of the earlier era changes nothing",
+                     PeerOfTheEarlierEraGoesOn),
+                Then("a late answer of the earlier era changes nothing",
+                     [] { AnswerOfTheEarlierEraArrivesLate(1); }),
+                Then("also if peers have told of the new one",
+                     [] { AnswerOfTheEarlierEraArrivesLate(3); }),
                 Then("changes are applied though it comes back twice",
                      ReturnsTwice),
                 Then("a list is not joined from two histories",
