Published items: followers hear that an item stays

What callers saw (found by review): nothing yet. An entry that a new era lacks, and that its writer writes again as it was, could be out of use for good at a gateway that had read the new era itself before it followed its hub again: no endpoint, or an evacuation that is over. Cause: a value that stays is no change, so the hub said nothing; the follower removed the item at the end of its own grace. Evidence: before, publication_eras "followers hear that it stays": Expression: follower.ApplyDeferredRemovals(kStart + kGrace).empty(). Fix: an item whose pending removal is over counts as a change for readers; it is still not decoded again here.

--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -61,14 +61,18 @@
   }
   PublishedItem& held = this->items[item.key];
   const auto deferred = this->deferred_removals.find(item.key);
-  if (deferred != this->deferred_removals.end() &&
-      deferred->second.revision < item.revision)
+  const bool stays = deferred != this->deferred_removals.end() &&
+                     deferred->second.revision < item.revision;
+  if (stays)
     this->deferred_removals.erase(deferred);
   const bool is_known = held.revision != StoreRevision{} &&
                         held.revision.era < item.revision.era &&
                         held.value == item.value;
   if (is_known) {
     held.revision = item.revision;
+    // Readers may be about to remove it.
+    if (stays)
+      this->changed_at[item.key] = ++this->change_count;
     return false;
   }
   held = item;
--- a/test/stories/publication_eras.cc
+++ b/test/stories/publication_eras.cc
@@ -124,6 +124,24 @@
   CPPUNIT_ASSERT(state.HasItem("c"));
 }
 
+/** Guards against an item that a follower takes away at the end of its own
+ * grace: the hub, for which it has not changed, did not say that it is there.
+ */
+void FollowersHearOfAnItemThatStays() {
+  FirstEra hub;
+  hub.MergeCopy();
+  FirstEra follower;
+  follower.MergeCopy();
+  const std::uint64_t told = hub.ChangeCount();
+  CPPUNIT_ASSERT(
+      hub.MergeChanges({{2, 51}, {Item("c", {2, 51}, "c")}}, kStart).empty());
+  const auto changes = hub.ChangesSince(told);
+  CPPUNIT_ASSERT(changes.has_value());
+  follower.MergeChanges(*changes, kStart, ItemSource::kGateway);
+  CPPUNIT_ASSERT(follower.ApplyDeferredRemovals(kStart + kGrace).empty());
+  CPPUNIT_ASSERT(follower.HasItem("c"));
+}
+
 /** The removal is an event of the new era, not a lack of the copy. */
 void RemovalInTheNewEraIsImmediate() {
   FirstEra state;
@@ -189,6 +207,8 @@
            {Then("it is kept for the grace period", LostItemIsKeptForTheGrace),
             Then("it stays if it is written again",
                  ItemThatIsWrittenAgainStays),
+            Then("followers hear that it stays",
+                 FollowersHearOfAnItemThatStays),
             Then("a removal in the new era is immediate",
                  RemovalInTheNewEraIsImmediate)}),
        Section("when changes are read on",
