--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -151,7 +151,7 @@
 }
 
 void PublicationState::MoveTo(const StoreRevision& position, TimePoint now) {
-  if (this->revision != StoreRevision{} && position.era > this->revision.era)
+  if (this->revision == StoreRevision{} || position.era > this->revision.era)
     this->era_known_at = now;
   this->revision = std::max(this->revision, position);
 }
@@ -169,7 +169,9 @@
   this->MoveTo(all.revision, now);
   std::set<std::string> listed;
   for (const PublishedItem& item : all.items) {
-    listed.insert(item.key);
+    // Another gateway may be about to remove it, which is no event of the era.
+    if (item.revision.era == all.revision.era)
+      listed.insert(item.key);
     if (this->MergeItem(item))
       changed.push_back(item);
   }
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -169,7 +169,7 @@
   StoreRevision revision;
   /** Of the last complete snapshot; none if a later one lacked a part. */
   std::optional<std::uint64_t> listed_era;
-  TimePoint era_known_at{};  ///< When an earlier era was found to be over.
+  TimePoint era_known_at{};  ///< When the present era became known.
   std::map<std::string, PublishedItem> items;
   /** Revision of the latest removal of each removed key. */
   std::map<std::string, StoreRevision> removals;
--- a/test/stories/publication_eras.cc
+++ b/test/stories/publication_eras.cc
@@ -142,6 +142,24 @@
   CPPUNIT_ASSERT(follower.HasItem("c"));
 }
 
+/** Guards against an item that is kept for good: the gateway that has sent it
+ * removes it later without a revision, at the end of its grace. */
+void LostItemOfASnapshotIsKeptForTheGrace(bool is_new_process) {
+  FirstEra peer;
+  peer.MergeCopy();
+  FirstEra known;
+  PublicationState empty(kGrace, [](const std::string&) { return true; });
+  PublicationState& reader = is_new_process ? empty : known;
+  reader.MergeSnapshot(peer.All(), kStart, ItemSource::kGateway);
+  CPPUNIT_ASSERT(reader.RevisionOf("c") == StoreRevision(1, 90));
+  CPPUNIT_ASSERT(
+      reader.ApplyDeferredRemovals(kStart + kGrace - milliseconds(1)).empty());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                       reader.ApplyDeferredRemovals(kStart + kGrace).size());
+  CPPUNIT_ASSERT(reader.RevisionOf("c") == StoreRevision{});
+  CPPUNIT_ASSERT(reader.RevisionOf("b") == StoreRevision(2, 40));
+}
+
 /** The removal is an event of the new era, not a lack of the copy. */
 void RemovalInTheNewEraIsImmediate() {
   FirstEra state;
@@ -209,6 +227,10 @@
                  ItemThatIsWrittenAgainStays),
             Then("followers hear that it stays",
                  FollowersHearOfAnItemThatStays),
+            Then("a reader of another gateway keeps it as long",
+                 [] { LostItemOfASnapshotIsKeptForTheGrace(false); }),
+            Then("a new process that reads of it does so, too",
+                 [] { LostItemOfASnapshotIsKeptForTheGrace(true); }),
             Then("a removal in the new era is immediate",
                  RemovalInTheNewEraIsImmediate)}),
        Section("when changes are read on",
--- a/test/stories/restored_store.cc
+++ b/test/stories/restored_store.cc
@@ -441,6 +441,25 @@
   CPPUNIT_ASSERT(have_endpoints(3));
 }
 
+/** It has read of the entry and of the new era; then nothing is published. */
+void LostEntryIsGoneAtAGatewayThatIsCutOff() {
+  constexpr std::size_t kCutOff = 0;
+  RestoredStore store(PlanOf(3, {"a", "b", "c"}));
+  store.fleet.Store().Remove("servers/ledger-1");
+  CPPUNIT_ASSERT(WaitUntil([&] { return store.EndpointsAt(kCutOff) == 2; }));
+  store.copy = store.fleet.Store().TakeCopy();
+  store.fleet.PublishEndpoint("ledger", 1, "ready");
+  store.WriteLost(2);
+  CPPUNIT_ASSERT(WaitUntil([&] { return store.EndpointsAt(kCutOff) == 3; }));
+  store.CutFromStore(kCutOff);
+  store.ComeBack();
+  CPPUNIT_ASSERT(store.HasLogged(kCutOff, "published_by_peer"));
+  for (const std::size_t gateway : store.all) {
+    CPPUNIT_ASSERT(WaitUntil([&] { return store.EndpointsAt(gateway) == 2; },
+                             kGoneTimeout));
+  }
+}
+
 const Story kStory("restored_store", [] {
   return Section(
       "given a store that comes back from a copy some seconds old",
@@ -492,7 +511,9 @@
                {Then("one that is written again stays in use",
                      [] { EntryThatTheCopyLacksIsKeptForAWhile(true); }),
                 Then("one that is not is gone after a while",
-                     [] { EntryThatTheCopyLacksIsKeptForAWhile(false); })})});
+                     [] { EntryThatTheCopyLacksIsKeptForAWhile(false); }),
+                Then("also at a gateway that only its peers tell of it",
+                     LostEntryIsGoneAtAGatewayThatIsCutOff)})});
 });
 
 }  // namespace
