--- a/test/fakes/platform_store.cc
+++ b/test/fakes/platform_store.cc
@@ -171,6 +171,11 @@
   ++this->era;
 }
 
+void PlatformStore::SetEra(std::uint64_t next) {
+  const std::lock_guard lock(this->mutex);
+  this->era = next;
+}
+
 void PlatformStore::SetSendsEra(bool sends) {
   const std::lock_guard lock(this->mutex);
   this->sends_era = sends;
--- a/test/fakes/platform_store.h
+++ b/test/fakes/platform_store.h
@@ -116,6 +116,9 @@
    * others follow. */
   void ComeBackWithinList(const StoreCopy& copy);
 
+  /** Sets the era that is stated; what is held stays. */
+  void SetEra(std::uint64_t next);
+
   /** @param sends False: like a store that states no era. */
   void SetSendsEra(bool sends);
 
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -220,6 +221,8 @@
     return this->state.selector.All().size();
   }
 
+  bool IsReadingStore() const { return this->follower.IsReadingStore(); }
+
   /** @return True if the gateway's feed confirms its items at this moment. */
   bool Confirms() {
     FeedReader reader;
@@ -499,6 +502,32 @@
   CPPUNIT_ASSERT_EQUAL(2, requests_for_all->load());
 }
 
+/** A hub whose version knows no eras states 0. The store is in era 1. */
+void OnlyAHubOfTheEraIsFollowed(std::uint64_t era) {
+  constexpr int kRecords = 15;
+  constexpr milliseconds kInterval{200};
+  PublishedItems all = ListWith({"a"});
+  all.revision.era = 1;
+  FeedRecord record;
+  record.is_fresh = true;
+  record.position = {77, 3};
+  record.items.revision = {era, 500};
+  const std::string frame = EncodeFeedFrame(record);
+  Reader reader(all, [=](ScriptedCall& call) {
+    // After the list of the store.
+    std::this_thread::sleep_for(kHubDelay);
+    std::ostringstream chunk;
+    chunk << std::hex << frame.size() << "\r\n" << frame << "\r\n";
+    call.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < kRecords && call.Send(chunk.str()); ++i)
+      std::this_thread::sleep_for(kInterval);
+  });
+  reader.AddHubs();
+  reader.RunUntilReady();
+  reader.RunFor(kRecords / 2 * kInterval);
+  CPPUNIT_ASSERT_EQUAL(era == 0, reader.IsReadingStore());
+}
+
 /** Longer than a hub may confirm its items after an answer of the store. */
 constexpr milliseconds kLongSilence{1900};
 
@@ -554,6 +583,11 @@
        Section("when a hub sends stale items and changes at once",
                {Then("the changes are not taken for the whole list",
                      ChangesAfterSkippedItemsAreNoList)}),
+       Section("when the store states an era",
+               {Then("a hub that states none confirms nothing",
+                     [] { OnlyAHubOfTheEraIsFollowed(0); }),
+                Then("a hub that states it confirms its items",
+                     [] { OnlyAHubOfTheEraIsFollowed(1); })}),
        Section("when a reader has read more of it than its hub",
                {Then("what the hub lacks later is gone",
                      ItemReadElsewhereIsGoneOnceTheHubLacksIt)}),
--- a/test/stories/restored_store.cc
+++ b/test/stories/restored_store.cc
@@ -460,6 +460,38 @@
   }
 }
 
+/** What an operator does then: OPERATIONS.md. */
+void EraThatIsTooHighEndsWithAllProcesses() {
+  constexpr std::uint64_t kTooHigh = 1000;
+  RestoredStore store(PlanOf(2));
+  const auto is_at = [&](std::size_t gateway, std::uint64_t era) {
+    const json status = LocalFleet::StatusOf(store.fleet.Operator(gateway));
+    return status.is_object() &&
+           status.value("store_era", std::uint64_t{0}) == era;
+  };
+  const std::uint64_t era = store.fleet.Store().Era();
+  store.fleet.Store().SetEra(kTooHigh);
+  for (const std::size_t gateway : store.all)
+    CPPUNIT_ASSERT(WaitUntil([&] { return is_at(gateway, kTooHigh); }));
+  store.fleet.Store().SetEra(era);
+  store.Publish(2);
+  for (const std::size_t gateway : store.all)
+    CPPUNIT_ASSERT(store.HasLogged(gateway, "store_lost"));
+  CPPUNIT_ASSERT(!store.IsInForce(2, {0}));
+  // A single one hears of the era from the other.
+  store.fleet.Gateway(1).Kill();
+  store.fleet.Restart(1);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return is_at(1, kTooHigh); }, 2 * kPeerTimeout));
+  for (const std::size_t gateway : store.all)
+    store.fleet.Gateway(gateway).Kill();
+  for (const std::size_t gateway : store.all)
+    store.fleet.Restart(gateway);
+  CPPUNIT_ASSERT(
+      WaitUntil([&] { return is_at(0, era) && is_at(1, era); }, kPeerTimeout));
+  store.CheckFollows(3, store.all);
+}
+
 const Story kStory("restored_store", [] {
   return Section(
       "given a store that comes back from a copy some seconds old",
@@ -507,6 +539,9 @@
                      ReturnsWhileAListIsRead),
                 Then("an open watch hides no change",
                      RevisionsAreGivenOutAgainWhileAWatchIsOpen)}),
+       Section("when it has stated an era that is too high",
+               {Then("its answers count again once all have ended",
+                     EraThatIsTooHighEndsWithAllProcesses)}),
        Section("when it lacks an entry that was lost",
                {Then("one that is written again stays in use",
                      [] { EntryThatTheCopyLacksIsKeptForAWhile(true); }),
