Streams: a take-up of a split route goes to the service that began it

What callers saw: on a route that is split among services, about half of the streams that were taken up were refused with version_unknown although their origin was known. Cause: the share is chosen by the id of the request if its prompt has fewer than two parts, and a take-up has another id than the request that began the stream. Fix: a take-up whose origin is known goes to the service of the origin, if the route uses it. Evidence: the case of the split route in gateway_versions failed before (503 for 200).

--- a/include/buckthornpath/routing_table.h
+++ b/include/buckthornpath/routing_table.h
@@ -57,6 +57,9 @@
    * @return The service; hashes are distributed in proportion to the weights.
    */
   const ServiceName& ServiceFor(std::uint64_t hash) const;
+
+  /** @return True if a part of the requests uses a service. */
+  bool Uses(const ServiceName& service) const;
 };
 
 /** Configuration of a service. */
--- a/src/decision/routing_table.cc
+++ b/src/decision/routing_table.cc
@@ -2,6 +2,8 @@
 
 #include "buckthornpath/routing_table.h"
 
+#include <algorithm>
+
 #include <cmath>
 #include <utility>
 
@@ -21,6 +23,12 @@
   return this->shares.back().service;
 }
 
+bool Route::Uses(const ServiceName& service) const {
+  return std::any_of(
+      this->shares.begin(), this->shares.end(),
+      [&](const RouteShare& share) { return share.service == service; });
+}
+
 RoutingTable::RoutingTable(Parts parts) : parts(std::move(parts)) {
   for (std::size_t i = 0; i < this->parts.routes.size(); ++i) {
     const Route& route = this->parts.routes[i];
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -38,7 +38,9 @@
       !this->request.metadata.is_taken_up)
     co_return std::nullopt;
   const std::optional<StreamOrigin> origin = co_await this->FindOrigin();
-  if (origin && origin->service == this->request.service) {
+  if (origin && route.Uses(origin->service)) {
+    // Of a route that is split, the id of this request may choose another one.
+    this->request.service = origin->service;
     this->stream_version = origin->version;
   } else if (!origin) {
     this->stream_version = this->state.version_history.SoleVersion(
--- a/test/stories/gateway_versions.cc
+++ b/test/stories/gateway_versions.cc
@@ -257,6 +257,39 @@
   }
 }
 
+/** Guards against the refusal of streams of a split route, whose take-ups are
+ * other requests, and may be of another service's share. */
+void TakeUpOfASplitRouteGoesBack() {
+  constexpr int kStreams = 8;
+  VersionedFleet engines({"v1", "v2"});
+  nlohmann::json next = StandardConfiguration(100);
+  const nlohmann::json split = {{{"service", "llm"}, {"weight", 1}},
+                                {{"service", "other"}, {"weight", 1}}};
+  next["routes"][0].erase("service");
+  next["routes"][0]["split"] = split;
+  next["services"].push_back({{"name", "other"}, {"maxConns", 100}});
+  nlohmann::json entry = engines.Parts().EntryOf("engine", 1, "ready");
+  entry["version"] = "v2";
+  entry["service"] = "other";
+  engines.Parts().Store().Put("servers/engine-1", entry);
+  engines.Parts().Store().Put("op/config", next);
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return LocalFleet::StatusOf(engines.Parts().Operator(0))
+               .value("configuration", 0) == 100;
+  }));
+  std::set<std::string> versions;
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "split-" + std::to_string(i);
+    const std::string version = engines.BeginBrokenStream(id);
+    const VersionedAnswer rest =
+        engines.Call(TakeUp("again-" + std::to_string(i), id));
+    AssertWhole(rest, 3);
+    CPPUNIT_ASSERT_EQUAL(version, *rest.versions.begin());
+    versions.insert(version);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, versions.size());
+}
+
 void UnprovenTakeUpIsRefused() {
   VersionedFleet engines({"v1", "v2"});
   StreamCall nameless = TakeUp("nameless", "");
@@ -433,6 +466,8 @@
            "when the caller takes a stream up",
            {Then("it goes on at the version that began it, each time",
                  TakeUpsGoOnAtTheVersionThatBegan),
+            Then("or at the service, if the route is split",
+                 TakeUpOfASplitRouteGoesBack),
             Then("it is refused at once if nothing is known of it",
                  UnprovenTakeUpIsRefused),
             Then("it is refused at once if its gateway was killed",
