--- a/src/decision/routing_table.cc
+++ b/src/decision/routing_table.cc
@@ -3,7 +3,6 @@
 #include "buckthornpath/routing_table.h"
 
 #include <algorithm>
-
 #include <cmath>
 #include <utility>
 
