Streams: a caller that leaves while its version is looked for is not refused

What callers saw: nothing; the log and the metrics counted a caller that had left as refused with version_unknown. Cause: the refusal after the search did not look whether the caller was still there. Fix: the request ends like any other whose caller has left.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -108,7 +108,7 @@
     } else {
       const std::optional<Refusal> unproven =
           co_await this->FindStreamVersion();
-      if (unproven)
+      if (unproven && !this->exchange.IsDisconnected())
         co_await this->Refuse(*unproven);
       else
         co_await this->RunAttempts();
--- a/test/stories/gateway_version_refusals.cc
+++ b/test/stories/gateway_version_refusals.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <thread>
 
+#include "harness/byte_connection.h"
 #include "harness/story.h"
 #include "harness/versioned_fleet.h"
 
@@ -127,6 +128,19 @@
   CPPUNIT_ASSERT(longest < milliseconds(2000));
 }
 
+/** A caller that leaves while its stream's version is looked for. */
+void CallerThatLeftIsNotRefused() {
+  UnheardVersion unheard;
+  GatewayFleet& parts = unheard.Engines().Parts();
+  {
+    ByteConnection caller(parts.Caller(0));
+    caller.Send(TakeUp("left", "begun-elsewhere").Text());
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  CPPUNIT_ASSERT_EQUAL(std::string("caller_left"),
+                       parts.LogOf(0, "left").value("reason", ""));
+}
+
 /** A wait can't help where the version is gone, or unknown. */
 void CallerIsNotToldToWaitInVain() {
   constexpr milliseconds kShort{100};
@@ -151,7 +165,9 @@
                {Then("the one that it knows proves nothing",
                      UnheardVersionLeavesNoProof),
                 Then("it proves itself in time if all hear of it",
-                     SoleVersionIsProvenInTime)})});
+                     SoleVersionIsProvenInTime),
+                Then("a caller that leaves meanwhile is not refused",
+                     CallerThatLeftIsNotRefused)})});
 });
 
 }  // namespace
