Streams: a part of a list proves no sole version

A gateway that has read only a part of the list took the version in it for the only one of its service. Cause: an answer to a watch, or a hub's word, confirmed what is known, whether or not the list had been read to its end. Fix: what is known counts as confirmed only while it is complete.

--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -346,6 +346,9 @@
 }
 
 void PublicationFollower::ConfirmVersions(BootClock::time_point as_of) {
+  // What a part of a list lacks is not known to have gone.
+  if (!this->published.IsComplete())
+    return;
   const auto now = Clock::now();
   this->state.version_history.RecordConfirmation(
       now, now - (BootClock::now() - as_of));
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -223,6 +223,12 @@
 
   bool IsReadingStore() const { return this->follower.IsReadingStore(); }
 
+  std::string SoleVersion(milliseconds time) {
+    return this->state.version_history
+        .SoleVersion(ServiceName("ledger"), time, Clock::now())
+        .value_or("");
+  }
+
   /** @return True if the gateway's feed confirms its items at this moment. */
   bool Confirms() {
     FeedReader reader;
@@ -559,6 +565,19 @@
   CPPUNIT_ASSERT(!reader.Confirms());
 }
 
+/** Guards against a version that is taken for the only one of its service,
+ * though the entry of another one was not listed. */
+void PartOfAListProvesNoVersion(bool is_complete) {
+  PublishedItems list = ListWith({"a"});
+  list.items.back().value.insert(1, R"("version":"v1",)");
+  list.is_complete = is_complete;
+  Reader reader(list, nullptr);
+  reader.RunUntilReady();
+  reader.RunFor(milliseconds(4000));
+  CPPUNIT_ASSERT_EQUAL(std::string(is_complete ? "v1" : ""),
+                       reader.SoleVersion(milliseconds(1000)));
+}
+
 const Story kStory("publication_faults", [] {
   return Section(
       "given a list of published items",
@@ -572,7 +591,11 @@
                {Then("it takes nothing away, here or from followers",
                      IncompleteListIsNoSnapshot),
                 Then("a reader of it gets the whole list later",
-                     ReaderOfAPartGetsTheWholeListLater)}),
+                     ReaderOfAPartGetsTheWholeListLater),
+                Then("it does not prove the only version of a service",
+                     [] { PartOfAListProvesNoVersion(false); }),
+                Then("as a complete one does",
+                     [] { PartOfAListProvesNoVersion(true); })}),
        Section("when it is the first one of a new era",
                {Then("a reader of the feed gets all of it, once",
                      ListOfANewEraIsGivenWhole),
