--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 	  $(BUILD)/test/sweep $(or $(SEED),1) $(or $(RUNS),200) $(FAULT)
 
 # Real gateways under random faults from outside; SEED, RUNS, SIZE (gateways),
-# KIND (faults, evacuations, stops or joint-stops).
+# KIND (faults, evacuations, stops, joint-stops or publication).
 soak: build
 	BUCKTHORNPATH_BIN=$(CURDIR)/$(BUILD) \
 	  $(BUILD)/test/soak $(or $(SEED),1) $(or $(RUNS),50) $(or $(SIZE),3) $(KIND)
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <string_view>
 
+#include "soak/publication_soak.h"
 #include "soak/soak_run.h"
 #include "soak/stop_soak.h"
 
@@ -50,16 +51,24 @@
   return RunStopSoak(plan);
 }
 
+/** The number of gateways comes from the seed. */
+SoakResult RunPublications(std::uint64_t seed, std::size_t /*gateways*/) {
+  PublicationSoakPlan plan;
+  plan.seed = seed;
+  return RunPublicationSoak(plan);
+}
+
 /** A kind of run, by the name in the last argument. */
 struct SoakKind {
   std::string_view name;
   SoakResult (*run)(std::uint64_t seed, std::size_t gateways);
 };
 
-constexpr std::array<SoakKind, 4> kKinds = {{{"faults", RunFaults},
+constexpr std::array<SoakKind, 5> kKinds = {{{"faults", RunFaults},
                                              {"evacuations", RunEvacuations},
                                              {"stops", RunStops},
-                                             {"joint-stops", RunJointStops}}};
+                                             {"joint-stops", RunJointStops},
+                                             {"publication", RunPublications}}};
 
 int Main(int argc, char** argv) {
   constexpr int kMinArguments = 4;
@@ -68,7 +77,9 @@
                  "faults: random faults; the default\n"
                  "evacuations: the same, and evacuated failure domains\n"
                  "stops: planned stops in series, engines that pause\n"
-                 "joint-stops: the same, several engines pause at a time\n";
+                 "joint-stops: the same, several engines pause at a time\n"
+                 "publication: changes and a store in trouble; 2 to 6 "
+                 "gateways, by the seed\n";
     return 2;
   }
   const auto number = [&](int index) {
