--- a/test/soak/publication_soak.cc
+++ b/test/soak/publication_soak.cc
@@ -112,7 +112,7 @@
         agenda(agenda),
         timeline(timeline),
         gateways(gateways),
-        pace(agenda.Between(1, 3)),
+        pace(agenda.Between(1, 4)),
         stopped_at(gateways) {}
 
   /** @param write_again Called when the store has come back from a copy. */
@@ -123,9 +123,10 @@
       this->AfterCalm([this, i] { this->DisturbProcess(i); });
       this->AfterCalm([this, i] { this->DisturbLink(i); });
     }
-    this->AfterCalm([this] { this->DisturbStore(); });
+    this->AfterStoreCalm();
     this->Copy();
     this->Compact();
+    this->WriteOthers();
   }
 
   /** Keeps up the faults that last, and the processes. */
@@ -156,12 +157,19 @@
     StoreCopy copy;
   };
 
-  /** Adds the next fault of a series. */
+  /** Adds the next fault of a gateway. */
   void AfterCalm(Agenda::Action action) {
     this->agenda.Within(milliseconds(2000) * this->pace,
                         milliseconds(7000) * this->pace, std::move(action));
   }
 
+  /** Adds the next fault of the store. Between some of them there is more than
+   * the contact time. */
+  void AfterStoreCalm() {
+    this->agenda.Within(milliseconds(3000), milliseconds(10000),
+                        [this] { this->DisturbStore(); });
+  }
+
   /** Begins a disturbance that lasts for a random time.
    * @param end Removes it. */
   void Disturb(Disturbed disturbed,
@@ -293,7 +301,7 @@
         &PublicationFaults::CutPagesShort, &PublicationFaults::ComeBack,
         &PublicationFaults::ComeBack,      &PublicationFaults::ComeBack};
     (this->*kFaults.at(this->agenda.Below(kFaults.size())))();
-    this->AfterCalm([this] { this->DisturbStore(); });
+    this->AfterStoreCalm();
   }
   void RefuseReads() {
     this->SetModeForAWhile(StoreMode::kBusy, "answers 503");
@@ -366,12 +374,24 @@
     });
   }
 
+  /** Others write to the store as well, so that a copy from before lacks many
+   * revisions, and few changes come after them. */
+  void WriteOthers() {
+    this->agenda.Within(milliseconds(1000), milliseconds(9000), [this] {
+      const std::int64_t count = this->agenda.Between(5, 250);
+      for (std::int64_t i = 0; i < count; ++i)
+        this->fleet.Store().Put("other/" + std::to_string(i), std::string("x"));
+      this->timeline.Add("others write " + std::to_string(count) + " items");
+      this->WriteOthers();
+    });
+  }
+
   GatewayFleet& fleet;
   PublicationHistory& history;
   Agenda& agenda;
   SoakTimeline& timeline;
   std::size_t gateways;
-  std::int64_t pace;
+  std::int64_t pace;  ///< The greater, the rarer are faults of gateways.
   Agenda::Action write_again;
   std::set<std::size_t> silenced;
   std::set<std::size_t> killed;
