--- a/test/soak/publication_soak.cc
+++ b/test/soak/publication_soak.cc
@@ -488,8 +488,11 @@
     result.violations.emplace_back("nothing was served");
   if (!result.violations.empty()) {
     result.evidence += timeline.Lines();
-    result.evidence +=
-        FindEvidence(fleet, fleet_plan.gateways, result.violations);
+    result.evidence += FindEvidence(
+        fleet, fleet_plan.gateways, result.violations,
+        {"\"configuration_in_force\"", "\"endpoint_", "\"store_",
+         "\"watch_cut\"", "\"removal_deferred\"", "\"published_by_peer\"",
+         "\"list_incomplete\"", "\"hub_", "\"item_", "\"woke_after_pause\""});
   }
   return result;
 }
--- a/test/soak/soak_evidence.cc
+++ b/test/soak/soak_evidence.cc
@@ -9,12 +9,14 @@
 
 std::string FindEvidence(const GatewayFleet& fleet,
                          std::size_t gateways,
-                         const std::vector<std::string>& violations) {
+                         const std::vector<std::string>& violations,
+                         const std::vector<std::string>& more_texts) {
   std::vector<std::string> needles = {"\"started\"",     "\"stopped\"",
                                       "\"drain_begun\"", "\"cut_off\"",
                                       "_failed\"",       "out_of_rotation",
                                       "segment_",        "endpoint_crashed",
                                       "endpoint_closed", "domain_"};
+  needles.insert(needles.end(), more_texts.begin(), more_texts.end());
   for (const std::string& violation : violations)
     needles.push_back("\"" + violation.substr(0, violation.find(' ')) + "\"");
   std::string evidence;
--- a/test/soak/soak_evidence.h
+++ b/test/soak/soak_evidence.h
@@ -12,10 +12,12 @@
 namespace buckthornpath {
 
 /** @return Log lines that help to explain violations: those of the requests
- * that they name, and those of changes of a process's state. */
+ * that they name, and those of changes of a process's state.
+ * @param more_texts Lines that contain one of these are included. */
 std::string FindEvidence(const GatewayFleet& fleet,
                          std::size_t gateways,
-                         const std::vector<std::string>& violations);
+                         const std::vector<std::string>& violations,
+                         const std::vector<std::string>& more_texts = {});
 
 }  // namespace buckthornpath
 
