--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -104,4 +104,22 @@
   'const auto lasted = this->selector.EndEvacuation(domain, Clock::now());' \
   'const std::optional<std::chrono::milliseconds> lasted;' \
   'restored domain [a-z]* got no request' evacuations
+mutant src/gateway/publication_follower.cc \
+  'this->state.table = std::move(table);' \
+  'if (!this->state.table) this->state.table = std::move(table);' \
+  'CONFIG, no version' publication
+mutant src/gateway/publication_follower.cc \
+  'this->state.table = std::move(table);' \
+  'static const auto oldest = table;
+  this->state.table = table->Version() % 3 == 0 ? oldest : std::move(table);' \
+  'REGRESS, no version' publication
+mutant src/decision/endpoint_availability.cc \
+  '{"draining", EndpointUse::kNever' '{"draining", EndpointUse::kNormal' \
+  'DRAIN, [0-9]* ms after' publication
+mutant src/daemon/drain.cc \
+  'if (this->is_requested.exchange(true))
+    return;' 'if (this->is_requested.exchange(true) || true) {
+    this->pool.Stop();
+    return;
+  }' 'LOST, it ended' publication
 exit "$failed"
