Soak: a leaving that an unstable store confirms binds once the store is stable

Trace: the store came back from a copy (+0), the removal was confirmed at +107 ms; gateway-2, whose read the silent store had not answered, noticed the return at +913 ms, kept the removal back for 2299 ms (removal_deferred) and applied it at +3244 ms. In touch from +3000 ms on, it sent at +3010 to +3215 ms. The check counted acknowledgements of an unstable store, and said so in its header. The check now lets it bind from the moment at which the store is stable (+3 s), which is stricter: 2 s later no request may arrive. Acknowledgements of a stable store are judged as before.

--- a/test/soak/publication_history.h
+++ b/test/soak/publication_history.h
@@ -9,7 +9,9 @@
  *   version handles no request that is sent more than 0.25 s
  * (`rollbackSlackMs`) later as only older versions allow, in touch or not.
  * - DRAIN: no request reaches an endpoint more than 2 s (`drainMs`) after its
- *   leaving was confirmed, from gateways in touch.
+ *   leaving was confirmed by a stable store, from gateways in touch. The store
+ *   is stable 3 s after a disturbance; what it has confirmed before counts from
+ *   then on.
  * - LOST: a request that has reached a sound endpoint is answered.
  * A gateway is in touch for a request if from 3 s (`contactMs`) before it was
  * sent until it was handled nothing disturbed its process, its link to the
@@ -166,6 +168,9 @@
                     SoakResult& result) const;
   void CheckAnswers(SoakResult& result) const;
 
+  /** @return The first time from a given one at which the store is stable. */
+  Time StableFrom(Time from) const;
+
   /** @return True if a leaving binds a request that is handled at a time. */
   bool IsBinding(Time leaving_at, Time at) const;
 
--- a/test/stories/publication_history.cc
+++ b/test/stories/publication_history.cc
@@ -194,6 +194,22 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, DrainAfter(4506, calm));
 }
 
+/** The store is stable again at 12.5 s. */
+void LeavingThatAnUnstableStoreConfirmsBindsOnceItIsStable() {
+  Recorded unstable;
+  unstable.Disturb(Disturbed::kStore, 9000, 9500);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, DrainAfter(4500, unstable));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, DrainAfter(4501, unstable));
+  Recorded twice;
+  twice.Disturb(Disturbed::kStore, 9000, 9500);
+  twice.Disturb(Disturbed::kStore, 11000, 11500);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, DrainAfter(6500, twice));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, DrainAfter(6501, twice));
+  Recorded stable;
+  stable.Disturb(Disturbed::kStore, 6000, 6999);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, DrainAfter(2001, stable));
+}
+
 void LostLeavingBindsOnceItIsWrittenAgain() {
   Recorded lost;
   lost.history.RecordReturn(At(9000), At(11000));
@@ -252,6 +268,9 @@
        Section("when an endpoint has left",
                {Then("a late request to its process is reported",
                      RequestToEndpointThatHasLeftIsReported),
+                Then("a leaving that an unstable store confirms binds once it "
+                     "is stable",
+                     LeavingThatAnUnstableStoreConfirmsBindsOnceItIsStable),
                 Then("a leaving that the store loses binds once it is written "
                      "again",
                      LostLeavingBindsOnceItIsWrittenAgain)}),
