Soak: what a stable store had confirmed binds at once when it is confirmed again

The check let every leaving that an unstable store confirms bind from the moment at which the store is stable. A leaving that a stable store had confirmed before, and that the copy lacked, is bound by the rule all the while (the acknowledgement was given while the store was stable); the soak excuses it only until its writer has written it again.

--- a/test/soak/publication_history.cc
+++ b/test/soak/publication_history.cc
@@ -250,12 +250,8 @@
     const auto leavings = this->leavings.find(handling.arrival->endpoint);
     if (leavings == this->leavings.end() || !this->IsInTouch(handling))
       continue;
-    const auto leaving =
-        std::find_if(leavings->second.begin(), leavings->second.end(),
-                     [&](const Time confirmed_at) {
-                       return this->IsBinding(confirmed_at, handling.at);
-                     });
-    if (leaving != leavings->second.end()) {
+    const Time* leaving = this->FindBinding(leavings->second, handling.at);
+    if (leaving != nullptr) {
       result.violations.push_back(this->Describe(handling) + ": DRAIN, " +
                                   SpanText(*leaving, handling.at) +
                                   " after its leaving was confirmed");
@@ -277,9 +273,18 @@
   return stable;
 }
 
-bool PublicationHistory::IsBinding(Time leaving_at, Time at) const {
-  const Time stable = this->StableFrom(leaving_at);
-  return stable < at - kDrainTime && !this->IsLost(leaving_at, at);
+const PublicationHistory::Time* PublicationHistory::FindBinding(
+    const std::vector<Time>& leavings,
+    Time at) const {
+  bool was_stable = false;
+  for (const Time& leaving_at : leavings) {
+    const Time stable_from = this->StableFrom(leaving_at);
+    const Time from = was_stable ? leaving_at : stable_from;
+    if (from < at - kDrainTime && !this->IsLost(leaving_at, at))
+      return &leaving_at;
+    was_stable = was_stable || stable_from == leaving_at;
+  }
+  return nullptr;
 }
 
 std::size_t PublicationHistory::CountBindingLeavings(
@@ -291,9 +296,7 @@
     for (const auto& [endpoint, times] : this->leavings) {
       const auto exit = this->exits.find(endpoint);
       const bool runs = exit == this->exits.end() || exit->second > handling.at;
-      if (runs && std::any_of(times.begin(), times.end(), [&](Time time) {
-            return this->IsBinding(time, handling.at);
-          }))
+      if (runs && this->FindBinding(times, handling.at) != nullptr)
         binding.insert(endpoint);
     }
   }
--- a/test/soak/publication_history.h
+++ b/test/soak/publication_history.h
@@ -11,7 +11,7 @@
  * - DRAIN: no request reaches an endpoint more than 2 s (`drainMs`) after its
  *   leaving was confirmed by a stable store, from gateways in touch. The store
  *   is stable 3 s after a disturbance; what it has confirmed before counts from
- *   then on.
+ *   then on, or at once if it confirms again what a stable store had confirmed.
  * - LOST: a request that has reached a sound endpoint is answered.
  * A gateway is in touch for a request if from 3 s (`contactMs`) before it was
  * sent until it was handled nothing disturbed its process, its link to the
@@ -171,8 +171,10 @@
   /** @return The first time from a given one at which the store is stable. */
   Time StableFrom(Time from) const;
 
-  /** @return True if a leaving binds a request that is handled at a time. */
-  bool IsBinding(Time leaving_at, Time at) const;
+  /** @param leavings All of one endpoint, in the order of their times.
+   * @return The first that binds a request that is handled at a time; null if
+   * there is none. */
+  const Time* FindBinding(const std::vector<Time>& leavings, Time at) const;
 
   /** @return Number of endpoints whose leaving has bound a request that was
    * handled in touch while their process still ran. */
--- a/test/stories/publication_history.cc
+++ b/test/stories/publication_history.cc
@@ -210,6 +210,18 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, DrainAfter(2001, stable));
 }
 
+/** A stable store confirms it at 5 s, loses it and confirms it again at 10 s.
+ */
+void LeavingThatIsConfirmedAgainBindsAtOnce() {
+  Recorded recorded;
+  recorded.history.RecordLeaving("e/1", At(5000));
+  recorded.Disturb(Disturbed::kStore, 9000, 9500);
+  recorded.history.RecordReturn(At(4000), At(9500));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, DrainAfter(2000, recorded));
+  // In touch since 12.5 s.
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, DrainAfter(2506, recorded));
+}
+
 void LostLeavingBindsOnceItIsWrittenAgain() {
   Recorded lost;
   lost.history.RecordReturn(At(9000), At(11000));
@@ -271,6 +283,8 @@
                 Then("a leaving that an unstable store confirms binds once it "
                      "is stable",
                      LeavingThatAnUnstableStoreConfirmsBindsOnceItIsStable),
+                Then("one that it confirms again binds at once",
+                     LeavingThatIsConfirmedAgainBindsAtOnce),
                 Then("a leaving that the store loses binds once it is written "
                      "again",
                      LostLeavingBindsOnceItIsWrittenAgain)}),
