Streams: limits and services of the past count in the proof of a sole version

Cause: the time of the proof was twice the route's present limit, and the service the one of the present table. Fix: RouteHistory remembers the longest limit of each route, and for how long it has used one service alone.

--- a/include/buckthornpath/routing_table.h
+++ b/include/buckthornpath/routing_table.h
@@ -119,6 +119,8 @@
     return this->parts.services;
   }
 
+  const std::vector<Route>& Routes() const { return this->parts.routes; }
+
   std::uint64_t Version() const { return this->parts.version; }
   bool RequiresApiKeys() const { return !this->parts.organisations.empty(); }
   const CallerLimits& Limits() const { return this->parts.limits; }
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -64,6 +64,12 @@
   const VersionHistory& history = this->state.version_history;
   const auto asked_at = Clock::now();
   while (true) {
+    // The stream may have begun at another service.
+    const bool has_one_service = this->state.route_history.HasUsedOnly(
+        this->request.service, *this->request.route, this->ProofTime(),
+        Clock::now());
+    if (!has_one_service)
+      co_return std::nullopt;
     const std::optional<std::string> sole = history.SoleVersion(
         this->request.service, this->ProofTime(), Clock::now());
     // Another gateway may have used an endpoint that is not known here yet.
@@ -76,7 +82,9 @@
 }
 
 milliseconds ForwardSession::ProofTime() const {
-  return this->request.route->timeout * kStreamLimits + kPublicationMargin;
+  return this->state.route_history.LongestLimit(*this->request.route) *
+             kStreamLimits +
+         kPublicationMargin;
 }
 
 std::optional<ForwardSession::Clock::time_point> ForwardSession::ProofDue()
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -17,6 +17,7 @@
 #include "buckthornpath/endpoint_selector.h"
 #include "buckthornpath/gateway_roster.h"
 #include "buckthornpath/retry_budget.h"
+#include "buckthornpath/route_history.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/segment_quarantine.h"
 #include "buckthornpath/store_revision.h"
@@ -153,6 +154,7 @@
   /** Tells other gateways of streams that were recorded; set by the gossip. */
   std::function<void()> announce_streams;
   VersionHistory version_history;
+  RouteHistory route_history;
   /** Asks other gateways what began a stream; set by the gossip. */
   std::function<asio::awaitable<std::optional<StreamOrigin>>(StreamKey)>
       ask_stream_origin;
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -571,6 +571,7 @@
     this->state.selector.SetEngineMemory(
         service.name, static_cast<std::int64_t>(service.engine_memory_tokens));
   }
+  this->state.route_history.Record(*table, Clock::now());
   this->state.table = std::move(table);
 }
 
--- a/test/stories/gateway_versions.cc
+++ b/test/stories/gateway_versions.cc
@@ -370,6 +370,19 @@
   CPPUNIT_ASSERT(answer.took >= kTime);
 }
 
+/** Guards against a version that counts as the only one as its route's limit
+ * has been shortened: streams of before may last longer. */
+void ShorterLimitProvesNothing() {
+  constexpr milliseconds kLimit{500};
+  const auto start = Clock::now();
+  VersionedFleet engines({"v1"});
+  engines.Configure(milliseconds(30000));
+  engines.Publish(0, "v2");
+  engines.Configure(kLimit);
+  std::this_thread::sleep_until(start + kProofMargin + 4 * kLimit);
+  AssertUnknown(engines, TakeUp("short", "unseen"));
+}
+
 /** Two requests with the same id begin at different versions. */
 void ContradictoryOriginsProveNothing() {
   VersionedFleet engines({"v1", "v2"});
@@ -494,7 +507,9 @@
                {Then("that version proves itself with time",
                      SoleVersionProvesItselfWithTime),
                 Then("one that has just changed proves nothing",
-                     QuickChangeProvesNothing)}),
+                     QuickChangeProvesNothing),
+                Then("nor does one whose route's limit was longer before",
+                     ShorterLimitProvesNothing)}),
        Section("when a request is no resumable stream",
                {Then("its fields are passed on unchanged",
                      OtherRoutesPassTheFieldsOn)})});
