Streams: one that a replaced process sends proves no version

Cause: the version was the one of the entry at the reservation; a later entry of the same name was not looked at while the stream lasted. Fix: if the entry states another version when events come, the stream began at neither for certain: its records contradict each other, and it moves no more. The first event of an attempt that goes on with a stream is not passed on then. What remains: until the new entry is known, nothing in an answer tells the two processes apart.

--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -168,12 +168,27 @@
    * having one version; nothing if it is proven, or will not be. */
   std::optional<Clock::time_point> ProofDue() const;
 
-  /** Records the version of the present endpoint as that of the stream. */
+  /** Records the version of the present endpoint as that of the stream that it
+   * sends events of. */
   void RecordStreamBegin();
 
+  /** @return True if another software version has been published under the name
+   * of the present endpoint since it was reserved. */
+  bool IsEndpointReplaced() const {
+    return this->reservation.Endpoint()->Entry().version !=
+           this->reservation.Version();
+  }
+
+  /** @return Id of the request that brought the first event of the stream;
+   * empty if that is not known. */
+  const std::string& BegunBy() const;
+
   /** Records the stream for callers that take it up. */
   void RecordStreamOrigin();
 
+  /** Records that nothing proves the version of the stream any more. */
+  void RecordContradiction();
+
   // Relaying a stream: forward_stream.cc.
 
   asio::awaitable<AttemptResult> RelayStream(unsigned status);
--- a/src/gateway/forward_stream.cc
+++ b/src/gateway/forward_stream.cc
@@ -83,6 +83,10 @@
 asio::awaitable<bool> ForwardSession::RelayEvents(unsigned status,
                                                   std::string& chunk) {
   const bool may_resume = this->request.route->IsRetryable();
+  // What a process of another version sends must not follow earlier events.
+  if (this->stream_version && this->AttemptEvents() == 0 &&
+      this->IsEndpointReplaced())
+    co_return false;
   const std::size_t events_before = this->relay.EventCount();
   std::string events = this->relay.Feed(chunk);
   if (this->IsProven())
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -96,19 +96,36 @@
 }
 
 void ForwardSession::RecordStreamBegin() {
+  if (this->IsEndpointReplaced()) {
+    // A new process may have had the address before its entry was known here.
+    if (!this->stream_version.value_or("").empty())
+      this->RecordContradiction();
+    this->stream_version = "";
+    return;
+  }
   if (this->stream_version)
     return;
   this->stream_version = this->reservation.Version();
   this->RecordStreamOrigin();
 }
 
-void ForwardSession::RecordStreamOrigin() {
+const std::string& ForwardSession::BegunBy() const {
   const CallerMetadata& metadata = this->request.metadata;
-  if (!this->request.route->resumable)
+  return metadata.is_taken_up ? metadata.resumes : metadata.request_id;
+}
+
+void ForwardSession::RecordContradiction() {
+  if (!this->request.route->resumable || this->BegunBy().empty())
     return;
-  const std::string& begun_by =
-      metadata.is_taken_up ? metadata.resumes : metadata.request_id;
-  if (begun_by.empty())
+  // The second record contradicts the first one, here and elsewhere.
+  this->RecordStreamOrigin();
+  this->stream_version = this->reservation.Endpoint()->Entry().version;
+  this->RecordStreamOrigin();
+}
+
+void ForwardSession::RecordStreamOrigin() {
+  const std::string& begun_by = this->BegunBy();
+  if (!this->request.route->resumable || begun_by.empty())
     return;
   this->state.stream_origins.RecordOwn(
       {StreamKeyOf(begun_by), {this->request.service, *this->stream_version}},
--- a/test/stories/gateway_versions.cc
+++ b/test/stories/gateway_versions.cc
@@ -383,6 +383,45 @@
   AssertUnknown(engines, TakeUp("short", "unseen"));
 }
 
+/** Publishes another version of the engine that has got a request, whose
+ * process is the new one already. */
+VersionedCall Replace(VersionedFleet& engines, const VersionedCall& call) {
+  engines.Publish(call.engine, "v2");
+  engines.AwaitPublication();
+  return {call.call, call.engine, "v2"};
+}
+
+/** Guards against a stream of a new process that is taken for one of the
+ * process before it, at the same id and address.
+ * @param begin What the new process does with the stream that it begins. */
+void StreamOfAReplacedProcessStays(
+    const std::function<void(VersionedFleet& engines,
+                             const VersionedCall& call)>& begin) {
+  VersionedFleet engines({"v1", "v1", "v1"});
+  std::atomic<bool> has_begun = false;
+  engines.SetScript([&](const VersionedCall& call) {
+    if (has_begun.exchange(true))
+      call.Serve();
+    else
+      begin(engines, call);
+  });
+  const VersionedAnswer first = engines.Call({.id = "first"});
+  CPPUNIT_ASSERT(first.HasEvents(1, 2));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engines.CountOf("first"));
+  AssertUnknown(engines, TakeUp("take-up", "first"));
+}
+
+/** Guards against events of a new process after those of another version. */
+void EventsOfAReplacedProcessAreNotPassedOn() {
+  VersionedFleet engines({"v1", "v1"});
+  engines.BeginBrokenStream("first");
+  engines.SetScript(
+      [&](const VersionedCall& call) { Replace(engines, call).ServeUntil(4); });
+  const VersionedAnswer second = engines.Call(TakeUp("second", "first"));
+  CPPUNIT_ASSERT(!second.IsComplete());
+  CPPUNIT_ASSERT(second.versions.empty());
+}
+
 /** Two requests with the same id begin at different versions. */
 void ContradictoryOriginsProveNothing() {
   VersionedFleet engines({"v1", "v2"});
@@ -499,6 +538,26 @@
                          engines.Publish(engine, "v3");
                        });
                  }),
+            Then("it is refused if another process was published before it "
+                 "began",
+                 [] {
+                   StreamOfAReplacedProcessStays(
+                       [](VersionedFleet& engines, const VersionedCall& call) {
+                         Replace(engines, call).ServeUntil(2);
+                       });
+                 }),
+            Then("or while it lasted",
+                 [] {
+                   StreamOfAReplacedProcessStays(
+                       [](VersionedFleet& engines, const VersionedCall& call) {
+                         call.call.BeginEvents();
+                         call.Event(1);
+                         Replace(engines, call).Event(2);
+                         call.call.Close(false);
+                       });
+                 }),
+            Then("no events of another process follow it",
+                 EventsOfAReplacedProcessAreNotPassedOn),
             Then("it is refused if two versions have begun it",
                  ContradictoryOriginsProveNothing),
             Then("it does not reach an endpoint that has changed its version",
