--- a/test/stories/restored_store.cc
+++ b/test/stories/restored_store.cc
@@ -492,6 +492,37 @@
   store.CheckFollows(3, store.all);
 }
 
+/** Guards against requests to an endpoint that left without saying so, as the
+ * copy lists it. Known red. */
+void EndpointThatWasRemovedStaysOut() {
+  RestoredStore store(PlanOf(5));
+  WriteEntry(store, "ready", kBornMs, 5);
+  CPPUNIT_ASSERT(CountAtLedger(store) > 0);
+  store.copy = store.fleet.Store().TakeCopy();
+  WriteEntry(store, "ready", kBornMs, 6);
+  store.fleet.Store().Remove("servers/ledger-0");
+  for (const std::size_t gateway : store.all)
+    CPPUNIT_ASSERT(store.HasLogged(gateway, "endpoint_gone"));
+  store.ComeBack();
+  store.CheckFollows(2, store.all);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountAtLedger(store));
+}
+
+/** Guards against a process that starts with the version of the copy beside
+ * peers that use a later one. Known red. */
+void NewProcessKeepsToTheVersionOfItsPeers() {
+  RestoredStore store(PlanOf(3));
+  store.WriteLost(2);
+  store.ComeBack();
+  std::this_thread::sleep_for(kStableTime);
+  for (const std::size_t gateway : store.all)
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, store.VersionAt(gateway));
+  store.fleet.Gateway(2).Kill();
+  store.fleet.Restart(2);
+  CPPUNIT_ASSERT(WaitUntil([&] { return store.fleet.IsReady(2); }));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, store.VersionAt(2));
+}
+
 const Story kStory("restored_store", [] {
   return Section(
       "given a store that comes back from a copy some seconds old",
@@ -514,6 +545,12 @@
                      [] { EndpointThatHasLeftStaysOut(false); }),
                 Then("one that was removed since is left alone",
                      [] { EndpointThatHasLeftStaysOut(true); })}),
+       Section(
+           "when nobody has written again what it lacks",
+           {Then("an endpoint that was removed without a word is left alone",
+                 EndpointThatWasRemovedStaysOut),
+            Then("a gateway that starts keeps to the version of its peers",
+                 NewProcessKeepsToTheVersionOfItsPeers)}),
        Section("when other faults come with it",
                {Then("peers with old revisions hold no new process back",
                      NewProcessIsNotHeldBackByPeers),
