--- a/include/buckthornpath/entry_version.h
+++ b/include/buckthornpath/entry_order.h
@@ -1,7 +1,7 @@
-/** @file entry_version.h Order of the entries that an endpoint has written. */
+/** @file entry_order.h Order of the entries that an endpoint has written. */
 
-#ifndef BUCKTHORNPATH_ENTRY_VERSION_H_
-#define BUCKTHORNPATH_ENTRY_VERSION_H_
+#ifndef BUCKTHORNPATH_ENTRY_ORDER_H_
+#define BUCKTHORNPATH_ENTRY_ORDER_H_
 
 #include <cstdint>
 
@@ -9,7 +9,7 @@
 
 /** What an endpoint's entry states of its place among the entries of that
  * endpoint. */
-struct EntryVersion {
+struct EntryOrder {
   std::int64_t born_ms = 0;   ///< Start of its process; 0 if unknown.
   std::int64_t sequence = 0;  ///< Rises within a process.
   bool leaving = false;
@@ -23,9 +23,8 @@
  * leaves, at the same time or later. A process that does not state its start
  * cannot be told from the one before it, so that its entries are taken.
  */
-bool IsFromBeforeLeaving(const EntryVersion& offered,
-                         const EntryVersion& known);
+bool IsFromBeforeLeaving(const EntryOrder& offered, const EntryOrder& known);
 
 }  // namespace buckthornpath
 
-#endif  // BUCKTHORNPATH_ENTRY_VERSION_H_
+#endif  // BUCKTHORNPATH_ENTRY_ORDER_H_
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -15,7 +15,7 @@
 #include <vector>
 
 #include "buckthornpath/endpoint_selector.h"
-#include "buckthornpath/entry_version.h"
+#include "buckthornpath/entry_order.h"
 #include "buckthornpath/routing_table.h"
 #include "buckthornpath/store_revision.h"
 #include "kernel/settings.h"
@@ -171,7 +171,7 @@
 
   /** @return What an item states of its place among those of its writer;
    * nothing if it does not, or cannot be read. */
-  virtual std::optional<EntryVersion> VersionOf(
+  virtual std::optional<EntryOrder> OrderOf(
       const PublishedItem& item) const = 0;
 
   /** @return The endpoint that a key names; empty for other keys, and for names
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -82,7 +82,7 @@
             return this->state.adapter.EndpointIdFromKey(key).has_value();
           },
           [this](const PublishedItem& item) {
-            return this->state.adapter.VersionOf(item);
+            return this->state.adapter.OrderOf(item);
           }),
       feed(this->published, state.executor),
       upstream(SpreadOf(state.settings.gossip_address)),
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -22,14 +22,14 @@
   const auto known = this->leaving.find(item.key);
   if (known == this->leaving.end())
     return false;
-  const auto offered = this->version_of(item);
+  const auto offered = this->order_of(item);
   return offered && IsFromBeforeLeaving(*offered, known->second);
 }
 
 void PublicationState::RecordLeaving(const PublishedItem& item) {
-  if (!this->version_of || !this->is_renewed(item.key))
+  if (!this->order_of || !this->is_renewed(item.key))
     return;
-  const auto version = this->version_of(item);
+  const auto version = this->order_of(item);
   if (!version || !version->leaving) {
     this->leaving.erase(item.key);
     return;
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "buckthornpath/entry_version.h"
+#include "buckthornpath/entry_order.h"
 #include "gateway/platform_adapter.h"
 
 namespace buckthornpath {
@@ -42,22 +42,22 @@
 
   /** @return What an item says of its place among those of its writer; nothing
    * if it says none. */
-  using VersionReader =
-      std::function<std::optional<EntryVersion>(const PublishedItem& item)>;
+  using OrderReader =
+      std::function<std::optional<EntryOrder>(const PublishedItem& item)>;
 
   /**
    * @param removal_grace Time after an outage of the store during which removed
    *     items are kept.
    * @param is_renewed True for the keys of items that expire unless their
    *     owners renew them. Others are removed on purpose only, and at once.
-   * @param version_of Null if no item states its place.
+   * @param order_of Null if no item states its place.
    */
   PublicationState(std::chrono::milliseconds removal_grace,
                    KeyPredicate is_renewed,
-                   VersionReader version_of = nullptr)
+                   OrderReader order_of = nullptr)
       : removal_grace(removal_grace),
         is_renewed(std::move(is_renewed)),
-        version_of(std::move(version_of)) {}
+        order_of(std::move(order_of)) {}
 
   /**
    * Merges a snapshot of all items. Items that it lacks count as removed, if it
@@ -165,7 +165,7 @@
 
   std::chrono::milliseconds removal_grace;
   KeyPredicate is_renewed;
-  VersionReader version_of;
+  OrderReader order_of;
   StoreRevision revision;
   /** Of the last complete snapshot; none if a later one lacked a part. */
   std::optional<std::uint64_t> listed_era;
@@ -182,7 +182,7 @@
   std::vector<std::pair<std::string, TimePoint>> newly_deferred;
   TimePoint last_outage{};
   /** Items whose writers have said that they leave, removed ones included. */
-  std::map<std::string, EntryVersion> leaving;
+  std::map<std::string, EntryOrder> leaving;
   std::vector<std::string> outdated;
 };
 
--- a/test/stories/entry_order.cc
+++ b/test/stories/entry_order.cc
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include "buckthornpath/entry_version.h"
+#include "buckthornpath/entry_order.h"
 #include "gateway/publication_state.h"
 #include "harness/story.h"
 
@@ -25,13 +25,13 @@
 
 struct OrderRow {
   const char* what;
-  EntryVersion offered;
-  EntryVersion known;
+  EntryOrder offered;
+  EntryOrder known;
   bool is_outdated;
 };
 
 void OrderOfEntries() {
-  const EntryVersion leaving{kBorn, 6, true};
+  const EntryOrder leaving{kBorn, 6, true};
   const std::array rows = {
       OrderRow{"written before", {kBorn, 5, false}, leaving, true},
       OrderRow{"written with it", {kBorn, 6, false}, leaving, true},
@@ -49,8 +49,8 @@
 }
 
 /** Entries that are written as "born sequence" and a mark of leaving. */
-std::optional<EntryVersion> ReadEntry(const PublishedItem& item) {
-  static const std::map<std::string, EntryVersion> kEntries = {
+std::optional<EntryOrder> ReadEntry(const PublishedItem& item) {
+  static const std::map<std::string, EntryOrder> kEntries = {
       {"ready 5", {kBorn, 5, false}},
       {"leaving 6", {kBorn, 6, true}},
       {"ready 7", {kBorn, 7, false}},
--- a/test/stories/publication_faults.cc
+++ b/test/stories/publication_faults.cc
@@ -124,9 +124,8 @@
     co_return co_await this->platform.Decode(item);
   }
 
-  std::optional<EntryVersion> VersionOf(
-      const PublishedItem& item) const override {
-    return this->platform.VersionOf(item);
+  std::optional<EntryOrder> OrderOf(const PublishedItem& item) const override {
+    return this->platform.OrderOf(item);
   }
 
   std::optional<EndpointId> EndpointIdFromKey(
