Streams: what nothing proves is never attempted, whoever has left

Found in the read-through: a request whose version was not proven, and whose caller had left, was handed to the attempts, which saw by another look that the caller had left. The request ends as one whose caller has left.

--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -108,10 +108,12 @@
     } else {
       const std::optional<Refusal> unproven =
           co_await this->FindStreamVersion();
-      if (unproven && !this->exchange.IsDisconnected())
-        co_await this->Refuse(*unproven);
-      else
+      if (!unproven)
         co_await this->RunAttempts();
+      else if (this->exchange.IsDisconnected())
+        co_await this->FinishExchange(AttemptResult::kNoCapacity);
+      else
+        co_await this->Refuse(*unproven);
     }
     this->deadline_timer.Cancel();
   }
