--- a/review/common-3/stand_ins.h
+++ b/review/common-3/stand_ins.h
@@ -570,6 +570,24 @@
   milliseconds pause{70};
 };
 
+/** What a replica does beside serving. */
+struct Habits {
+  /** "Most replicas drop a request when its channel closes": PROTOCOL.md. */
+  bool drops_closed = true;
+  /** Each so many runs are preempted after an event; 0: none. */
+  int preempts_each = 0;
+  int preempts_after = 12;
+  milliseconds preempted_for{1200};
+};
+
+/** One run of a request at a replica. */
+struct RunOfRequest {
+  std::string request;
+  std::string replica;
+  Clock::time_point began_at;
+  Clock::time_point last_event_at;
+};
+
 /** A model replica that registers itself in the store. */
 class Replica {
  public:
@@ -579,14 +597,16 @@
           Address address,
           StreamShape shape,
           Store& store,
-          Record& record)
+          Record& record,
+          Habits habits = {})
       : id(std::move(id)),
         service(std::move(service)),
         zone(std::move(zone)),
         address(std::move(address)),
         shape(shape),
         store(store),
-        record(record) {}
+        record(record),
+        habits(habits) {}
 
   ~Replica() { this->Crash(); }
 
@@ -618,6 +638,12 @@
 
   std::size_t Running() const { return this->running; }
 
+  /** @return The runs that have ended. */
+  std::vector<RunOfRequest> Runs() {
+    const std::lock_guard lock(this->runs_mutex);
+    return this->runs;
+  }
+
  private:
   void Renew() {
     std::uint64_t sequence = 0;
@@ -680,21 +706,46 @@
                       "\r\nContent-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n");
     std::this_thread::sleep_for(this->shape.first);
-    for (int i = first; is_open && this->is_up && i <= this->shape.events;
-         ++i) {
+    RunOfRequest run{request, this->id, Clock::now(), Clock::now()};
+    const bool is_preempted = this->TakesNextForPreemption();
+    const auto is_wanted = [&] {
+      return this->is_up && (is_open || !this->habits.drops_closed);
+    };
+    for (int i = first; is_wanted() && i <= this->shape.events; ++i) {
       std::ostringstream event;
       event << "id: " << i << "\ndata: " << this->version << " " << this->id
             << "\n\n";
       std::ostringstream chunk;
       chunk << std::hex << event.str().size() << "\r\n"
             << event.str() << "\r\n";
-      is_open = channel.Write(chunk.str()) && !channel.HasEnded();
-      std::this_thread::sleep_for(this->shape.pause);
+      run.last_event_at = Clock::now();
+      is_open = is_open && channel.Write(chunk.str()) && !channel.HasEnded();
+      const bool is_pause =
+          is_preempted && i == first + this->habits.preempts_after;
+      const auto next = Clock::now() + (is_pause ? this->habits.preempted_for
+                                                 : this->shape.pause);
+      while (is_wanted() && Clock::now() < next) {
+        SleepMs(10);
+        is_open = is_open && !channel.HasEnded();
+      }
     }
     --this->running;
+    this->record.Line("replica " + this->id + " ends " + request +
+                      (is_open ? ", whole" : ", its channel was closed"));
+    {
+      const std::lock_guard lock(this->runs_mutex);
+      this->runs.push_back(run);
+    }
     return is_open && this->is_up && channel.Write("0\r\n\r\n");
   }
 
+  bool TakesNextForPreemption() {
+    const std::lock_guard lock(this->runs_mutex);
+    ++this->started;
+    return this->habits.preempts_each != 0 &&
+           this->started % this->habits.preempts_each == 0;
+  }
+
   const std::string id;
   const std::string service;
   const std::string zone;
@@ -702,6 +753,10 @@
   const StreamShape shape;
   Store& store;
   Record& record;
+  const Habits habits;
+  std::mutex runs_mutex;
+  std::vector<RunOfRequest> runs;
+  int started = 0;
   std::string version;
   std::int64_t born = 0;
   std::atomic<bool> is_up = false;
