--- a/review/common-3/stand_ins.h
+++ b/review/common-3/stand_ins.h
@@ -420,6 +420,31 @@
     return true;
   }
 
+  /** What the store held at a moment. */
+  struct Copy;
+  std::shared_ptr<const Copy> TakeCopy() {
+    const std::lock_guard lock(this->mutex);
+    this->record.Line("a copy of the store is made");
+    return std::make_shared<const Copy>(Copy{this->items, this->revision});
+  }
+
+  /** Comes back from a copy: a new era begins, and all that was written since
+   * is gone. */
+  void ComeBackFrom(const Copy& copy) {
+    const std::lock_guard lock(this->mutex);
+    this->items = copy.items;
+    for (auto& [key, item] : this->items)
+      item.renewed_at = Clock::now();
+    this->revision = copy.revision;
+    std::erase_if(this->events, [&](const Event& event) {
+      return event.revision > copy.revision;
+    });
+    ++this->era;
+    this->is_down = false;
+    this->changed.notify_all();
+    this->record.Line("the store is back from the copy");
+  }
+
   bool Remove(const std::string& key) {
     const std::lock_guard lock(this->mutex);
     if (this->is_down)
@@ -436,6 +461,14 @@
     bool has_lease = false;
     Clock::time_point renewed_at;
   };
+
+ public:
+  struct Copy {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+  };
+
+ private:
   struct Event {
     std::uint64_t revision;
     json body;
@@ -498,11 +531,11 @@
       int status = 200;
       const json body = this->Answer(path, Query(target), status);
       const std::string text = body.dump();
-      const bool is_sent = channel.Write(
-          "HTTP/1.1 " + std::to_string(status) +
-          " X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
-          "Content-Length: " +
-          std::to_string(text.size()) + "\r\n\r\n" + text);
+      const bool is_sent =
+          channel.Write("HTTP/1.1 " + std::to_string(status) +
+                        " X\r\nContent-Type: application/json\r\nStore-Era: " +
+                        std::to_string(this->era) + "\r\nContent-Length: " +
+                        std::to_string(text.size()) + "\r\n\r\n" + text);
       if (!is_sent)
         return;
     }
@@ -536,6 +569,10 @@
         Clock::now() + milliseconds(std::atoi(query["waitMs"].c_str()));
     json list = json::array();
     while (true) {
+      if (after > this->revision) {
+        status = 410;
+        return json::object();
+      }
       if (this->is_down || this->is_ending) {
         status = 503;
         return json::object();
@@ -557,6 +594,7 @@
   std::map<std::string, Item> items;
   std::vector<Event> events;
   std::uint64_t revision = 100;
+  std::atomic<std::uint64_t> era = 1;
   bool is_down = false;
   std::atomic<bool> is_ending = false;
   std::unique_ptr<Listener> listener;
@@ -647,22 +685,22 @@
  private:
   void Renew() {
     std::uint64_t sequence = 0;
+    bool is_registered = false;
     while (this->is_up) {
-      const bool is_written =
-          this->store.Put("servers/" + this->id,
-                          {{"service", this->service},
-                           {"address", this->address.Text()},
-                           {"zone", this->zone},
-                           {"version", this->version},
-                           {"slots", 64},
-                           {"state", "ready"},
-                           {"coldRemainingMs", 0},
-                           {"sequence", ++sequence},
-                           {"born", this->born}},
-                          true);
-      // One that is turned away tries again soon.
+      is_registered |= this->store.Put("servers/" + this->id,
+                                       {{"service", this->service},
+                                        {"address", this->address.Text()},
+                                        {"zone", this->zone},
+                                        {"version", this->version},
+                                        {"slots", 64},
+                                        {"state", "ready"},
+                                        {"coldRemainingMs", 0},
+                                        {"sequence", ++sequence},
+                                        {"born", this->born}},
+                                       true);
+      // One that can't register when it starts tries again soon.
       const auto next =
-          Clock::now() + (is_written ? kHeartbeat : milliseconds(200));
+          Clock::now() + (is_registered ? kHeartbeat : milliseconds(200));
       while (this->is_up && Clock::now() < next)
         SleepMs(10);
     }
