--- a/review/13/run.sh
+++ /dev/null
@@ -1,9 +0,0 @@
-#!/bin/sh
-# Starts 2 gateways, a store, 4 replicas and their requesters; some 25 s.
-cd "$(dirname "$0")/../.." || exit 2
-if [ ! -x target/buckthornpathd ] || [ ! -x target/review-3/paused_stream ]
-then
-  echo "run the build of deploy/system.toml and review/build-3.sh first" >&2
-  exit 2
-fi
-exec target/review-3/paused_stream review/13
