--- a/review/common-3/stand_ins.h
+++ b/review/common-3/stand_ins.h
@@ -608,24 +608,6 @@
   milliseconds pause{70};
 };
 
-/** What a replica does beside serving. */
-struct Habits {
-  /** "Most replicas drop a request when its channel closes": PROTOCOL.md. */
-  bool drops_closed = true;
-  /** Each so many runs are preempted after an event; 0: none. */
-  int preempts_each = 0;
-  int preempts_after = 12;
-  milliseconds preempted_for{1200};
-};
-
-/** One run of a request at a replica. */
-struct RunOfRequest {
-  std::string request;
-  std::string replica;
-  Clock::time_point began_at;
-  Clock::time_point last_event_at;
-};
-
 /** A model replica that registers itself in the store. */
 class Replica {
  public:
@@ -635,16 +617,14 @@
           Address address,
           StreamShape shape,
           Store& store,
-          Record& record,
-          Habits habits = {})
+          Record& record)
       : id(std::move(id)),
         service(std::move(service)),
         zone(std::move(zone)),
         address(std::move(address)),
         shape(shape),
         store(store),
-        record(record),
-        habits(habits) {}
+        record(record) {}
 
   ~Replica() { this->Crash(); }
 
@@ -652,6 +632,7 @@
    * then at each heartbeat. */
   void Start(const std::string& next_version) {
     this->version = next_version;
+    this->is_leaving = false;
     this->born = std::chrono::duration_cast<milliseconds>(
                      std::chrono::system_clock::now().time_since_epoch())
                      .count();
@@ -671,22 +652,35 @@
     this->record.Line("replica " + this->id + " ends, version " +
                       this->version);
     this->listener.reset();
-    this->heartbeats.join();
+    if (this->heartbeats.joinable())
+      this->heartbeats.join();
   }
 
   std::size_t Running() const { return this->running; }
 
-  /** @return The runs that have ended. */
-  std::vector<RunOfRequest> Runs() {
-    const std::lock_guard lock(this->runs_mutex);
-    return this->runs;
+  /** Leaves without reporting `draining`: the entry is removed, and the process
+   * serves until Crash(). @pre The store is up. */
+  void Leave() {
+    this->is_leaving = true;
+    this->heartbeats.join();
+    this->store.Remove("servers/" + this->id);
+    this->record.Line("replica " + this->id + " has removed its entry");
+  }
+
+  /** Writes its removal once more. */
+  void RemoveAgain() {
+    this->store.Remove("servers/" + this->id);
+    this->record.Line("replica " + this->id + " removes its entry again");
   }
 
+  /** @return Requests that it has run. */
+  std::size_t Runs() const { return this->run_count; }
+
  private:
   void Renew() {
     std::uint64_t sequence = 0;
     bool is_registered = false;
-    while (this->is_up) {
+    while (this->is_up && !this->is_leaving) {
       is_registered |= this->store.Put("servers/" + this->id,
                                        {{"service", this->service},
                                         {"address", this->address.Text()},
@@ -701,7 +695,7 @@
       // One that can't register when it starts tries again soon.
       const auto next =
           Clock::now() + (is_registered ? kHeartbeat : milliseconds(200));
-      while (this->is_up && Clock::now() < next)
+      while (this->is_up && !this->is_leaving && Clock::now() < next)
         SleepMs(10);
     }
   }
@@ -725,7 +719,7 @@
     const std::string common =
         "Buckthornpath-Request-Id: " + request +
         "\r\nBuckthornpath-Server-Load: " + std::to_string(this->running) +
-        ",0,64\r\n";
+        ",0,64\r\n" + (this->is_leaving ? "Server-Leaving: 1\r\n" : "");
     const std::string expected = head.Field("buckthornpath-expect-instance");
     if (!expected.empty() && expected != this->id) {
       return channel.Write("HTTP/1.1 421 X\r\n" + common +
@@ -738,17 +732,14 @@
                       " runs " + request + " from event " +
                       std::to_string(first));
     ++this->running;
+    ++this->run_count;
     bool is_open =
         channel.Write("HTTP/1.1 200 OK\r\n" + common +
                       "Buckthornpath-Response-Seal: seal." + this->id +
                       "\r\nContent-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n");
     std::this_thread::sleep_for(this->shape.first);
-    RunOfRequest run{request, this->id, Clock::now(), Clock::now()};
-    const bool is_preempted = this->TakesNextForPreemption();
-    const auto is_wanted = [&] {
-      return this->is_up && (is_open || !this->habits.drops_closed);
-    };
+    const auto is_wanted = [&] { return this->is_up && is_open; };
     for (int i = first; is_wanted() && i <= this->shape.events; ++i) {
       std::ostringstream event;
       event << "id: " << i << "\ndata: " << this->version << " " << this->id
@@ -756,12 +747,8 @@
       std::ostringstream chunk;
       chunk << std::hex << event.str().size() << "\r\n"
             << event.str() << "\r\n";
-      run.last_event_at = Clock::now();
       is_open = is_open && channel.Write(chunk.str()) && !channel.HasEnded();
-      const bool is_pause =
-          is_preempted && i == first + this->habits.preempts_after;
-      const auto next = Clock::now() + (is_pause ? this->habits.preempted_for
-                                                 : this->shape.pause);
+      const auto next = Clock::now() + this->shape.pause;
       while (is_wanted() && Clock::now() < next) {
         SleepMs(10);
         is_open = is_open && !channel.HasEnded();
@@ -770,20 +757,9 @@
     --this->running;
     this->record.Line("replica " + this->id + " ends " + request +
                       (is_open ? ", whole" : ", its channel was closed"));
-    {
-      const std::lock_guard lock(this->runs_mutex);
-      this->runs.push_back(run);
-    }
     return is_open && this->is_up && channel.Write("0\r\n\r\n");
   }
 
-  bool TakesNextForPreemption() {
-    const std::lock_guard lock(this->runs_mutex);
-    ++this->started;
-    return this->habits.preempts_each != 0 &&
-           this->started % this->habits.preempts_each == 0;
-  }
-
   const std::string id;
   const std::string service;
   const std::string zone;
@@ -791,13 +767,11 @@
   const StreamShape shape;
   Store& store;
   Record& record;
-  const Habits habits;
-  std::mutex runs_mutex;
-  std::vector<RunOfRequest> runs;
-  int started = 0;
   std::string version;
   std::int64_t born = 0;
   std::atomic<bool> is_up = false;
+  std::atomic<bool> is_leaving = false;
+  std::atomic<std::size_t> run_count = 0;
   std::atomic<std::size_t> running = 0;
   std::unique_ptr<Listener> listener;
   std::thread heartbeats;
@@ -940,24 +914,25 @@
   pid_t pid = -1;
 };
 
-/** @return A configuration with one resumable stream route, as the sheets of
- * the small sites have it. */
-inline json MakeConfiguration(const std::string& service) {
+/** @return A configuration with one stream route, as the sheet of dalea-orders
+ * has it: buyer-chat, which may be resumed, or layout-plan. */
+inline json MakeConfiguration(const std::string& service,
+                              bool is_resumable = true) {
   return {{"version", 3},
           {"routes",
            {{{"name", "chat"},
              {"host", "chat.example"},
              {"prefix", "/chat/"},
              {"kind", "streaming"},
-             {"timeoutMs", 12000},
-             {"targetLatencyMs", 400},
+             {"timeoutMs", is_resumable ? 12000 : 15000},
+             {"targetLatencyMs", is_resumable ? 400 : 1500},
              {"gapTargetMs", 300},
-             {"priority", 0},
+             {"priority", is_resumable ? 0 : 2},
              {"service", service},
-             {"maxAttempts", 2},
+             {"maxAttempts", is_resumable ? 2 : 1},
              {"authExempt", false},
              {"sessionAffinity", true},
-             {"streamResume", true}}}},
+             {"streamResume", is_resumable}}}},
           {"services",
            {{{"name", service},
              {"maxConns", 360},
