--- a/review/common-3/stand_ins.h
+++ b/review/common-3/stand_ins.h
@@ -636,9 +636,9 @@
     this->born = std::chrono::duration_cast<milliseconds>(
                      std::chrono::system_clock::now().time_since_epoch())
                      .count();
+    this->is_up = true;
     this->listener = std::make_unique<Listener>(
         this->address, [this](Channel& channel) { this->Serve(channel); });
-    this->is_up = true;
     this->heartbeats = std::thread([this] { this->Renew(); });
     this->record.Line("replica " + this->id + " starts, version " +
                       next_version);
@@ -656,8 +656,6 @@
       this->heartbeats.join();
   }
 
-  std::size_t Running() const { return this->running; }
-
   /** Leaves without reporting `draining`: the entry is removed, and the process
    * serves until Crash(). @pre The store is up. */
   void Leave() {
