--- a/test/stories/stream_origin_fleet.cc
+++ b/test/stories/stream_origin_fleet.cc
@@ -13,9 +13,8 @@
 #include <thread>
 #include <vector>
 
-#include "harness/caller.h"
-#include "harness/gateway_fleet.h"
 #include "harness/story.h"
+#include "harness/stream_fleet.h"
 
 namespace buckthornpath {
 
@@ -25,17 +24,6 @@
 using std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
-constexpr int kLastEvent = 4;
-constexpr std::size_t kEngines = 2;
-constexpr std::size_t kStreams = 6;
-constexpr std::size_t kManyStreams = 200;
-
-/** Of an endpoint; gateways share it. */
-constexpr std::size_t kMaxConnections = 4 * kManyStreams;
-
-/** Time in which a gateway tells others of a stream. */
-constexpr milliseconds kAnnouncementTime{20};
-
 /** Time after which it does not tell them again. */
 constexpr milliseconds kRepeatTime{300};
 
@@ -45,208 +33,25 @@
 /** Time after which callers leave at the earliest. */
 constexpr milliseconds kCallerPatience{2000};
 
-/** Sends one event of a stream that begins, and all others of one that is taken
- * up. */
-void Generate(ScriptedCall& call) {
-  const std::string last = call.Field("Last-Event-Id");
-  call.BeginEvents();
-  if (last.empty()) {
-    call.Event(1);
-    call.WaitForClose(milliseconds(60000));
-    return;
-  }
-  for (int id = std::stoi(last) + 1; id <= kLastEvent; ++id)
-    call.Event(id);
-  call.EndEvents();
-}
-
-/** Gateways, and one engine of each of two software versions. */
-class VersionFleet {
- public:
-  VersionFleet(std::size_t gateways, std::vector<std::string> domains)
-      : gateways(gateways), fleet(PlanOf(gateways, std::move(domains))) {
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      this->fleet.Engine(engine).SetScript(Generate);
-      json entry = this->fleet.EntryOf("engine", engine, "ready");
-      entry["version"] = "v" + std::to_string(engine + 1);
-      this->fleet.Store().Put("servers/engine-" + std::to_string(engine),
-                              entry);
-    }
-    this->PublishConfiguration();
-    this->AwaitWitnesses();
-  }
-
-  /** Begins streams at a gateway and keeps their connections open. */
-  void Begin(std::size_t gateway, std::size_t streams = kStreams) {
-    for (std::size_t i = 0; i < streams; ++i) {
-      CallerText text;
-      text.path = "/talk/x";
-      text.id = IdOf(i);
-      auto caller =
-          std::make_unique<ByteConnection>(this->fleet.Caller(gateway));
-      caller->Send(TextOf(text));
-      std::string received;
-      while (received.find("id: 1\n") == std::string::npos) {
-        const std::string more = caller->ReadSome();
-        CPPUNIT_ASSERT_MESSAGE("no first event: " + received, !more.empty());
-        received += more;
-      }
-      this->callers.push_back(std::move(caller));
-    }
-  }
-
-  /** Kills a gateway once others have been told of its streams. */
-  void KillAfterAnnouncement(std::size_t gateway) {
-    std::this_thread::sleep_for(kAnnouncementTime);
-    this->fleet.Gateway(gateway).Kill();
-  }
-
-  void CloseCallers() { this->callers.clear(); }
-
-  RawAnswer TakeUp(std::size_t gateway, const std::string& begun_by) const {
-    CallerText text;
-    text.path = "/talk/x";
-    text.id = begun_by + "-again";
-    text.more_fields = "Last-Event-Id: 1\r\nResumes: " + begun_by + "\r\n";
-    return this->fleet.Call(gateway, TextOf(text));
-  }
-
-  /** Takes all streams up; fails unless each goes on to its end at the version
-   * that began it. */
-  void AssertTheyGoOn(std::size_t gateway) {
-    for (std::size_t i = 0; i < kStreams; ++i)
-      this->AssertItWentOn(i, this->TakeUp(gateway, IdOf(i)));
-  }
-
-  /** Fails unless the answer holds the rest of a stream, from the version that
-   * began it. */
-  void AssertItWentOn(std::size_t i, const RawAnswer& answer) {
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.head + answer.body, 200U,
-                                 answer.status);
-    CPPUNIT_ASSERT(answer.body.ends_with("0\r\n\r\n"));
-    CPPUNIT_ASSERT(answer.body.find("id: 1\n") == std::string::npos);
-    for (int id = 2; id <= kLastEvent; ++id) {
-      CPPUNIT_ASSERT(answer.body.find("id: " + std::to_string(id) + "\n") !=
-                     std::string::npos);
-    }
-    for (std::size_t engine = 0; engine < kEngines; ++engine) {
-      ScriptedEndpoint& endpoint = this->fleet.Engine(engine);
-      CPPUNIT_ASSERT_EQUAL(endpoint.CountOf(IdOf(i)),
-                           endpoint.CountOf(IdOf(i) + "-again"));
-    }
-  }
-
-  json Gossip(std::size_t gateway) const {
-    const json status = LocalFleet::StatusOf(this->fleet.Operator(gateway));
-    return status.is_object() ? status.value("gossip", json::object())
-                              : json::object();
-  }
-
-  /** @return Gateways with a role, among some. */
-  std::vector<std::size_t> WithRole(
-      const std::string& role,
-      const std::vector<std::size_t>& among) const {
-    std::vector<std::size_t> found;
-    std::copy_if(among.begin(), among.end(), std::back_inserter(found),
-                 [&](std::size_t gateway) {
-                   return this->Gossip(gateway).value("role", "") == role;
-                 });
-    return found;
-  }
-
-  /** Waits until each gateway has the witnesses of a fleet whose gateways all
-   * live. */
-  void AwaitWitnesses() const {
-    const auto is_settled = [&] {
-      for (std::size_t gateway = 0; gateway < this->gateways; ++gateway) {
-        const json gossip = this->Gossip(gateway);
-        if (gossip.value("stream_witnesses", json::array()).size() <
-            std::min<std::size_t>(2, this->gateways - 1))
-          return false;
-      }
-      return true;
-    };
-    CPPUNIT_ASSERT(WaitUntil(is_settled));
-  }
-
-  /** @return Lookups of a gateway that have ended in a way. */
-  std::uint64_t LookupsOf(std::size_t gateway,
-                          const std::string& result) const {
-    HttpRequest request;
-    request.target = "/metrics";
-    const std::string text =
-        CallHttp(this->fleet.Operator(gateway), request).body;
-    const std::string name = "stream_lookups_total{result=\"" + result + "\"} ";
-    const std::size_t found = text.find(name);
-    return found == std::string::npos
-               ? 0
-               : std::stoull(text.substr(found + name.size()));
-  }
-
-  static std::string IdOf(std::size_t stream) {
-    return "stream-" + std::to_string(stream);
-  }
-
-  GatewayFleet& Fleet() { return this->fleet; }
-
- private:
-  /** Publishes room for many streams, and waits until it is in force, as is
-   * what has been published before. */
-  void PublishConfiguration() {
-    constexpr std::uint64_t kVersion = 2;
-    json configuration = StandardConfiguration(kVersion);
-    for (json& route : configuration["routes"])
-      route["timeoutMs"] = 30000;
-    for (json& service : configuration["services"]) {
-      service["maxConns"] = kMaxConnections;
-      if (service.contains("engine"))
-        service["engine"]["slots"] = kManyStreams;
-    }
-    this->fleet.Store().Put("op/config", configuration);
-    CPPUNIT_ASSERT(WaitUntil([&] {
-      for (std::size_t gateway = 0; gateway < this->gateways; ++gateway) {
-        if (LocalFleet::StatusOf(this->fleet.Operator(gateway))
-                .value("configuration", std::uint64_t{0}) != kVersion)
-          return false;
-      }
-      return true;
-    }));
-  }
-
-  static GatewayPlan PlanOf(std::size_t gateways,
-                            std::vector<std::string> domains) {
-    GatewayPlan plan;
-    plan.gateways = gateways;
-    plan.failure_domains = std::move(domains);
-    plan.engines = kEngines;
-    plan.slots = kManyStreams;
-    return plan;
-  }
-
-  std::size_t gateways;
-  GatewayFleet fleet;
-  std::vector<std::unique_ptr<ByteConnection>> callers;
-};
-
 const std::vector<std::string> kTwoDomains = {"a", "b"};
 
 /** Gateways 0 and 2 are in failure domain a, 1 and 3 in b. */
 void BrokenConnection(std::size_t taken_up_at) {
-  VersionFleet fleet(4, kTwoDomains);
+  StreamFleet fleet(4, kTwoDomains);
   fleet.Begin(0);
   fleet.CloseCallers();
   fleet.AssertTheyGoOn(taken_up_at);
 }
 
 void KilledGateway(std::size_t taken_up_at) {
-  VersionFleet fleet(4, kTwoDomains);
+  StreamFleet fleet(4, kTwoDomains);
   fleet.Begin(0);
   fleet.KillAfterAnnouncement(0);
   fleet.AssertTheyGoOn(taken_up_at);
 }
 
 void OnlyGatewayOfItsDomainIsKilled() {
-  VersionFleet fleet(3, {"a", "b", "c"});
+  StreamFleet fleet(3, {"a", "b", "c"});
   fleet.Begin(1);
   fleet.KillAfterAnnouncement(1);
   fleet.AssertTheyGoOn(0);
@@ -257,7 +62,7 @@
  */
 void KilledWithHubs(std::size_t hubs_killed) {
   // Failure domain a has the gateways 0, 2 and 4.
-  VersionFleet fleet(6, kTwoDomains);
+  StreamFleet fleet(6, kTwoDomains);
   const std::vector<std::size_t> domain = {0, 2, 4};
   std::vector<std::size_t> hubs;
   CPPUNIT_ASSERT(WaitUntil([&] {
@@ -279,7 +84,7 @@
 
 /** All callers come back within some milliseconds. */
 void ManyGoOnAtOnce() {
-  VersionFleet fleet(4, kTwoDomains);
+  StreamFleet fleet(4, kTwoDomains);
   fleet.Begin(0, kManyStreams);
   fleet.KillAfterAnnouncement(0);
   std::vector<RawAnswer> answers(kManyStreams);
@@ -287,7 +92,7 @@
   callers.reserve(kManyStreams);
   for (std::size_t i = 0; i < kManyStreams; ++i) {
     callers.emplace_back([&fleet, &answers, i] {
-      answers[i] = fleet.TakeUp(1, VersionFleet::IdOf(i));
+      answers[i] = fleet.TakeUp(1, StreamFleet::IdOf(i));
     });
   }
   callers.clear();
@@ -298,7 +103,7 @@
 /** The records of hubs that are killed are gone; who began the streams tells
  * those that follow. */
 void NewHubsAreTold() {
-  VersionFleet fleet(4, {"a"});
+  StreamFleet fleet(4, {"a"});
   const std::vector<std::size_t> all = {0, 1, 2, 3};
   CPPUNIT_ASSERT(
       WaitUntil([&] { return fleet.WithRole("member", all).size() == 2; }));
@@ -328,7 +133,7 @@
   milliseconds least = milliseconds::max();
 };
 
-RefusalTimes TimesOfUnknown(VersionFleet& fleet, std::size_t gateway) {
+RefusalTimes TimesOfUnknown(StreamFleet& fleet, std::size_t gateway) {
   RefusalTimes times;
   for (std::size_t i = 0; i < kStreams; ++i) {
     const auto start = Clock::now();
@@ -351,7 +156,7 @@
 }
 
 void UnknownStreamIsRefusedAtOnce() {
-  VersionFleet fleet(4, kTwoDomains);
+  StreamFleet fleet(4, kTwoDomains);
   const milliseconds time = TimesOfUnknown(fleet, 1).least;
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{kStreams}, fleet.LookupsOf(1, "unknown"));
   CPPUNIT_ASSERT_MESSAGE(std::to_string(time.count()), time < kLookupLimit / 3);
@@ -359,7 +164,7 @@
 
 /** The silent gateway is asked at first; later, it counts as dead. */
 void UnknownStreamIsRefusedInTime() {
-  VersionFleet fleet(4, kTwoDomains);
+  StreamFleet fleet(4, kTwoDomains);
   fleet.Fleet().Gateway(3).Signal(SIGSTOP);
   const RefusalTimes times = TimesOfUnknown(fleet, 1);
   fleet.Fleet().Gateway(3).Signal(SIGCONT);
@@ -372,7 +177,7 @@
 
 /** Another gateway knows the stream; one that is silent is not awaited. */
 void SilentGatewayHoldsNothingUp() {
-  VersionFleet fleet(4, kTwoDomains);
+  StreamFleet fleet(4, kTwoDomains);
   fleet.Begin(0);
   fleet.CloseCallers();
   fleet.Fleet().Gateway(3).Signal(SIGSTOP);
