Streams go on though all witnesses of their gateway are lost as well

Cause: a gateway told two or three others which version had begun a stream. Gateways 0 and 1 of a failure domain had each other and the same gateway of another one, so that three losses of five took every record of a domain. The class is wider: whoever is no witness knows nothing, so all but one, losses in series, all hubs, and a witness that has started again lose streams the same way.

Change: all other gateways that are known get copies of the records, together and in intervals that grow with the receivers (stream_broadcast.h); leaders hand copies from other failure domains on to members that are no hubs. A gateway that is new or has started again is told the newest own streams, too. A copy is used only after a lookup, as what contradicts it may have reached the witnesses alone: nothing goes on earlier, or by less, than before. In large fleets members of the failure domain are asked if no hub knows. News of streams does not make its sender a member of the rosters of other failure domains, which would otherwise come to hold the whole fleet.

--- a/include/buckthornpath/stream_origins.h
+++ b/include/buckthornpath/stream_origins.h
@@ -53,8 +53,9 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  /** Limit of the records; one takes about 150 bytes. */
-  static constexpr std::size_t kMaxStreams = 32768;
+  /** Limit of the records; one takes about 150 bytes. A hub holds those of the
+   * whole fleet. */
+  static constexpr std::size_t kMaxStreams = 131072;
 
   /** Time after the last record of a stream for which it is remembered. */
   static constexpr std::chrono::minutes kLifetime{5};
@@ -69,6 +70,10 @@
   /** Records what another gateway says. */
   void RecordPeer(const StreamRecord& record, TimePoint now);
 
+  /** Records what a gateway says of which this process is no witness: a record
+   * that contradicts it may take longer to arrive. */
+  void RecordCopy(const StreamRecord& record, TimePoint now);
+
   /** Records that records of a stream contradict each other elsewhere. */
   void RecordContradiction(const StreamKey& stream, TimePoint now);
 
@@ -77,6 +82,11 @@
   std::optional<StreamOrigin> Find(const StreamKey& stream,
                                    TimePoint now) const;
 
+  /** @return As Find(), but nothing of a stream that is known by copies only:
+   * other gateways are to be asked first. */
+  std::optional<StreamOrigin> FindWitnessed(const StreamKey& stream,
+                                            TimePoint now) const;
+
   /** @return True if records of a stream contradict each other. */
   bool IsContradictory(const StreamKey& stream, TimePoint now) const;
 
@@ -95,6 +105,7 @@
     const StreamOrigin* origin = nullptr;  ///< Null: contradictory records.
     TimePoint recorded_at{};
     bool is_own = false;
+    bool is_copy = false;
     std::list<StreamKey>::iterator age;  ///< Position in `by_age`.
   };
 
--- a/src/decision/stream_origins.cc
+++ b/src/decision/stream_origins.cc
@@ -57,7 +57,9 @@
 void StreamOrigins::RecordOwn(const StreamRecord& record, TimePoint now) {
   if (record.origin.version.empty())
     return;
-  this->Record(record, now).is_own = true;
+  Entry& entry = this->Record(record, now);
+  entry.is_own = true;
+  entry.is_copy = false;
   if (this->unannounced.size() >= kMaxUnannounced)
     this->unannounced.erase(this->unannounced.begin());
   this->unannounced.push_back(record);
@@ -65,7 +67,15 @@
 
 void StreamOrigins::RecordPeer(const StreamRecord& record, TimePoint now) {
   if (!record.origin.version.empty())
-    this->Record(record, now);
+    this->Record(record, now).is_copy = false;
+}
+
+void StreamOrigins::RecordCopy(const StreamRecord& record, TimePoint now) {
+  if (record.origin.version.empty())
+    return;
+  const bool is_new = !this->streams.contains(record.stream);
+  Entry& entry = this->Record(record, now);
+  entry.is_copy = entry.is_copy || is_new;
 }
 
 void StreamOrigins::RecordContradiction(const StreamKey& stream,
@@ -89,6 +99,15 @@
   return *found->second.origin;
 }
 
+std::optional<StreamOrigin> StreamOrigins::FindWitnessed(
+    const StreamKey& stream,
+    TimePoint now) const {
+  const auto found = this->streams.find(stream);
+  if (found != this->streams.end() && found->second.is_copy)
+    return std::nullopt;
+  return this->Find(stream, now);
+}
+
 std::vector<StreamRecord> StreamOrigins::TakeUnannounced() {
   return std::exchange(this->unannounced, {});
 }
--- a/src/decision/stream_witnesses.cc
+++ b/src/decision/stream_witnesses.cc
@@ -18,6 +18,9 @@
 /** Witnesses that a gateway has at least, if there are as many gateways. */
 constexpr std::size_t kMinWitnesses = 2;
 
+/** Members of the failure domain that are asked after the hubs. */
+constexpr std::size_t kMaxAskedMembers = 4;
+
 bool IsSmall(const GatewayRoster& roster) {
   return roster.Count() <= kSmallRoster;
 }
@@ -40,16 +43,36 @@
   return ordered;
 }
 
+bool Contains(const std::vector<std::string>& addresses,
+              const std::string& address) {
+  return std::find(addresses.begin(), addresses.end(), address) !=
+         addresses.end();
+}
+
 /** Appends addresses, without this gateway's, up to a limit. */
 void Append(std::vector<std::string>& addresses,
             const std::string& address,
             const GatewayRoster& roster,
             std::size_t limit) {
   if (addresses.size() < limit && address != roster.Self().address &&
-      std::find(addresses.begin(), addresses.end(), address) == addresses.end())
+      !Contains(addresses, address))
     addresses.push_back(address);
 }
 
+/** @return The other members of this gateway's failure domain that are no hubs.
+ */
+std::vector<std::string> OrdinaryMembers(const GatewayRoster& roster,
+                                         std::size_t limit) {
+  const FailureDomainId& own = roster.Self().failure_domain;
+  const std::vector<std::string> hubs = roster.HubsOf(own);
+  std::vector<std::string> members;
+  for (const auto& [address, contact] : roster.Others()) {
+    if (contact.member.failure_domain == own && !Contains(hubs, address))
+      Append(members, address, roster, limit);
+  }
+  return members;
+}
+
 }  // namespace
 
 std::vector<std::string> StreamWitnesses(const GatewayRoster& roster) {
@@ -92,4 +115,26 @@
   return asked;
 }
 
+std::vector<std::string> GatewaysToCopyTo(const GatewayRoster& roster) {
+  const std::vector<std::string> witnesses = StreamWitnesses(roster);
+  std::vector<std::string> told;
+  for (const auto& [address, contact] : roster.Others()) {
+    if (!Contains(witnesses, address) && !contact.member.failure_domain.empty())
+      told.push_back(address);
+  }
+  return told;
+}
+
+std::vector<std::string> GatewaysToRelayTo(const GatewayRoster& roster) {
+  if (roster.Role() != HubRole::kLeader)
+    return {};
+  return OrdinaryMembers(roster, roster.Count());
+}
+
+std::vector<std::string> GatewaysToAskNext(const GatewayRoster& roster) {
+  if (IsSmall(roster))
+    return {};
+  return OrdinaryMembers(roster, kMaxAskedMembers);
+}
+
 }  // namespace buckthornpath
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -30,9 +30,13 @@
   if (request_id.empty())
     co_return std::nullopt;
   const StreamKey stream = StreamKeyOf(request_id);
+  const StreamOrigins& origins = this->state.stream_origins;
+  // What contradicts a copy may have reached other gateways only.
+  if (!this->state.ask_stream_origin)
+    co_return origins.Find(stream, Clock::now());
   std::optional<StreamOrigin> origin =
-      this->state.stream_origins.Find(stream, Clock::now());
-  if (!origin && this->state.ask_stream_origin)
+      origins.FindWitnessed(stream, Clock::now());
+  if (!origin)
     origin = co_await this->state.ask_stream_origin(stream);
   co_return origin;
 }
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -441,14 +441,25 @@
   return true;
 }
 
+bool PeerExchange::IsNewsOfStranger(const GatewayMessage& message) const {
+  const GatewayRoster& roster = this->state.roster;
+  return message.kind == GatewayMessageKind::kView && !message.uses &&
+         message.streams.Count() != 0 &&
+         message.sender.failure_domain != roster.Self().failure_domain &&
+         !roster.Contains(message.sender.address);
+}
+
 void PeerExchange::HandleDatagram(std::string_view datagram) {
   GatewayMessage message = DecodeGatewayMessage(datagram);
   if (message.sender.address == this->state.roster.Self().address)
     return;
   const auto now = Clock::now();
   const std::size_t count_before = this->state.roster.Count();
-  const bool is_new_sender = this->RecordContact(message.sender, now);
-  this->revisions[message.sender.address] = message.revision;
+  bool is_new_sender = false;
+  if (!this->IsNewsOfStranger(message)) {
+    is_new_sender = this->RecordContact(message.sender, now);
+    this->revisions[message.sender.address] = message.revision;
+  }
   for (const RosterEntry& entry : message.roster) {
     if (entry.age < kPeerTimeout)
       this->RecordContact(entry.member, now - entry.age);
@@ -470,7 +481,7 @@
           : kHandlers.at(static_cast<std::size_t>(message.kind));
   (this->*handler)(message);
   if (message.streams.Count() != 0)
-    this->streams.Handle(message.sender.address, message.streams);
+    this->streams.Handle(message.sender, message.streams);
   // A process that has just started may name the same leader, itself, and know
   // no other gateway.
   if (is_new_sender && message.kind == GatewayMessageKind::kReport &&
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -59,6 +59,11 @@
   asio::awaitable<void> SyncFromPeers();
   asio::awaitable<void> Serve(HttpExchange& exchange);
   void HandleDatagram(std::string_view datagram);
+
+  /** @return True if a message has only news of streams, and its sender is of
+   * another failure domain and not known: all gateways send such news to the
+   * hubs here, whose rosters have to stay small. */
+  bool IsNewsOfStranger(const GatewayMessage& message) const;
   void HandleReport(GatewayMessage& message);
   void HandleDigest(GatewayMessage& message);
   void HandleView(GatewayMessage& message);
--- a/src/gateway/stream_news.cc
+++ b/src/gateway/stream_news.cc
@@ -56,37 +56,54 @@
   return !text.empty() && text.size() <= StreamNews::kMaxNameBytes;
 }
 
-}  // namespace
-
-json EncodeStreamNews(const StreamNews& news) {
-  json value = json::object();
+void EncodeRecords(json& value,
+                   const char* name,
+                   const std::vector<StreamRecord>& records) {
   std::map<StreamOrigin, json> by_origin;
-  for (const StreamRecord& record : news.records)
+  for (const StreamRecord& record : records)
     AppendKey(by_origin[record.origin], record.stream);
   for (auto& [origin, streams] : by_origin) {
-    value["begun"].push_back(
+    value[name].push_back(
         {origin.service.str(), origin.version, std::move(streams)});
   }
-  EncodeKeys(value, "asked", news.questions);
-  EncodeKeys(value, "unknown", news.unknown);
-  EncodeKeys(value, "contradictory", news.contradictory);
-  return value;
 }
 
-StreamNews DecodeStreamNews(const json& value) {
-  StreamNews news;
-  std::size_t remaining = StreamNews::kMaxStreams;
-  const json begun = value.value("begun", json::array());
-  for (const json& group : begun) {
+/** @param remaining Streams that the datagram may still name. */
+std::vector<StreamRecord> DecodeRecords(const json& value,
+                                        const char* name,
+                                        std::size_t& remaining) {
+  std::vector<StreamRecord> records;
+  const json groups = value.value(name, json::array());
+  for (const json& group : groups) {
     const StreamOrigin origin{ServiceName(group.at(0).get<std::string>()),
                               group.at(1).get<std::string>()};
     const std::vector<StreamKey> streams = DecodeKeys(group.at(2), remaining);
     if (!IsName(origin.service.str()) || !IsName(origin.version))
       continue;
-    news.records.reserve(news.records.size() + streams.size());
+    records.reserve(records.size() + streams.size());
     for (const StreamKey& stream : streams)
-      news.records.push_back({stream, origin});
+      records.push_back({stream, origin});
   }
+  return records;
+}
+
+}  // namespace
+
+json EncodeStreamNews(const StreamNews& news) {
+  json value = json::object();
+  EncodeRecords(value, "begun", news.records);
+  EncodeRecords(value, "copies", news.copies);
+  EncodeKeys(value, "asked", news.questions);
+  EncodeKeys(value, "unknown", news.unknown);
+  EncodeKeys(value, "contradictory", news.contradictory);
+  return value;
+}
+
+StreamNews DecodeStreamNews(const json& value) {
+  StreamNews news;
+  std::size_t remaining = StreamNews::kMaxStreams;
+  news.records = DecodeRecords(value, "begun", remaining);
+  news.copies = DecodeRecords(value, "copies", remaining);
   news.questions = DecodeKeys(value, "asked", remaining);
   news.unknown = DecodeKeys(value, "unknown", remaining);
   news.contradictory = DecodeKeys(value, "contradictory", remaining);
--- a/src/gateway/stream_news.h
+++ b/src/gateway/stream_news.h
@@ -19,13 +19,14 @@
   /** Limit of the names of services and versions, in bytes. */
   static constexpr std::size_t kMaxNameBytes = 200;
 
-  std::vector<StreamRecord> records;     ///< Announcements and answers.
-  std::vector<StreamKey> questions;      ///< The receiver is to answer.
-  std::vector<StreamKey> unknown;        ///< Answer: no record.
+  std::vector<StreamRecord> records;  ///< Announcements and answers.
+  std::vector<StreamRecord> copies;   ///< For gateways that are no witnesses.
+  std::vector<StreamKey> questions;   ///< The receiver is to answer.
+  std::vector<StreamKey> unknown;     ///< Answer: no record.
   std::vector<StreamKey> contradictory;  ///< Answer: records that differ.
 
   std::size_t Count() const {
-    return this->records.size() + this->questions.size() +
+    return this->records.size() + this->copies.size() + this->questions.size() +
            this->unknown.size() + this->contradictory.size();
   }
 };
--- a/src/gateway/stream_origin_exchange.cc
+++ b/src/gateway/stream_origin_exchange.cc
@@ -13,7 +13,7 @@
 
 namespace {
 
-/** Streams that a new witness is told. */
+/** Streams that a new receiver is told. */
 constexpr std::size_t kMaxHandedOver = 256;
 
 /** Labels of the results of lookups, in the order of LookupEnd. */
@@ -45,9 +45,11 @@
     const auto now = Clock::now();
     this->EndLookups(now);
     this->SendAnnouncements(now);
+    this->SendCopies(now);
     this->SendQuestions(now);
     auto next = Clock::time_point::max();
-    for (const auto& due : {this->outbox.NextAt(), this->lookups.NextAt()})
+    for (const auto& due : {this->outbox.NextAt(), this->copies.NextAt(),
+                            this->relayed.NextAt(), this->lookups.NextAt()})
       next = std::min(next, due.value_or(next));
     co_await this->wake.WaitUntil(next);
   }
@@ -70,12 +72,23 @@
 }
 
 void StreamOriginExchange::SendAnnouncements(Clock::time_point now) {
-  this->outbox.Add(this->state.stream_origins.TakeUnannounced());
+  const std::vector<StreamRecord> fresh =
+      this->state.stream_origins.TakeUnannounced();
+  this->outbox.Add(fresh);
+  if (!this->copy_receivers.empty())
+    this->copies.Add(fresh, now);
   const std::vector<StreamRecord> round = this->outbox.TakeRound(now);
   if (!round.empty() && !this->witnesses.empty())
     this->SendAll(this->witnesses, &StreamNews::records, round);
 }
 
+void StreamOriginExchange::SendCopies(Clock::time_point now) {
+  this->SendAll(this->copy_receivers, &StreamNews::copies,
+                this->copies.TakeRound(now));
+  this->SendAll(this->relay_receivers, &StreamNews::copies,
+                this->relayed.TakeRound(now));
+}
+
 void StreamOriginExchange::SendQuestions(Clock::time_point now) {
   for (const auto& [gateway, streams] : this->lookups.TakeQuestions(now))
     this->SendAll({gateway}, &StreamNews::questions, streams);
@@ -97,17 +110,28 @@
   }
 }
 
-asio::awaitable<std::optional<StreamOrigin>> StreamOriginExchange::Ask(
-    StreamKey stream) {
-  if (!this->lookups.Begin(stream, this->gateways_to_ask, Clock::now())) {
+asio::awaitable<void> StreamOriginExchange::AskGateways(
+    StreamKey stream,
+    std::vector<std::string> gateways) {
+  if (!this->lookups.Begin(stream, gateways, Clock::now())) {
     ProcessMetrics().Add("stream_lookups_total", R"(result="not_asked")");
-    co_return std::nullopt;
+    co_return;
   }
   const auto ended = std::make_shared<WakeSignal>(this->state.executor);
   this->waiting.emplace(stream, ended);
   this->wake.Set();
   co_await ended->Wait();
-  co_return this->state.stream_origins.Find(stream, Clock::now());
+}
+
+asio::awaitable<std::optional<StreamOrigin>> StreamOriginExchange::Ask(
+    StreamKey stream) {
+  const StreamOrigins& origins = this->state.stream_origins;
+  co_await this->AskGateways(stream, this->gateways_to_ask);
+  const bool is_known = origins.Find(stream, Clock::now()).has_value();
+  if (!is_known && !origins.IsContradictory(stream, Clock::now()) &&
+      !this->gateways_to_ask_next.empty())
+    co_await this->AskGateways(stream, this->gateways_to_ask_next);
+  co_return origins.Find(stream, Clock::now());
 }
 
 void StreamOriginExchange::Answer(const std::string& sender,
@@ -126,47 +150,94 @@
   this->send({sender}, answer);
 }
 
-void StreamOriginExchange::Handle(const std::string& sender,
+void StreamOriginExchange::RecordNews(const GatewayMember& sender,
+                                      const std::vector<StreamRecord>& records,
+                                      bool is_copy) {
+  const auto now = Clock::now();
+  StreamOrigins& origins = this->state.stream_origins;
+  const bool is_relayed =
+      !this->relay_receivers.empty() &&
+      sender.failure_domain != this->state.roster.Self().failure_domain;
+  std::vector<StreamRecord> news;
+  for (const StreamRecord& record : records) {
+    if (is_relayed && origins.Find(record.stream, now) != record.origin)
+      news.push_back(record);
+    if (is_copy)
+      origins.RecordCopy(record, now);
+    else
+      origins.RecordPeer(record, now);
+  }
+  if (news.empty())
+    return;
+  this->relayed.Add(news, now);
+  this->wake.Set();
+}
+
+void StreamOriginExchange::Handle(const GatewayMember& sender,
                                   const StreamNews& news) {
   const auto now = Clock::now();
+  const std::string& address = sender.address;
   const std::size_t count_before = this->lookups.Count();
+  std::vector<StreamRecord> told;
   for (const StreamRecord& record : news.records) {
     // The lookup records it once others have had time to contradict it.
-    if (!this->lookups.RecordAnswer(sender, record.stream, {record.origin},
+    if (!this->lookups.RecordAnswer(address, record.stream, {record.origin},
                                     now))
-      this->state.stream_origins.RecordPeer(record, now);
+      told.push_back(record);
   }
+  this->RecordNews(sender, told, false);
+  this->RecordNews(sender, news.copies, true);
   for (const StreamKey& stream : news.unknown)
-    this->lookups.RecordAnswer(sender, stream, {}, now);
+    this->lookups.RecordAnswer(address, stream, {}, now);
   for (const StreamKey& stream : news.contradictory) {
-    this->lookups.RecordAnswer(sender, stream,
+    this->lookups.RecordAnswer(address, stream,
                                {.origin = {}, .is_contradictory = true}, now);
   }
   if (!news.questions.empty())
-    this->Answer(sender, news.questions);
+    this->Answer(address, news.questions);
   if (count_before != 0)
     this->wake.Set();
 }
 
+void StreamOriginExchange::FindNewReceivers(
+    const std::vector<std::string>& addresses,
+    std::map<std::string, std::uint64_t>& known_runs,
+    std::vector<std::string>& added) const {
+  std::map<std::string, std::uint64_t> runs;
+  for (const std::string& address : addresses) {
+    const std::uint64_t run =
+        this->state.roster.Others().at(address).member.run;
+    runs[address] = run;
+    const auto known = known_runs.find(address);
+    if (known == known_runs.end() || known->second != run)
+      added.push_back(address);
+  }
+  known_runs = std::move(runs);
+}
+
 void StreamOriginExchange::UpdateWitnesses() {
   const GatewayRoster& roster = this->state.roster;
   this->gateways_to_ask = GatewaysToAsk(roster);
+  this->gateways_to_ask_next = GatewaysToAskNext(roster);
   this->witnesses = StreamWitnesses(roster);
-  std::map<std::string, std::uint64_t> runs;
+  this->copy_receivers = GatewaysToCopyTo(roster);
+  this->copies.SetReceivers(this->copy_receivers.size());
+  this->relay_receivers = GatewaysToRelayTo(roster);
+  this->relayed.SetReceivers(this->relay_receivers.size());
+  const auto now = Clock::now();
   std::vector<std::string> added;
-  for (const std::string& address : this->witnesses) {
-    const std::uint64_t run = roster.Others().at(address).member.run;
-    runs[address] = run;
-    const auto known = this->witness_runs.find(address);
-    if (known == this->witness_runs.end() || known->second != run)
-      added.push_back(address);
-  }
-  this->witness_runs = std::move(runs);
+  this->FindNewReceivers(this->witnesses, this->witness_runs, added);
   if (!added.empty()) {
-    this->SendAll(
-        added, &StreamNews::records,
-        this->state.stream_origins.NewestOwn(kMaxHandedOver, Clock::now()));
+    this->SendAll(added, &StreamNews::records,
+                  this->state.stream_origins.NewestOwn(kMaxHandedOver, now));
   }
+  this->FindNewReceivers(this->copy_receivers, this->copy_receiver_runs,
+                         this->new_copy_receivers);
+  if (this->new_copy_receivers.empty())
+    return;
+  this->SendAll({this->new_copy_receivers.back()}, &StreamNews::copies,
+                this->state.stream_origins.NewestOwn(kMaxHandedOver, now));
+  this->new_copy_receivers.pop_back();
 }
 
 }  // namespace buckthornpath
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "buckthornpath/stream_broadcast.h"
 #include "buckthornpath/stream_origin_lookups.h"
 #include "buckthornpath/stream_outbox.h"
 #include "gateway/gateway_state.h"
@@ -39,10 +40,11 @@
   void Start();
 
   /** Handles what another gateway tells or asks. */
-  void Handle(const std::string& sender, const StreamNews& news);
+  void Handle(const GatewayMember& sender, const StreamNews& news);
 
-  /** Follows changes of the roster; a new witness is told the newest streams.
-   */
+  /** Follows changes of the roster; a gateway that is new, or has started
+   * again, is told the newest streams: a witness at once, the others one in a
+   * call. */
   void UpdateWitnesses();
 
   /** @return Addresses of the gateways that are told of this one's streams. */
@@ -52,11 +54,27 @@
   asio::awaitable<void> Run();
   asio::awaitable<std::optional<StreamOrigin>> Ask(StreamKey stream);
 
+  /** Asks gateways, and records what they answer. */
+  asio::awaitable<void> AskGateways(StreamKey stream,
+                                    std::vector<std::string> gateways);
+
   void SendAnnouncements(Clock::time_point now);
+  void SendCopies(Clock::time_point now);
   void SendQuestions(Clock::time_point now);
   void EndLookups(Clock::time_point now);
   void Answer(const std::string& sender, const std::vector<StreamKey>& streams);
 
+  /** Records what the gateway that began streams says, or one that hands it on.
+   * @param is_copy False: this process is a witness. */
+  void RecordNews(const GatewayMember& sender,
+                  const std::vector<StreamRecord>& records,
+                  bool is_copy);
+
+  /** Notes which gateways have to be told the newest streams. */
+  void FindNewReceivers(const std::vector<std::string>& addresses,
+                        std::map<std::string, std::uint64_t>& known_runs,
+                        std::vector<std::string>& added) const;
+
   /** Sends items in as many datagrams as they need. */
   template <class Item>
   void SendAll(const std::vector<std::string>& addresses,
@@ -70,7 +88,14 @@
   StreamOriginLookups lookups;
   std::vector<std::string> witnesses;
   std::map<std::string, std::uint64_t> witness_runs;  ///< By address.
+  StreamBroadcast copies;  ///< Of this gateway's streams.
+  std::vector<std::string> copy_receivers;
+  std::map<std::string, std::uint64_t> copy_receiver_runs;  ///< By address.
+  std::vector<std::string> new_copy_receivers;              ///< Not told yet.
+  StreamBroadcast relayed;  ///< Copies from other failure domains.
+  std::vector<std::string> relay_receivers;
   std::vector<std::string> gateways_to_ask;
+  std::vector<std::string> gateways_to_ask_next;
   /** Requests that wait for a lookup. */
   std::multimap<StreamKey, std::shared_ptr<WakeSignal>> waiting;
 };
