A gateway that is out of step proves no version by a late answer

What callers saw (the report of other operators): a gateway is cut off for a moment while endpoints of a new version join.

Cause: if no gateway answers for a stream, the only version of its service proves what began it, once the store has confirmed the entries after the request came. The answer to a watch counted as of the moment before it was read, a record of a hub as of its arrival less the age that it states. But both may have been held back on their way: the answer was true when it was made, up to 0.8 s earlier, and what joined since then is not in it.

Change: what an answer says counts as of the question. The word of a hub says nothing of when it was true, and only shows that no entry can have come and gone unseen. A version that came and went within one answer is recorded as one that has served, and a VM that was suspended has a gap in its history, which the steady clock does not show.

Evidence: story gateway_out_of_step, with a proxy that holds bytes back.

Left: a gateway that follows a hub and cannot reach the store itself proves nothing by its only version; records and copies of streams do not need it.

--- a/include/buckthornpath/version_history.h
+++ b/include/buckthornpath/version_history.h
@@ -29,7 +29,8 @@
   /** Records that the entries are known to be current. */
   void RecordConfirmation(TimePoint now) { this->RecordConfirmation(now, now); }
 
-  /** @param as_of Time at which the entries that are known were current. */
+  /** @param as_of Time at which the entries that are known were current: not
+   * when that was read, as word of it may have been held back. */
   void RecordConfirmation(TimePoint now, TimePoint as_of);
 
   /** @return True if all entries of a time are known. */
@@ -47,6 +48,14 @@
                        TimePoint now);
   void RecordWithdrawn(const EndpointId& endpoint, TimePoint now);
 
+  /** Records that a version has served until now, or may have, at an endpoint
+   * that is not known. */
+  void RecordServed(const ServiceName& service,
+                    const std::string& version,
+                    TimePoint now) {
+    this->RecordEnd({service, version}, now);
+  }
+
   /** @return The version of all endpoints that the service has had for this
    * time; nothing if there were several or none, if one stated no version, or
    * if the time is not known in full. */
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -15,10 +15,10 @@
  * until the limit of the first, and that of one that takes the stream up. */
 constexpr int kStreamLimits = 2;
 
-/** Limit of the wait for word that nothing has been published before a stream
- * was taken up: two answers of the store. */
+/** Limit of the wait for word of the store that nothing has been published
+ * before a stream was taken up. */
 constexpr milliseconds kMaxConfirmationWait{1700};
-constexpr milliseconds kConfirmationCheckInterval{20};
+constexpr milliseconds kConfirmationCheckInterval{10};
 
 /** Time for which gateways may differ in what is published. */
 constexpr milliseconds kPublicationMargin{5000};
@@ -81,6 +81,8 @@
       co_return sole;
     if (this->is_aborted || Clock::now() - asked_at > kMaxConfirmationWait)
       co_return std::nullopt;
+    if (this->state.confirm_versions)
+      this->state.confirm_versions(asked_at);
     co_await SleepFor(kConfirmationCheckInterval);
   }
 }
--- a/src/gateway/gateway_role.cc
+++ b/src/gateway/gateway_role.cc
@@ -14,6 +14,7 @@
 #include "gateway/gateway_state.h"
 #include "gateway/load_metrics.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/publication_check.h"
 #include "gateway/publication_follower.h"
 #include "kernel/bodiless_port.h"
 #include "kernel/http_server.h"
@@ -66,6 +67,7 @@
   explicit GatewayRole(const RoleContext& context)
       : state(context.settings, context.pool.context().get_executor()),
         follower(this->state),
+        check(this->state, this->follower),
         peers(this->state, this->follower, context.pool),
         acceptor(this->state.executor),
         ready_server(context.pool,
@@ -87,6 +89,7 @@
 
   void Start() override {
     this->follower.Start();
+    this->check.Start();
     this->peers.Start();
     this->ready_server.Start();
     WorkerPool::SpawnService(this->state.executor,
@@ -384,6 +387,7 @@
 
   GatewayState state;
   PublicationFollower follower;
+  PublicationCheck check;
   PeerExchange peers;
   asio::ip::tcp::acceptor acceptor;
   HttpServer ready_server;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -183,6 +183,18 @@
   this->selector.RecordClosed(endpoint, until);
 }
 
+void GatewayState::ConfirmVersions(std::optional<BootClock::time_point> as_of) {
+  const auto now = Clock::now();
+  const auto boot_now = BootClock::now();
+  // The other clock stands still while the VM is suspended.
+  if (boot_now - this->versions_confirmed_at > VersionHistory::kMaxUnconfirmed)
+    this->version_history.RecordGap(now);
+  this->versions_confirmed_at = boot_now;
+  const BootClock::duration age =
+      boot_now - as_of.value_or(BootClock::time_point{});
+  this->version_history.RecordConfirmation(now, now - age);
+}
+
 void GatewayState::ApplyQuarantineChanges() {
   const std::vector<QuarantineChange> changes = this->quarantine.TakeChanges();
   for (const QuarantineChange& change : changes) {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -29,6 +29,7 @@
 #include "gateway/endpoint_connection_pool.h"
 #include "gateway/endpoint_crash_probe.h"
 #include "gateway/platform_adapter.h"
+#include "kernel/boot_clock.h"
 
 namespace buckthornpath {
 
@@ -132,6 +133,11 @@
    * some of which may have to be refused now. */
   void ApplyQuarantineChanges();
 
+  /** Records that the software versions of all entries are known that had been
+   * published at a time; nothing if that is not known for any time, but none
+   * can have come and gone unseen. */
+  void ConfirmVersions(std::optional<BootClock::time_point> as_of);
+
   /** Ends the wait of requests that must not be started any more.
    * @param is_all False: only of those that are bound to a version. */
   void RecheckWaiting(bool is_all);
@@ -154,6 +160,11 @@
   /** Tells other gateways of streams that were recorded; set by the gossip. */
   std::function<void()> announce_streams;
   VersionHistory version_history;
+  BootClock::time_point versions_confirmed_at{};
+  /** Asks the store for word that all versions published before a time are
+   * known; set by PublicationCheck. Requests that wait for it repeat the call.
+   */
+  std::function<void(Clock::time_point)> confirm_versions;
   RouteHistory route_history;
   /** Asks other gateways what began a stream; set by the gossip. */
   std::function<asio::awaitable<std::optional<StreamOrigin>>(StreamKey)>
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -246,8 +246,6 @@
 asio::awaitable<bool> PublicationFollower::ApplyRecord(
     const std::string& address,
     FeedRecord record) {
-  // The process may have been paused after the record came.
-  const BootClock::time_point received_after = this->ran_before;
   const bool is_loaded = record.position.process != 0;
   if (is_loaded && !record.is_fresh) {
     this->upstream.RecordFault(address, Clock::now());
@@ -278,10 +276,8 @@
     this->state.confirmed_at = Clock::now();
   if (record.is_fresh) {
     this->upstream.RecordFresh(address, Clock::now());
-    // A snapshot may have been made for another reader some time ago.
-    const bool has_age = record.age && !record.is_snapshot;
-    this->ConfirmVersions(has_age ? received_after - *record.age
-                                  : BootClock::time_point{});
+    // When the record was made is not known: it may have been held back.
+    this->ConfirmVersions(std::nullopt);
   }
   if (!must_ask || !record.is_fresh)
     co_return true;
@@ -337,21 +333,19 @@
   this->state.confirmed_at = Clock::now();
   auto changed =
       this->MergeItems(&PublicationState::MergeChanges, changes, kStoreSource);
-  const BootClock::time_point answered_at = *this->store_answered_at;
   co_await this->ApplyItems(std::move(changed), std::move(origin));
-  this->ConfirmVersions(answered_at);
+  // The answer may have been held back since the question.
+  this->ConfirmVersions(started_at);
   this->read_revision = std::max(this->read_revision, changes.revision);
   if (!changes.items.empty() || changes.unreadable > 0)
     co_await SleepFor(kBatchDelay);
 }
 
-void PublicationFollower::ConfirmVersions(BootClock::time_point as_of) {
+void PublicationFollower::ConfirmVersions(
+    std::optional<BootClock::time_point> as_of) {
   // What a part of a list lacks is not known to have gone.
-  if (!this->published.IsComplete())
-    return;
-  const auto now = Clock::now();
-  this->state.version_history.RecordConfirmation(
-      now, now - (BootClock::now() - as_of));
+  if (this->published.IsComplete())
+    this->state.ConfirmVersions(as_of);
 }
 
 milliseconds PublicationFollower::WatchWait() const {
@@ -527,9 +521,15 @@
     co_return;
   }
   const DecodedItem decoded = co_await this->state.adapter.Decode(item);
-  // The item may have changed again while it was decoded.
-  if (!this->published.Holds(item))
+  // The item may have changed again while it was decoded, or with the same
+  // answer; other gateways may have used it.
+  if (!this->published.Holds(item)) {
+    if (const auto* entry = std::get_if<EndpointEntry>(&decoded)) {
+      this->state.version_history.RecordServed(entry->service, entry->version,
+                                               Clock::now());
+    }
     co_return;
+  }
   if (const auto* ignored = std::get_if<IgnoredItem>(&decoded)) {
     this->IgnoreItem(item, ignored->reason);
     co_return;
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -47,6 +47,12 @@
 
   const PublicationState& Published() const { return this->published; }
 
+  /** @return True if all items up to the revision of those that are published
+   * are known, and in force. */
+  bool HasAppliedAll() const {
+    return this->published.IsComplete() && this->applying == 0;
+  }
+
   /** @return True if the last call to the store succeeded. */
   bool IsStoreReachable() const { return this->is_store_reachable; }
 
@@ -93,8 +99,8 @@
                                         const std::string& source);
   asio::awaitable<void> RunDeferredRemovals();
 
-  /** Records that all entries of a time are known. */
-  void ConfirmVersions(BootClock::time_point as_of);
+  /** Records that all entries are known, of a time if one is stated. */
+  void ConfirmVersions(std::optional<BootClock::time_point> as_of);
 
   /** @return True if a watch has failed that may be repeated: only a read that
    * fails then as well is an outage. */
--- a/test/harness/fault_proxy.cc
+++ b/test/harness/fault_proxy.cc
@@ -29,6 +29,9 @@
 /** Interval at which a proxy that is down looks whether it still is. */
 constexpr std::chrono::milliseconds kDownPollInterval{5};
 
+/** Interval at which held data looks whether it is released. */
+constexpr std::chrono::milliseconds kHoldPollInterval{1};
+
 /** Maximum size of one read of ProxyUnit::kBytes. */
 constexpr std::size_t kMaxReadBytes = std::size_t{16} * 1024;
 
@@ -132,6 +135,7 @@
 
   std::array<int, 2> sockets;  ///< To the router and to the endpoint.
   std::array<std::atomic<bool>, 2> is_dropping{};
+  std::atomic<bool> is_released = false;  ///< Not held back.
   std::array<unsigned, 2> forwarded{};
   std::array<std::string, 2> held_back;  ///< To be sent after the next message.
 };
@@ -220,13 +224,34 @@
     const auto delay = this->CurrentFaults().delay;
     if (delay.count() > 0)
       std::this_thread::sleep_for(delay);
+    this->AwaitRelease(stop, *connection, direction);
     if (!connection->is_dropping.at(IndexOf(direction)))
       this->ForwardFrame(*connection, direction, std::move(*frame));
   }
+  this->AwaitRelease(stop, *connection, direction);
   if (!connection->is_dropping.at(IndexOf(direction)))
     shutdown(connection->Sink(direction), SHUT_WR);
 }
 
+void FaultProxy::AwaitRelease(const std::stop_token& stop,
+                              const ConnectionPair& connection,
+                              Direction direction) const {
+  while (direction == Direction::kToRouter && this->is_holding &&
+         !connection.is_released && !stop.stop_requested())
+    std::this_thread::sleep_for(kHoldPollInterval);
+}
+
+void FaultProxy::Hold() {
+  for (const auto& connection : this->OpenConnections())
+    connection->is_released = false;
+  this->is_holding = true;
+}
+
+void FaultProxy::ReleaseOpen() {
+  for (const auto& connection : this->OpenConnections())
+    connection->is_released = true;
+}
+
 void FaultProxy::ForwardFrame(ConnectionPair& connection,
                               Direction direction,
                               std::string frame) {
--- a/test/harness/fault_proxy.h
+++ b/test/harness/fault_proxy.h
@@ -62,6 +62,17 @@
   /** Drops all later data of the open connections in one direction. */
   void SilenceOpen(Direction direction);
 
+  /** Holds what comes from the endpoint back, of open and of new connections,
+   * until it is released; nothing of it is lost. */
+  void Hold();
+
+  /** Forwards what was held back on the open connections; new ones are held
+   * still. */
+  void ReleaseOpen();
+
+  /** Forwards all. */
+  void Release() { this->is_holding = false; }
+
   /** Closes new connections at once, or serves them again. */
   void RefuseNew(bool refuse) { this->refusing = refuse; }
 
@@ -86,6 +97,11 @@
                     std::string frame);
   FrameFaults CurrentFaults();
 
+  /** Waits while the data of a connection is held back. */
+  void AwaitRelease(const std::stop_token& stop,
+                    const ConnectionPair& connection,
+                    Direction direction) const;
+
   std::vector<std::shared_ptr<ConnectionPair>> OpenConnections();
 
   SocketAddress address;
@@ -97,6 +113,7 @@
   FrameFaults faults;
   std::vector<std::weak_ptr<ConnectionPair>> connections;
   std::atomic<bool> refusing = false;
+  std::atomic<bool> is_holding = false;
   std::atomic<std::size_t> accepted = 0;
   std::vector<std::jthread> relays;
   std::jthread acceptor;
