No stream goes on at an endpoint that may have started again

What callers saw: an endpoint starts again under its id and address with another software version, and a gateway has not read its new entry: it was stopped for a moment, or the store is down. A stream of the version before goes on there (ORDER); streams that begin there are told to others under that version, too.

Cause: the version of an endpoint was that of its known entry, however old.

Change: a connection leads to the process of the entry if that was still current 50 ms after the connection was opened, by word of the store as of its question (endpoint_incarnations.h). A stream that goes on over a newer connection waits for that word: 0.4 s at most, and no longer once the store is found not to answer. Without it, the endpoint counts as unchanged unless it has refused a connection; the endpoint of a resumable stream that broke is asked for one, which is used later if it succeeds. A connection that broke is no sign by itself, as channels are reset while their endpoints live, and streams have to go on then (LOST). The version of a stream that begins in doubt is not recorded until the doubt ends.

--- a/src/gateway/endpoint_connection.cc
+++ b/src/gateway/endpoint_connection.cc
@@ -46,6 +46,7 @@
   if (!this->socket.is_open())
     co_return asio::error::operation_aborted;
   SetConnectionOptions(this->socket);
+  this->opened_at = Clock::now();
   co_return ErrorCode();
 }
 
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -70,6 +70,7 @@
   /** @return The address that Connect() was given last. */
   const SocketAddress& Address() const { return this->address; }
 
+  Clock::time_point opened_at{};
   Clock::time_point idle_since{};
   /** Idle time after which the endpoint closes the connection, if stated. */
   std::optional<std::chrono::milliseconds> idle_timeout;
--- a/src/gateway/endpoint_crash_probe.cc
+++ b/src/gateway/endpoint_crash_probe.cc
@@ -28,6 +28,11 @@
     WorkerPool::SpawnOn(this->state.executor, this->Run(endpoint));
 }
 
+void EndpointCrashProbe::Check(const EndpointHandle& endpoint) {
+  if (this->running.try_emplace(endpoint->Entry().id).second)
+    WorkerPool::SpawnOn(this->state.executor, this->Run(endpoint));
+}
+
 asio::awaitable<void> EndpointCrashProbe::Run(EndpointHandle endpoint) {
   const EndpointId id = endpoint->Entry().id;
   bool is_refused = false;
@@ -70,7 +75,7 @@
                        MetricLabel("service", entry.service.str()));
   this->state.selector.RecordResult(endpoint, EndpointResult::kUnreachable,
                                     now);
-  this->state.cold_starts.RecordRefusedConnection(endpoint, now);
+  this->state.RecordRefusedConnection(endpoint);
   this->state.connection_pool.CloseIdle(entry.id);
   for (const RequestSignature& request : requests)
     this->state.quarantine.RecordCrash(request, entry.id, now);
--- a/src/gateway/endpoint_crash_probe.h
+++ b/src/gateway/endpoint_crash_probe.h
@@ -28,6 +28,9 @@
    * covers all requests of an endpoint. */
   void Check(const EndpointHandle& endpoint, const RequestSignature& request);
 
+  /** Checks an endpoint whose stream broke, which no prompt is blamed for. */
+  void Check(const EndpointHandle& endpoint);
+
  private:
   using Requests = std::vector<RequestSignature>;
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -262,7 +262,7 @@
       address,
       std::min(kConnectTimeout, std::max(this->TimeLeft(), kMinTimeLeft)));
   if (error == asio::error::connection_refused)
-    this->state.cold_starts.RecordRefusedConnection(endpoint, Clock::now());
+    this->state.RecordRefusedConnection(endpoint);
   co_return !error;
 }
 
@@ -281,17 +281,24 @@
   this->RecordProgress(has_head ? Phase::kStreaming : Phase::kConnecting);
   const AttemptResult result = co_await this->TryEndpoint(*endpoint, has_head);
   this->RecordSuspicion(endpoint, result);
+  // The process that answers next may be of another version.
+  if (result == AttemptResult::kBroken && !this->is_aborted &&
+      this->request.route->resumable)
+    this->state.crash_probe.Check(endpoint);
   this->FinishAttempt(*endpoint, result);
   co_return result;
 }
 
-bool ForwardSession::MaySendTo(const EndpointReservation& reserved) {
+bool ForwardSession::MaySendTo(const EndpointReservation& reserved,
+                               const EndpointConnection& open) {
   const EndpointState& endpoint = *reserved.Endpoint();
   const std::string& version = endpoint.Entry().version;
   const auto now = Clock::now();
   return endpoint.Availability().StateAt(now).use != EndpointUse::kNever &&
          version == reserved.Version() &&
          version == this->stream_version.value_or(version) &&
+         !(this->stream_version && this->state.incarnations.MayBeAnother(
+                                       endpoint.Entry().id, open.opened_at)) &&
          this->state.cold_starts.IsGranted(endpoint, reserved.Time(), now) &&
          !this->exchange.HasCallerLeft();
 }
@@ -305,13 +312,15 @@
   try {
     if (!has_head && !this->is_aborted)
       is_open = co_await this->OpenConnection(endpoint);
+    if (is_open && !has_head)
+      co_await this->ConfirmConnection(endpoint);
     // The endpoint or the prompt may have been ruled out meanwhile.
     const std::optional<AttemptResult> ruled_out = this->RuledOut();
     if (has_head)
       result = co_await this->ReadResponse(endpoint);
     else if (is_open && ruled_out)
       result = *ruled_out;
-    else if (is_open && !this->MaySendTo(this->reservation))
+    else if (is_open && !this->MaySendTo(this->reservation, *this->connection))
       result = AttemptResult::kWithheld;
     else if (is_open && !this->is_aborted)
       result = co_await this->SendTo(endpoint);
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -78,7 +78,13 @@
 
   /** @return True if nothing has kept a request from an endpoint since it was
    * reserved: the last look before it is sent. */
-  bool MaySendTo(const EndpointReservation& reserved);
+  bool MaySendTo(const EndpointReservation& reserved,
+                 const EndpointConnection& open);
+
+  /** Waits for word that the process on the present connection is the one of
+   * the endpoint's entry, if a stream is to go on there. For one that begins
+   * there, the word is only asked for. */
+  asio::awaitable<void> ConfirmConnection(const EndpointState& endpoint);
 
   /** @return True if endpoints crash under the request. */
   bool IsQuarantined() const;
@@ -179,6 +185,10 @@
            this->reservation.Version();
   }
 
+  /** @return True if the process that sends the first events may be another
+   * than the one of the endpoint's entry, which states the version. */
+  bool IsVersionDoubtful() const;
+
   /** @return Id of the request that brought the first event of the stream;
    * empty if that is not known. */
   const std::string& BegunBy() const;
@@ -293,6 +303,8 @@
    * not begun. */
   std::optional<std::string> stream_version;
   bool is_unproven = false;  ///< Nothing proves the version of the stream.
+  /** The stream has begun, and its version may be proven later. */
+  bool is_version_doubtful = false;
   std::unique_ptr<EndpointConnection> connection;
   /** Idle time of the connection before this request; empty if it is new. */
   std::optional<std::chrono::milliseconds> previous_idle_time;
--- a/src/gateway/forward_standby.cc
+++ b/src/gateway/forward_standby.cc
@@ -52,7 +52,7 @@
   ForwardRequest forwarded = this->MakeRequest(*next.Endpoint());
   this->standby = std::make_shared<StandbyAttempt>(
       this->state, std::move(next), std::move(forwarded),
-      this->request.metadata.request_id);
+      this->request.metadata.request_id, this->stream_version.has_value());
   this->standby->Start(
       std::min(kConnectTimeout, std::max(this->TimeLeft(), kMinTimeLeft)),
       [this] { return this->MaySendStandby(); },
@@ -61,7 +61,8 @@
 }
 
 bool ForwardSession::MaySendStandby() {
-  return !this->RuledOut() && this->MaySendTo(this->standby->Reservation());
+  return !this->RuledOut() && this->MaySendTo(this->standby->Reservation(),
+                                              this->standby->Connection());
 }
 
 void ForwardSession::HandleStandbyEnd() {
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -1,6 +1,7 @@
 /** @file forward_version.cc Finds the software version that has begun the
  * stream of a request. */
 
+#include "gateway/entry_confirmation.h"
 #include "gateway/forward_session.h"
 
 namespace buckthornpath {
@@ -81,8 +82,8 @@
       co_return sole;
     if (this->is_aborted || Clock::now() - asked_at > kMaxConfirmationWait)
       co_return std::nullopt;
-    if (this->state.confirm_versions)
-      this->state.confirm_versions(asked_at);
+    if (this->state.confirm_entries)
+      this->state.confirm_entries(asked_at);
     co_await SleepFor(kConfirmationCheckInterval);
   }
 }
@@ -109,12 +110,36 @@
     this->stream_version = "";
     return;
   }
-  if (this->stream_version)
+  if (this->stream_version && !this->is_version_doubtful)
     return;
+  this->is_version_doubtful = this->IsVersionDoubtful();
+  if (this->is_version_doubtful) {
+    this->stream_version = "";
+    return;
+  }
   this->stream_version = this->reservation.Version();
   this->RecordStreamOrigin();
 }
 
+bool ForwardSession::IsVersionDoubtful() const {
+  return this->state.incarnations.MayBeAnother(
+      this->reservation.Endpoint()->Entry().id, this->connection->opened_at);
+}
+
+asio::awaitable<void> ForwardSession::ConfirmConnection(
+    const EndpointState& endpoint) {
+  const auto opened_at = this->connection->opened_at;
+  const auto time = EndpointIncarnations::ConfirmedBy(opened_at);
+  if (this->stream_version) {
+    const std::function<bool()> is_ended = [this] { return this->is_aborted; };
+    co_await AwaitConfirmedEntry(this->state, opened_at, is_ended);
+  } else if (this->state.confirm_entries &&
+             this->state.incarnations.MayHaveEnded(endpoint.Entry().id) &&
+             !this->state.incarnations.IsCurrentAsOf(time)) {
+    this->state.confirm_entries(time);
+  }
+}
+
 const std::string& ForwardSession::BegunBy() const {
   const CallerMetadata& metadata = this->request.metadata;
   return metadata.is_taken_up ? metadata.resumes : metadata.request_id;
--- a/src/gateway/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -183,16 +183,25 @@
   this->selector.RecordClosed(endpoint, until);
 }
 
-void GatewayState::ConfirmVersions(std::optional<BootClock::time_point> as_of) {
+void GatewayState::RecordRefusedConnection(const EndpointState& endpoint) {
+  const auto now = Clock::now();
+  this->cold_starts.RecordRefusedConnection(endpoint, now);
+  this->incarnations.RecordEnd(endpoint.Entry().id, now);
+}
+
+void GatewayState::ConfirmEntries(std::optional<BootClock::time_point> as_of,
+                                  bool is_in_force) {
   const auto now = Clock::now();
   const auto boot_now = BootClock::now();
   // The other clock stands still while the VM is suspended.
-  if (boot_now - this->versions_confirmed_at > VersionHistory::kMaxUnconfirmed)
+  if (boot_now - this->entries_confirmed_at > VersionHistory::kMaxUnconfirmed)
     this->version_history.RecordGap(now);
-  this->versions_confirmed_at = boot_now;
+  this->entries_confirmed_at = boot_now;
   const BootClock::duration age =
       boot_now - as_of.value_or(BootClock::time_point{});
   this->version_history.RecordConfirmation(now, now - age);
+  if (is_in_force)
+    this->incarnations.RecordCurrent(now - age);
 }
 
 void GatewayState::ApplyQuarantineChanges() {
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 
 #include "buckthornpath/admission_ratio.h"
+#include "buckthornpath/endpoint_incarnations.h"
 #include "buckthornpath/endpoint_selector.h"
 #include "buckthornpath/gateway_roster.h"
 #include "buckthornpath/retry_budget.h"
@@ -133,10 +134,15 @@
    * some of which may have to be refused now. */
   void ApplyQuarantineChanges();
 
+  /** Records that an endpoint has refused a connection. */
+  void RecordRefusedConnection(const EndpointState& endpoint);
+
   /** Records that the software versions of all entries are known that had been
    * published at a time; nothing if that is not known for any time, but none
-   * can have come and gone unseen. */
-  void ConfirmVersions(std::optional<BootClock::time_point> as_of);
+   * can have come and gone unseen.
+   * @param is_in_force False: some of the entries are not in force here yet. */
+  void ConfirmEntries(std::optional<BootClock::time_point> as_of,
+                      bool is_in_force = true);
 
   /** Ends the wait of requests that must not be started any more.
    * @param is_all False: only of those that are bound to a version. */
@@ -160,11 +166,14 @@
   /** Tells other gateways of streams that were recorded; set by the gossip. */
   std::function<void()> announce_streams;
   VersionHistory version_history;
-  BootClock::time_point versions_confirmed_at{};
-  /** Asks the store for word that all versions published before a time are
+  EndpointIncarnations incarnations;
+  BootClock::time_point entries_confirmed_at{};
+  /** Asks the store for word that all entries published before a time are
    * known; set by PublicationCheck. Requests that wait for it repeat the call.
    */
-  std::function<void(Clock::time_point)> confirm_versions;
+  std::function<void(Clock::time_point)> confirm_entries;
+  /** Start of the last question to the store for that which has failed. */
+  Clock::time_point failed_check_at{};
   RouteHistory route_history;
   /** Asks other gateways what began a stream; set by the gossip. */
   std::function<asio::awaitable<std::optional<StreamOrigin>>(StreamKey)>
--- a/src/gateway/publication_check.cc
+++ b/src/gateway/publication_check.cc
@@ -24,6 +24,9 @@
 constexpr milliseconds kIntervalPerGateway{2};
 constexpr milliseconds kMinInterval{50};
 
+/** Time between questions after one that has failed. */
+constexpr milliseconds kPauseAfterFault{200};
+
 /** Time after which a request that has not asked again has ended. */
 constexpr milliseconds kRequestLifetime{100};
 
@@ -39,7 +42,7 @@
       follower(follower),
       source(state.adapter.MakeSource(state.settings)),
       wake(state.executor) {
-  state.confirm_versions = [this](Clock::time_point published_before) {
+  state.confirm_entries = [this](Clock::time_point published_before) {
     this->Request(published_before);
   };
 }
@@ -56,8 +59,10 @@
 }
 
 bool PublicationCheck::IsWanted(Clock::time_point now) const {
+  const Clock::time_point wanted = this->published_before;
   return now - this->requested_at < kRequestLifetime &&
-         !this->state.version_history.IsCurrentAsOf(this->published_before);
+         !(this->state.version_history.IsCurrentAsOf(wanted) &&
+           this->state.incarnations.IsCurrentAsOf(wanted));
 }
 
 asio::awaitable<void> PublicationCheck::Run() {
@@ -73,18 +78,25 @@
     } catch (const std::exception& error) {
       fault = error.what();
     }
-    ProcessMetrics().Add("version_checks_total", fault.empty()
-                                                     ? R"(result="answered")"
-                                                     : R"(result="failed")");
-    const milliseconds interval = std::max(
-        kMinInterval, kIntervalPerGateway *
-                          static_cast<std::int64_t>(this->state.gateway_count));
+    if (!fault.empty())
+      this->state.failed_check_at = started_at;
+    ProcessMetrics().Add(
+        "publication_checks_total",
+        fault.empty() ? R"(result="answered")" : R"(result="failed")");
     const auto taken =
         std::chrono::duration_cast<milliseconds>(Clock::now() - started_at);
+    const milliseconds interval =
+        fault.empty() ? this->Interval() : kPauseAfterFault;
     co_await SleepFor(std::max(interval - taken, milliseconds(0)));
   }
 }
 
+milliseconds PublicationCheck::Interval() const {
+  return std::max(kMinInterval,
+                  kIntervalPerGateway *
+                      static_cast<std::int64_t>(this->state.gateway_count));
+}
+
 asio::awaitable<void> PublicationCheck::Check() {
   // What is known is recorded once it has been applied.
   if (!this->follower.HasAppliedAll())
@@ -95,13 +107,19 @@
       co_await this->source->ReadChanges(known, kWait, kTimeout);
   CheckNotBehind(known, changes.revision);
   CheckNoLaterEra(changes.revision, this->follower.Published().Revision().era);
-  const bool has_versions_only =
-      co_await this->RecordVersions(std::move(changes));
-  if (has_versions_only)
-    this->state.ConfirmVersions(asked_at);
+  const Finding finding = co_await this->RecordVersions(std::move(changes));
+  if (finding != Finding::kOtherTable)
+    this->state.ConfirmEntries(asked_at, finding == Finding::kNothingNew);
+}
+
+bool PublicationCheck::IsOtherVersion(const EndpointEntry& entry) const {
+  const EndpointHandle known = this->state.selector.Find(entry.id);
+  return known && known->Entry().version != entry.version;
 }
 
-asio::awaitable<bool> PublicationCheck::RecordVersions(PublishedItems changes) {
+asio::awaitable<PublicationCheck::Finding> PublicationCheck::RecordVersions(
+    PublishedItems changes) {
+  Finding finding = Finding::kNothingNew;
   for (const PublishedItem& item : changes.items) {
     if (item.removed)
       continue;
@@ -109,15 +127,17 @@
     if (const auto* entry = std::get_if<EndpointEntry>(&decoded)) {
       this->state.version_history.RecordServed(entry->service, entry->version,
                                                Clock::now());
+      if (this->IsOtherVersion(*entry))
+        finding = Finding::kOtherVersion;
     } else if (const auto* table =
                    std::get_if<std::shared_ptr<const RoutingTable>>(&decoded)) {
       // It may have moved the route to another service.
       if (!this->state.table ||
           (*table)->Version() > this->state.table->Version())
-        co_return false;
+        co_return Finding::kOtherTable;
     }
   }
-  co_return true;
+  co_return finding;
 }
 
 }  // namespace buckthornpath
--- a/src/gateway/publication_check.h
+++ b/src/gateway/publication_check.h
@@ -39,13 +39,25 @@
 
   asio::awaitable<void> Run();
 
+  /** @return Time between questions that are answered. */
+  std::chrono::milliseconds Interval() const;
+
   /** Asks the store once.
    * @throws StoreUnavailable, StoreHistoryCompacted */
   asio::awaitable<void> Check();
 
-  /** Records the versions of changes that are not known yet.
-   * @return False if they decide on more than versions. */
-  asio::awaitable<bool> RecordVersions(PublishedItems changes);
+  /** What changes mean that are not known yet. */
+  enum class Finding {
+    kNothingNew,
+    kOtherVersion,  ///< An endpoint in use has another version now.
+    kOtherTable     ///< Routes may use other services.
+  };
+
+  /** Records the versions of changes. */
+  asio::awaitable<Finding> RecordVersions(PublishedItems changes);
+
+  /** @return True if an entry gives a known endpoint another version. */
+  bool IsOtherVersion(const EndpointEntry& entry) const;
 
   GatewayState& state;
   const PublicationFollower& follower;
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -277,7 +277,7 @@
   if (record.is_fresh) {
     this->upstream.RecordFresh(address, Clock::now());
     // When the record was made is not known: it may have been held back.
-    this->ConfirmVersions(std::nullopt);
+    this->ConfirmEntries(std::nullopt);
   }
   if (!must_ask || !record.is_fresh)
     co_return true;
@@ -306,7 +306,7 @@
     this->store_answered_at = started_at;
     co_await this->ApplyAll(all, kStoreSource);
     if (all.is_complete)
-      this->ConfirmVersions(started_at);
+      this->ConfirmEntries(started_at);
     if (!this->state.is_loaded && !all.is_complete)
       throw StoreUnavailable(
           "the list of items ends before the configuration and cannot be read "
@@ -335,17 +335,17 @@
       this->MergeItems(&PublicationState::MergeChanges, changes, kStoreSource);
   co_await this->ApplyItems(std::move(changed), std::move(origin));
   // The answer may have been held back since the question.
-  this->ConfirmVersions(started_at);
+  this->ConfirmEntries(started_at);
   this->read_revision = std::max(this->read_revision, changes.revision);
   if (!changes.items.empty() || changes.unreadable > 0)
     co_await SleepFor(kBatchDelay);
 }
 
-void PublicationFollower::ConfirmVersions(
+void PublicationFollower::ConfirmEntries(
     std::optional<BootClock::time_point> as_of) {
   // What a part of a list lacks is not known to have gone.
   if (this->published.IsComplete())
-    this->state.ConfirmVersions(as_of);
+    this->state.ConfirmEntries(as_of);
 }
 
 milliseconds PublicationFollower::WatchWait() const {
@@ -505,6 +505,7 @@
              {"revision", item.revision.number}});
     this->state.selector.Withdraw(*endpoint);
     this->state.version_history.RecordWithdrawn(*endpoint, Clock::now());
+    this->state.incarnations.Forget(*endpoint);
     this->state.cold_starts.RecordWithdrawn(*endpoint);
     this->state.connection_pool.CloseIdle(*endpoint);
   } else if (const auto domain = adapter.EvacuatedDomainFromKey(item.key)) {
@@ -556,6 +557,7 @@
   if (const auto endpoint = this->state.adapter.EndpointIdFromKey(item.key)) {
     this->state.selector.Withdraw(*endpoint);
     this->state.version_history.RecordWithdrawn(*endpoint, Clock::now());
+    this->state.incarnations.Forget(*endpoint);
   }
 }
 
@@ -586,6 +588,8 @@
              {"address", entry.address},
              {"era", this->published.Revision().era}});
   }
+  if (known && known->Entry().born_ms < entry.born_ms)
+    this->state.incarnations.Forget(entry.id);
   this->state.cold_starts.RecordPublished(entry, !this->state.is_loaded,
                                           Clock::now());
   this->state.selector.Publish(entry);
--- a/src/gateway/publication_follower.h
+++ b/src/gateway/publication_follower.h
@@ -100,7 +100,7 @@
   asio::awaitable<void> RunDeferredRemovals();
 
   /** Records that all entries are known, of a time if one is stated. */
-  void ConfirmVersions(std::optional<BootClock::time_point> as_of);
+  void ConfirmEntries(std::optional<BootClock::time_point> as_of);
 
   /** @return True if a watch has failed that may be repeated: only a read that
    * fails then as well is an outage. */
--- a/src/gateway/standby_attempt.cc
+++ b/src/gateway/standby_attempt.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "gateway/entry_confirmation.h"
 #include "gateway/response_head.h"
 #include "kernel/json_types.h"
 #include "kernel/log.h"
@@ -21,12 +22,14 @@
 StandbyAttempt::StandbyAttempt(GatewayState& state,
                                EndpointReservation reservation,
                                ForwardRequest request,
-                               std::string request_id)
+                               std::string request_id,
+                               bool must_confirm)
     : state(state),
       reservation(std::move(reservation)),
       endpoint_id(this->reservation.Endpoint()->Entry().id),
       request(std::move(request)),
-      request_id(std::move(request_id)) {}
+      request_id(std::move(request_id)),
+      must_confirm(must_confirm) {}
 
 void StandbyAttempt::Start(std::chrono::milliseconds connect_timeout,
                            std::function<bool()> check,
@@ -102,10 +105,17 @@
     const auto connect_error =
         co_await this->connection->Connect(address, connect_timeout);
     if (connect_error == asio::error::connection_refused)
-      this->state.cold_starts.RecordRefusedConnection(*endpoint, Clock::now());
+      this->state.RecordRefusedConnection(*endpoint);
     if (connect_error)
       co_return AttemptResult::kUnreachable;
   }
+  if (this->must_confirm) {
+    const std::function<bool()> is_ended = [this] {
+      return this->is_cancelled;
+    };
+    co_await AwaitConfirmedEntry(this->state, this->connection->opened_at,
+                                 is_ended);
+  }
   if (this->is_cancelled || !this->may_send())
     co_return AttemptResult::kWithheld;
   this->status = Status::kSent;
--- a/src/gateway/standby_attempt.h
+++ b/src/gateway/standby_attempt.h
@@ -34,15 +34,18 @@
     kEnded,    ///< The attempt has failed.
   };
 
+  /** @param must_confirm The stream has begun: the endpoint must be the process
+   * that its entry describes. */
   StandbyAttempt(GatewayState& state,
                  EndpointReservation reservation,
                  ForwardRequest request,
-                 std::string request_id);
+                 std::string request_id,
+                 bool must_confirm);
 
   /**
    * Begins.
-   * @param may_send Asked once a connection is open; nothing is sent if it
-   * returns false.
+   * @param may_send Asked once a connection is open, and confirmed if it must
+   * be and can be; nothing is sent if it returns false.
    * @param on_end Called once, when the status is final.
    */
   void Start(std::chrono::milliseconds connect_timeout,
@@ -62,6 +65,9 @@
   Clock::time_point StartedAt() const { return this->reservation.Time(); }
   const EndpointReservation& Reservation() const { return this->reservation; }
 
+  /** @pre A connection has been opened. */
+  const EndpointConnection& Connection() const { return *this->connection; }
+
   /** @return What the head of the response says. */
   const ResponseMetadata& Response() const { return this->response; }
   unsigned ResponseStatus() const;
@@ -91,6 +97,7 @@
   EndpointId endpoint_id;
   ForwardRequest request;
   std::string request_id;
+  bool must_confirm;
   std::function<bool()> may_send;
   std::function<void()> on_end;
   std::unique_ptr<EndpointConnection> connection;
--- a/test/stories/standby_attempt.cc
+++ b/test/stories/standby_attempt.cc
@@ -47,7 +47,7 @@
     request.method(boost::beast::http::verb::post);
     request.target("/");
     return std::make_shared<StandbyAttempt>(this->state, std::move(reservation),
-                                            std::move(request), "id-1");
+                                            std::move(request), "id-1", false);
   }
 
   /** Runs the event loop until a condition holds. @return False if it does not
