An entry of the process before does not come back with a new era

What callers saw: endpoints were upgraded under their ids, then the store came back from a copy of before.

Cause: an item of a later era goes before what is known, also one of a process that has ended. The same as for endpoints that start again: the version of an endpoint was that of whatever entry had the last revision.

Change: an entry that comes back with a new era, and states an earlier start than the known one, is left out like one of before its writer said that it leaves. Within an era the order of the store decides, so that an odd entry with a late start keeps no other out for good.

--- a/include/buckthornpath/entry_order.h
+++ b/include/buckthornpath/entry_order.h
@@ -25,6 +25,10 @@
  */
 bool IsFromBeforeLeaving(const EntryOrder& offered, const EntryOrder& known);
 
+/** @return True if an entry is of a process before the one that has written
+ * another, as both state their start. */
+bool IsOfEarlierProcess(const EntryOrder& offered, const EntryOrder& known);
+
 }  // namespace buckthornpath
 
 #endif  // BUCKTHORNPATH_ENTRY_ORDER_H_
--- a/src/decision/entry_order.cc
+++ b/src/decision/entry_order.cc
@@ -9,4 +9,8 @@
          offered.born_ms == known.born_ms && offered.sequence <= known.sequence;
 }
 
+bool IsOfEarlierProcess(const EntryOrder& offered, const EntryOrder& known) {
+  return offered.born_ms != 0 && offered.born_ms < known.born_ms;
+}
+
 }  // namespace buckthornpath
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -487,7 +487,9 @@
     if (this->outdated.Add(key)) {
       LogLine(LogLevel::kNotice, "item_outdated",
               {{"key", key},
-               {"reason", "its writer has said before that it leaves"}});
+               {"reason",
+                "its writer has said before that it leaves, or has started "
+                "again"}});
     }
   }
 }
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -18,6 +18,18 @@
 
 }  // namespace
 
+bool PublicationState::IsOfEarlierProcess(const PublishedItem& item) const {
+  const auto held = this->items.find(item.key);
+  if (!this->order_of || held == this->items.end() ||
+      held->second.revision.era >= item.revision.era ||
+      !this->is_renewed(item.key))
+    return false;
+  const auto offered = this->order_of(item);
+  const auto known = this->order_of(held->second);
+  return offered && known &&
+         buckthornpath::IsOfEarlierProcess(*offered, *known);
+}
+
 bool PublicationState::IsOutdated(const PublishedItem& item) const {
   const auto known = this->leaving.find(item.key);
   if (known == this->leaving.end())
@@ -53,7 +65,7 @@
   const auto known = this->items.find(item.key);
   if (known != this->items.end() && known->second.revision >= item.revision)
     return false;
-  if (this->IsOutdated(item)) {
+  if (this->IsOutdated(item) || this->IsOfEarlierProcess(item)) {
     this->outdated.push_back(item.key);
     if (known != this->items.end())
       known->second.revision = item.revision;
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -32,7 +32,8 @@
  * expire unless they are renewed, and are removed around an outage of the
  * store, are kept for a grace period, as their owners may only have been unable
  * to renew them. An entry from before its writer said that it leaves is left
- * out, however late it is published. Does no I/O.
+ * out, however late it is published; so is one of an earlier process of its
+ * writer that comes back with a new era. Does no I/O.
  */
 class PublicationState {
  public:
@@ -138,6 +139,10 @@
   /** @return True if an item is from before its writer said that it leaves. */
   bool IsOutdated(const PublishedItem& item) const;
 
+  /** @return True if a new era lists an item again that the process before the
+   * one of the held item had written. */
+  bool IsOfEarlierProcess(const PublishedItem& item) const;
+
   /** Remembers whether the writer of an item that is used leaves. */
   void RecordLeaving(const PublishedItem& item);
 
--- a/test/stories/entry_order.cc
+++ b/test/stories/entry_order.cc
@@ -131,6 +131,34 @@
   CPPUNIT_ASSERT_EQUAL(std::string("odd"), state.Value());
 }
 
+/** An endpoint whose later process is known. */
+class RestartedEndpoint : public LeavingEndpoint {
+ public:
+  RestartedEndpoint() { this->Offer("new process", {1, 70}); }
+};
+
+/** Guards against a store that comes back from a copy, whose entries give
+ * endpoints the versions of processes that have ended. */
+void EntryOfTheProcessBeforeDoesNotComeBack() {
+  RestartedEndpoint state;
+  const auto changed = state.MergeSnapshot(
+      {{2, 45}, {{"e", "ready 5", {2, 40}, false}}}, kStart);
+  CPPUNIT_ASSERT(changed.empty());
+  CPPUNIT_ASSERT_EQUAL(std::string("new process"), state.Value());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.TakeOutdated().size());
+  // What the present process writes counts, and so does its removal.
+  state.Offer("new process", {2, 46});
+  state.MergeChanges({{2, 47}, {{"e", "", {2, 47}, true}}}, kStart);
+  CPPUNIT_ASSERT_EQUAL(std::string(), state.Value());
+}
+
+/** Within an era, the store's order decides. */
+void EarlierStartWithinAnEraCounts() {
+  RestartedEndpoint state;
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.Offer("ready 5", {1, 71}));
+  CPPUNIT_ASSERT_EQUAL(std::string("ready 5"), state.Value());
+}
+
 const Story kStory("entry_order", [] {
   return Section(
       "given an endpoint that has said that it leaves",
@@ -147,7 +175,13 @@
                {Then("its later word counts", LaterWordOfTheEndpointCounts),
                 Then("a new process with its id counts", NewProcessCounts),
                 Then("an entry that states no place counts",
-                     EntryThatStatesNoPlaceCounts)})});
+                     EntryThatStatesNoPlaceCounts)}),
+       Section("when it has started again",
+               {Then("an entry of the process before does not come back with a "
+                     "new era",
+                     EntryOfTheProcessBeforeDoesNotComeBack),
+                Then("one that is written within the era counts",
+                     EarlierStartWithinAnEraCounts)})});
 });
 
 }  // namespace
