One place for each rule on older processes and confirmed connections

- What makes an item outdated stands in PublicationState::IsOutdated() again.
- Whether a connection is confirmed is EndpointIncarnations::IsConfirmed(); the question for a stream that begins is asked by IsVersionDoubtful().
- Which of two processes is the earlier one is IsOfEarlierProcess() for the doubt on an endpoint, too.
An entry that states no start counted as earlier there and does not now: a doubt then ends with the next confirmed connection.
- Two stories share their records and gateways (harness/stream_records.h), as they were in both; unused includes are gone.

StreamBroadcast and StreamOutbox stay two classes: one sends at once and twice, the other once an interval that follows the receivers.

--- a/include/buckthornpath/endpoint_incarnations.h
+++ b/include/buckthornpath/endpoint_incarnations.h
@@ -42,6 +42,12 @@
     return this->current_as_of && *this->current_as_of >= time;
   }
 
+  /** @return True if a connection that was opened at a time leads to the
+   * process of the known entry. */
+  bool IsConfirmed(TimePoint opened_at) const {
+    return this->IsCurrentAsOf(ConfirmedBy(opened_at));
+  }
+
   /** Records that an endpoint has refused a connection: nothing listens at its
    * address. A connection that breaks shows no such thing. */
   void RecordEnd(const EndpointId& endpoint, TimePoint now);
--- a/src/decision/endpoint_incarnations.cc
+++ b/src/decision/endpoint_incarnations.cc
@@ -18,9 +18,9 @@
 
 bool EndpointIncarnations::MayBeAnother(const EndpointId& endpoint,
                                         TimePoint opened_at) {
+  if (!this->IsConfirmed(opened_at))
+    return this->MayHaveEnded(endpoint);
   const auto ended = this->ended_at.find(endpoint);
-  if (!this->IsCurrentAsOf(ConfirmedBy(opened_at)))
-    return ended != this->ended_at.end();
   if (ended != this->ended_at.end() && opened_at > ended->second)
     this->ended_at.erase(ended);
   return false;
--- a/src/gateway/entry_confirmation.cc
+++ b/src/gateway/entry_confirmation.cc
@@ -2,8 +2,6 @@
 
 #include "gateway/entry_confirmation.h"
 
-#include <utility>
-
 namespace buckthornpath {
 
 namespace {
@@ -22,12 +20,11 @@
                                           Clock::time_point opened_at,
                                           std::function<bool()> is_ended) {
   const auto start = Clock::now();
-  const auto time = EndpointIncarnations::ConfirmedBy(opened_at);
-  while (!state.incarnations.IsCurrentAsOf(time) &&
+  while (!state.incarnations.IsConfirmed(opened_at) &&
          Clock::now() < start + kMaxWait && state.failed_check_at < start &&
          !is_ended()) {
     if (state.confirm_entries)
-      state.confirm_entries(time);
+      state.confirm_entries(EndpointIncarnations::ConfirmedBy(opened_at));
     co_await SleepFor(kCheckInterval);
   }
 }
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -313,7 +313,7 @@
     if (!has_head && !this->is_aborted)
       is_open = co_await this->OpenConnection(endpoint);
     if (is_open && !has_head)
-      co_await this->ConfirmConnection(endpoint);
+      co_await this->ConfirmConnection();
     // The endpoint or the prompt may have been ruled out meanwhile.
     const std::optional<AttemptResult> ruled_out = this->RuledOut();
     if (has_head)
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -84,7 +84,7 @@
   /** Waits for word that the process on the present connection is the one of
    * the endpoint's entry, if a stream is to go on there. For one that begins
    * there, the word is only asked for. */
-  asio::awaitable<void> ConfirmConnection(const EndpointState& endpoint);
+  asio::awaitable<void> ConfirmConnection();
 
   /** @return True if endpoints crash under the request. */
   bool IsQuarantined() const;
@@ -185,8 +185,8 @@
            this->reservation.Version();
   }
 
-  /** @return True if the process that sends the first events may be another
-   * than the one of the endpoint's entry, which states the version. */
+  /** @return True if the process on the present connection may be another than
+   * the one of the endpoint's entry, which states the version. */
   bool IsVersionDoubtful() const;
 
   /** @return Id of the request that brought the first event of the stream;
--- a/src/gateway/forward_version.cc
+++ b/src/gateway/forward_version.cc
@@ -126,17 +126,13 @@
       this->reservation.Endpoint()->Entry().id, this->connection->opened_at);
 }
 
-asio::awaitable<void> ForwardSession::ConfirmConnection(
-    const EndpointState& endpoint) {
+asio::awaitable<void> ForwardSession::ConfirmConnection() {
   const auto opened_at = this->connection->opened_at;
-  const auto time = EndpointIncarnations::ConfirmedBy(opened_at);
   if (this->stream_version) {
     const std::function<bool()> is_ended = [this] { return this->is_aborted; };
     co_await AwaitConfirmedEntry(this->state, opened_at, is_ended);
-  } else if (this->state.confirm_entries &&
-             this->state.incarnations.MayHaveEnded(endpoint.Entry().id) &&
-             !this->state.incarnations.IsCurrentAsOf(time)) {
-    this->state.confirm_entries(time);
+  } else if (this->state.confirm_entries && this->IsVersionDoubtful()) {
+    this->state.confirm_entries(EndpointIncarnations::ConfirmedBy(opened_at));
   }
 }
 
--- a/src/gateway/publication_check.h
+++ b/src/gateway/publication_check.h
@@ -16,10 +16,11 @@
 
 /**
  * Confirms, for requests that wait for it, that this process knows all software
- * versions that have been published before a time. Others are told late of what
- * was published, and a word of theirs, or an answer of the store, may be held
- * back on its way; so the store is asked anew, and its answer counts as of the
- * time of the question. What it tells is not applied here. Not thread-safe.
+ * versions that had been published at a time, and that the entries in force are
+ * those of that time. Others are told late of what was published, and a word of
+ * theirs, or an answer of the store, may be held back on its way; so the store
+ * is asked anew, and its answer counts as of the time of the question. What it
+ * tells is not applied here. Not thread-safe.
  */
 class PublicationCheck {
  public:
--- a/src/gateway/publication_follower.cc
+++ b/src/gateway/publication_follower.cc
@@ -590,7 +590,8 @@
              {"address", entry.address},
              {"era", this->published.Revision().era}});
   }
-  if (known && known->Entry().born_ms < entry.born_ms)
+  if (known && IsOfEarlierProcess({.born_ms = known->Entry().born_ms},
+                                  {.born_ms = entry.born_ms}))
     this->state.incarnations.Forget(entry.id);
   this->state.cold_starts.RecordPublished(entry, !this->state.is_loaded,
                                           Clock::now());
--- a/src/gateway/publication_state.cc
+++ b/src/gateway/publication_state.cc
@@ -18,24 +18,25 @@
 
 }  // namespace
 
-bool PublicationState::IsOfEarlierProcess(const PublishedItem& item) const {
+bool PublicationState::IsOutdated(const PublishedItem& item) const {
+  if (!this->order_of || !this->is_renewed(item.key))
+    return false;
+  const auto left = this->leaving.find(item.key);
   const auto held = this->items.find(item.key);
-  if (!this->order_of || held == this->items.end() ||
-      held->second.revision.era >= item.revision.era ||
-      !this->is_renewed(item.key))
+  // Within an era, the order of the store tells one process from another.
+  const bool is_listed_again = held != this->items.end() &&
+                               held->second.revision.era < item.revision.era;
+  if (left == this->leaving.end() && !is_listed_again)
     return false;
   const auto offered = this->order_of(item);
-  const auto known = this->order_of(held->second);
-  return offered && known &&
-         buckthornpath::IsOfEarlierProcess(*offered, *known);
-}
-
-bool PublicationState::IsOutdated(const PublishedItem& item) const {
-  const auto known = this->leaving.find(item.key);
-  if (known == this->leaving.end())
+  if (!offered)
     return false;
-  const auto offered = this->order_of(item);
-  return offered && IsFromBeforeLeaving(*offered, known->second);
+  if (left != this->leaving.end() &&
+      IsFromBeforeLeaving(*offered, left->second))
+    return true;
+  const auto known =
+      is_listed_again ? this->order_of(held->second) : std::nullopt;
+  return known && IsOfEarlierProcess(*offered, *known);
 }
 
 void PublicationState::RecordLeaving(const PublishedItem& item) {
@@ -65,7 +66,7 @@
   const auto known = this->items.find(item.key);
   if (known != this->items.end() && known->second.revision >= item.revision)
     return false;
-  if (this->IsOutdated(item) || this->IsOfEarlierProcess(item)) {
+  if (this->IsOutdated(item)) {
     this->outdated.push_back(item.key);
     if (known != this->items.end())
       known->second.revision = item.revision;
--- a/src/gateway/publication_state.h
+++ b/src/gateway/publication_state.h
@@ -136,13 +136,11 @@
 
   bool MergeItem(const PublishedItem& item);
 
-  /** @return True if an item is from before its writer said that it leaves. */
+  /** @return True if an item is from before its writer said that it leaves, or
+   * if a new era lists one again that an earlier process of the writer had
+   * written. */
   bool IsOutdated(const PublishedItem& item) const;
 
-  /** @return True if a new era lists an item again that the process before the
-   * one of the held item had written. */
-  bool IsOfEarlierProcess(const PublishedItem& item) const;
-
   /** Remembers whether the writer of an item that is used leaves. */
   void RecordLeaving(const PublishedItem& item);
 
--- a/test/stories/stream_broadcast.cc
+++ b/test/stories/stream_broadcast.cc
@@ -16,6 +16,7 @@
 #include "buckthornpath/stream_witnesses.h"
 #include "harness/property.h"
 #include "harness/story.h"
+#include "harness/stream_records.h"
 
 namespace buckthornpath {
 
@@ -26,20 +27,6 @@
 using Broadcast = StreamBroadcast;
 
 const TimePoint kStart{std::chrono::hours(1)};
-const StreamOrigin kOld{ServiceName("llm"), "v1"};
-const StreamOrigin kNew{ServiceName("llm"), "v2"};
-
-StreamKey Key(std::uint64_t number) {
-  return {number, ~number};
-}
-
-std::vector<StreamRecord> Records(std::size_t first, std::size_t count) {
-  std::vector<StreamRecord> records;
-  records.reserve(count);
-  for (std::size_t i = 0; i < count; ++i)
-    records.push_back({Key(first + i), kOld});
-  return records;
-}
 
 // Rounds.
 
@@ -119,13 +106,6 @@
 
 // Who is told.
 
-GatewayMember Member(const std::string& domain, std::size_t number) {
-  GatewayMember member;
-  member.address = "10.0.0." + std::to_string(number) + ":1";
-  member.failure_domain = FailureDomainId(domain);
-  return member;
-}
-
 /** A fleet as its members see it: each knows its failure domain, and the hubs
  * of the others. */
 class Fleet {
--- a/test/stories/stream_origin_fleet.cc
+++ b/test/stories/stream_origin_fleet.cc
@@ -6,9 +6,6 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <functional>
-#include <memory>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,7 +17,6 @@
 
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
--- a/test/stories/stream_origin_lookups.cc
+++ b/test/stories/stream_origin_lookups.cc
@@ -20,6 +20,7 @@
 #include "gateway/gateway_message.h"
 #include "harness/property.h"
 #include "harness/story.h"
+#include "harness/stream_records.h"
 
 namespace buckthornpath {
 
@@ -31,23 +32,8 @@
 using Lookups = StreamOriginLookups;
 
 const TimePoint kStart{std::chrono::hours(1)};
-const ServiceName kService("llm");
-const StreamOrigin kOld{kService, "v1"};
-const StreamOrigin kNew{kService, "v2"};
 const std::vector<std::string> kGateways = {"a", "b", "c"};
 
-StreamKey Key(std::uint64_t number) {
-  return {number, ~number};
-}
-
-std::vector<StreamRecord> Records(std::size_t first, std::size_t count) {
-  std::vector<StreamRecord> records;
-  records.reserve(count);
-  for (std::size_t i = 0; i < count; ++i)
-    records.push_back({Key(first + i), kOld});
-  return records;
-}
-
 // The outbox.
 
 void FirstRecordLeavesAtOnce() {
@@ -286,13 +272,6 @@
 
 // Who is told and asked.
 
-GatewayMember Member(const std::string& domain, std::size_t number) {
-  GatewayMember member;
-  member.address = "10.0.0." + std::to_string(number) + ":1";
-  member.failure_domain = FailureDomainId(domain);
-  return member;
-}
-
 /** @return The roster of gateway 1; the others follow in these domains. */
 GatewayRoster RosterOf(const std::vector<std::string>& domains) {
   GatewayRoster roster(Member(domains.front(), 1));
