--- a/test/stories/gateway_out_of_step.cc
+++ b/test/stories/gateway_out_of_step.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "harness/caller.h"
 #include "harness/story.h"
@@ -29,6 +30,9 @@
 /** Longer than a watch of the store waits. */
 constexpr milliseconds kWatchTime{600};
 
+/** Longer than entries may be without confirmation: VersionHistory. */
+constexpr milliseconds kLongGap{3000};
+
 /** Time for which a request waits before what is held back arrives. */
 constexpr milliseconds kLateness{100};
 
@@ -122,12 +126,13 @@
   CPPUNIT_ASSERT(answer.raw.status >= 500);
 }
 
-/** What came before the pause is read after it. */
-void GatewayThatStoodStillProvesNothing() {
+/** What came before the pause is read after it.
+ * @param time Shorter or longer than the gap that a gateway notices. */
+void GatewayThatStoodStillProvesNothing(milliseconds time) {
   LoneVersion fleet;
   const ChildProcess& gateway = fleet.Parts().Gateway(0);
   gateway.Signal(SIGSTOP);
-  std::this_thread::sleep_for(kWatchTime);
+  std::this_thread::sleep_for(time);
   fleet.Join();
   VersionedAnswer answer;
   std::jthread caller([&] { answer = fleet.TakeUpUnseen("still"); });
@@ -137,6 +142,34 @@
   fleet.AssertRefused(answer, "still");
 }
 
+/** Of four gateways of a failure domain, two follow hubs. */
+void WordOfHubsThatStandStillProvesNothing() {
+  constexpr std::size_t kGateways = 4;
+  LoneVersion fleet(kGateways);
+  std::vector<std::size_t> followers;
+  std::vector<std::size_t> hubs;
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    const std::string role = LocalFleet::StatusOf(fleet.Parts().Operator(i))
+                                 .value("gossip", nlohmann::json::object())
+                                 .value("role", "");
+    (role == "member" ? followers : hubs).push_back(i);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, followers.size());
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return fleet.Parts()
+               .Call(followers.front(), OfUnseen("before").Text())
+               .status == 200;
+  }));
+  for (const std::size_t hub : hubs)
+    fleet.Parts().Gateway(hub).Signal(SIGSTOP);
+  fleet.Join();
+  const unsigned status =
+      fleet.Parts().Call(followers.front(), OfUnseen("after").Text()).status;
+  for (const std::size_t hub : hubs)
+    fleet.Parts().Gateway(hub).Signal(SIGCONT);
+  CPPUNIT_ASSERT_EQUAL(503U, status);
+}
+
 /** A stream that its version proves waits for one answer of the store, which
  * does not depend on the watch that is in progress. */
 void ProofIsNotAwaitedForLong() {
@@ -180,7 +213,12 @@
                      SilentStoreProvesNothing)}),
        Section("when another one joins while it stands still",
                {Then("what it was told before proves nothing",
-                     GatewayThatStoodStillProvesNothing)}),
+                     [] { GatewayThatStoodStillProvesNothing(kWatchTime); }),
+                Then("nor does it after a gap that it notices",
+                     [] { GatewayThatStoodStillProvesNothing(kLongGap); })}),
+       Section("when another one joins while its hubs stand still",
+               {Then("what they have told proves nothing",
+                     WordOfHubsThatStandStillProvesNothing)}),
        Section("when it is in step",
                {Then("a stream that its version proves goes on at once",
                      ProofIsNotAwaitedForLong),
--- a/test/stories/stream_origin_losses.cc
+++ b/test/stories/stream_origin_losses.cc
@@ -4,6 +4,7 @@
 #include <cppunit/TestAssert.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <cstddef>
@@ -149,6 +150,106 @@
   fleet.AssertTheyGoOn(survivor);
 }
 
+/** A fleet in which a gateway knows its failure domain and the hubs of others
+ * only, and asks only hubs. */
+class LargeFleet {
+ public:
+  LargeFleet() : fleet(kGateways, {"a", "b", "c"}) {
+    for (std::size_t gateway = 0; gateway < kGateways; ++gateway)
+      this->domains.at(gateway % kDomains).push_back(gateway);
+    CPPUNIT_ASSERT(WaitUntil([this] {
+      return std::all_of(this->domains.begin(), this->domains.end(),
+                         [this](const Gateways& domain) {
+                           return this->Members(domain).size() ==
+                                  domain.size() - kHubs;
+                         });
+    }));
+    this->origin = this->Members(this->domains[0]).front();
+    this->survivor = this->Members(this->domains[1]).front();
+    this->fleet.Begin(this->origin);
+    this->fleet.AwaitRecords(this->survivor);
+  }
+
+  Gateways Members(const Gateways& domain) const {
+    return this->fleet.WithRole("member", domain);
+  }
+
+  Gateways AllHubs() const {
+    Gateways hubs;
+    for (std::size_t gateway = 0; gateway < kGateways; ++gateway) {
+      if (this->fleet.Gossip(gateway).value("role", "") != "member")
+        hubs.push_back(gateway);
+    }
+    return hubs;
+  }
+
+  /** Loses gateways and the one that began the streams. */
+  void Lose(Gateways lost) {
+    lost.push_back(this->origin);
+    Kill(this->fleet, lost);
+  }
+
+  Gateways AllButSurvivor() const {
+    Gateways others;
+    for (std::size_t gateway = 0; gateway < kGateways; ++gateway) {
+      if (gateway != this->survivor)
+        others.push_back(gateway);
+    }
+    return others;
+  }
+
+  static constexpr std::size_t kGateways = 18;
+  static constexpr std::size_t kDomains = 3;
+  static constexpr std::size_t kHubs = 2;
+
+  StreamFleet fleet;
+  std::array<Gateways, kDomains> domains;
+  std::size_t origin = 0;
+  std::size_t survivor = 0;  ///< No hub, in another failure domain.
+};
+
+void LargeFleetLosesADomain() {
+  LargeFleet large;
+  large.Lose(large.domains[0]);
+  large.fleet.AssertTheyGoOn(large.survivor);
+}
+
+void LargeFleetLosesAllHubs() {
+  LargeFleet large;
+  large.Lose(large.AllHubs());
+  large.fleet.AssertTheyGoOn(large.survivor);
+}
+
+void LargeFleetLosesAllButOne() {
+  LargeFleet large;
+  large.Lose(large.AllButSurvivor());
+  large.fleet.AssertTheyGoOn(large.survivor);
+}
+
+/** The hubs that have started again know nothing; members do. */
+void LargeFleetLosesAllHubsForAMoment() {
+  LargeFleet large;
+  const Gateways hubs = large.AllHubs();
+  const Gateways of_origin = large.Members(large.domains[0]);
+  const auto other =
+      std::find_if(of_origin.begin(), of_origin.end(),
+                   [&](std::size_t one) { return one != large.origin; });
+  large.fleet.AwaitRecords(*other);
+  large.Lose(hubs);
+  for (const std::size_t hub : hubs)
+    large.fleet.Fleet().Restart(hub);
+  const auto own_hub = std::find_if(
+      hubs.begin(), hubs.end(),
+      [](std::size_t hub) { return hub % LargeFleet::kDomains == 0; });
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    return large.fleet.Fleet().IsReady(*own_hub) &&
+           large.fleet.Gossip(*own_hub).value("role", "") != "member";
+  }));
+  CPPUNIT_ASSERT_EQUAL(
+      0U, large.fleet.Gossip(*own_hub).value("stream_records", 1U));
+  large.fleet.AssertTheyGoOn(*own_hub);
+}
+
 const Story kStory("stream_origin_losses", [] {
   return Section(
       "given streams that two software versions begin at a gateway of five",
@@ -166,7 +267,16 @@
                 Then("they go on though that one has started again",
                      OnlyARestartedOneIsLeft),
                 Then("they go on though the first one stops as planned",
-                     OthersAreLostDuringAPlannedStop)})});
+                     OthersAreLostDuringAPlannedStop)}),
+       Section(
+           "when a fleet of eighteen in three domains loses some",
+           {Then("they go on though the domain is lost",
+                 LargeFleetLosesADomain),
+            Then("they go on though all hubs are lost", LargeFleetLosesAllHubs),
+            Then("they go on at the only one that is left",
+                 LargeFleetLosesAllButOne),
+            Then("they go on at a hub that has started again, as all have",
+                 LargeFleetLosesAllHubsForAMoment)})});
 });
 
 }  // namespace
